--- /dev/null
+++ b/wickhinge/decide.py
@@ -0,0 +1,617 @@
+"""Every decision of wickhinge: tables, tuned values and all.
+
+How to call it. A front builds one Router for each instance from its settings (see Router.__init__; the parts Shelf,
+Purges and Fleet take their own few), tells it the list with Router.listed and purges with Router.purged, and hands
+it each visit with Router.take, which gives a Visit. What happens to the visit later is a call on it: Visit.ended for
+the outcome of a forward, Visit.left when the client has gone. Probe answers go to Router.probed. The module calls
+out through Caller (one a visit) and Outside (one a router); both, and the plain types, live in
+wickhinge/interface.py. Every call carries the time now, in seconds; nothing else tells the time.
+
+The ordinary path, from gLRU: Router.take raises the object's k at part 0, Visit.look asks the cache on the part's
+hash, a miss is filled from the parent on the object's hash, and parts below k are kept. The rest are guards.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from math import log
+
+from wickhinge.interface import Caller, Effect, Listing, Note, Outcome, Outside, Tariff
+
+MASK = (1 << 64) - 1
+NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT, Outcome.MISS)  # all others may have run
+
+
+def mix(*words: int) -> int:
+    """The same at every router and in every process: routers that share nothing must agree on the hash."""
+    h = 0
+    for word in words:
+        h = (h ^ word) + 0x9E3779B97F4A7C15 & MASK
+        h = (h ^ h >> 30) * 0xBF58476D1CE4E5B9 & MASK
+        h = (h ^ h >> 27) * 0x94D049BB133111EB & MASK
+        h ^= h >> 31
+    return h
+
+
+class Chance:
+    """A linear congruential generator; its low bits repeat soon, so only high ones are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = mix(seed)
+
+    def draw(self) -> float:
+        self.state = self.state * 6364136223846793005 + 1442695040888963407 & MASK
+        return (self.state >> 33) / (1 << 31)
+
+
+class Item:
+    """One object as this router knows it."""
+
+    __slots__ = ("key", "k", "asked", "heat", "last", "work")
+
+    def __init__(self, key: int, now: float) -> None:
+        self.key, self.k, self.asked, self.heat, self.last = key, 0, 0, 0.0, now
+        self.work = 0.0  # sending time of a part, learned; 0 before the first
+
+
+class Shelf:
+    """The count k of leading parts to keep, for each object: bounded, and the least lately asked goes first."""
+
+    def __init__(self, size: int = 20000, idle: float = 10.0, power: int = 1, often: float = 6.0,
+                 middle: float = 0.15) -> None:
+        self.size, self.idle, self.power, self.often, self.middle = size, idle, power, often, middle
+        self.items: OrderedDict[int, Item] = OrderedDict()
+        self.kept = self.kept_middle = 0.0
+
+    def visit(self, key: int, part: int, now: float) -> Item:
+        item = self.items.get(key)
+        if item is None:
+            item = self.items[key] = Item(key, now)
+            if len(self.items) > self.size:
+                self.items.popitem(last=False)
+        self.items.move_to_end(key)
+        rests = int((now - item.last) / self.idle)
+        if rests:
+            item.k >>= min(rests, 60)
+            item.asked = item.k and item.asked >> min(rests, 60)
+        item.heat = item.heat * 0.5 ** ((now - item.last) / self.idle)
+        item.last = now
+        if part == 0:
+            item.heat += 1
+            item.asked += 1
+            item.k += item.asked ** (self.power - 1)
+        return item
+
+    def rank(self, item: Item, part: int, work: float) -> int:
+        """0 to pass unkept, 1 for parts below k, 2 for those asked often while the middle share lasts."""
+        if part >= item.k:
+            return 0
+        self.kept = self.kept * 0.999 + work
+        self.kept_middle *= 0.999
+        if item.heat < self.often or self.kept_middle + work > self.middle * self.kept:
+            return 1
+        self.kept_middle += work
+        return 2
+
+
+class Purges:
+    """Purges still in the works, turned into the oldest copy that will do."""
+
+    def __init__(self, done: float) -> None:
+        # A parent may still be fetching an old copy when the purge is done everywhere else.
+        self.done = done + 2.0
+        self.objects: dict[int, float] = {}
+        self.groups: dict[int, float] = {}
+
+    def told(self, key: int | None, group: int, made: float, now: float) -> None:
+        book, name = (self.groups, group) if key is None else (self.objects, key)
+        book[name] = max(made, book.get(name, made))
+        for old in (self.objects, self.groups):
+            if len(old) > 500:
+                for gone in [name for name, when in old.items() if now - when > self.done]:
+                    del old[gone]
+
+    def oldest(self, key: int, group: int, now: float) -> float | None:
+        """None where any copy does. Never 0, which on the wire means no limit at all."""
+        made = max(self.objects.get(key, -1e9), self.groups.get(group, -1e9))
+        return max(now - made - 0.001, 0.001) if now - made <= self.done else None
+
+
+class Cold:
+    """The budget of a machine that started lately, and this router's share of it.
+
+    Against toppling it; the figures are the settings'. All routers spend it, unknown to each other, so one spends
+    only its share, and less than the rule allows, since sizes vary and others may hash more to the machine. It also
+    keeps answers in time: a machine at a sixth of its link is late long before it topples."""
+
+    def __init__(self, multiple: float, span: float, floor: float, warm: float) -> None:
+        self.span, self.floor, self.warm = span, floor, warm
+        self.multiple = min(0.45 * multiple, 1.0)
+
+    def part(self, cache: Cache, now: float) -> float:
+        age = now - cache.started
+        return 1.0 if age >= self.warm else self.floor + (1 - self.floor) * max(age, 0.0) / self.warm
+
+    def room(self, cache: Cache, work: float, mine: float, now: float) -> bool:
+        part = self.part(cache, now)
+        if part >= 1.0:
+            return True
+        while cache.spent and cache.spent[0][0] <= now - self.span:
+            cache.spent.popleft()
+        return sum(w for _, w in cache.spent) + work <= self.multiple * part * mine * self.span
+
+
+class Cache:
+    """One machine as this router knows it: a cache, a parent or the origin."""
+
+    def __init__(self, listing: Listing, now: float) -> None:
+        self.mark, self.zone, self.kind, self.cell = listing.cache, listing.zone, listing.kind, listing.cell
+        self.salt = mix(listing.cache)
+        self.weight = 1.0
+        self.state = "ready"
+        self.started = -1e9
+        self.fresh_start(now)
+
+    def fresh_start(self, now: float) -> None:
+        self.spent: deque[tuple[float, float]] = deque()  # what it was sent, while cold
+        self.pending: set[Forward] = set()
+        self.filling: set[Forward] = set()
+        self.heard = now
+        self.strikes = 0
+        self.shunned = 0.0  # until when
+        self.slow = 1.0  # answer time over what the work alone would take
+        self.window = 12.0  # fills out at once from it
+        self.shrunk = now
+        self.rate = 0.0  # work a second sent here, decayed
+        self.rated = now
+        self.link = 0.0
+
+    def charge(self, work: float, now: float) -> None:
+        self.spent.append((now, work))
+        if len(self.spent) > 2000:
+            self.spent.popleft()
+        self.rate = self.rate * 0.5 ** ((now - self.rated) / 5.0) + work * 0.14  # log(2) / 5 s
+        self.rated = now
+
+    def usable(self, now: float) -> bool:
+        return self.state == "ready" and now >= self.shunned
+
+    def failed(self, now: float) -> None:
+        """Two failures in a row are no chance: shun it for a while, longer each time; probes go on."""
+        self.strikes += 1
+        if self.strikes >= 2:
+            self.shunned = now + min(0.5 * self.strikes, 3.0)
+
+    def answered(self, now: float) -> None:
+        self.heard = now
+        self.strikes = 0
+        self.shunned = 0.0
+
+
+class Fleet:
+    """The machines this router may use: the caches of its location, all parents, the origin."""
+
+    def __init__(self, zone: str, zones: list[str], hubs: dict[str, str], routers: dict[str, int],
+                 parent_kind: str | None, origin_kind: str | None, weighed: bool, edge: Cold, upper: Cold) -> None:
+        self.zone, self.zones, self.hubs, self.routers = zone, zones, hubs, routers
+        self.parent_kind, self.origin_kind, self.weighed = parent_kind, origin_kind, weighed
+        self.edge, self.upper = edge, upper
+        self.known: dict[int, Cache] = {}
+        self.mine: list[Cache] = []
+        self.parents: list[Cache] = []
+        self.origin: Cache | None = None
+        self.share = 1.0
+
+    def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
+        if whole:
+            named = {listing.cache for listing in listings}
+            for cache in self.known.values():
+                if cache.mark not in named:
+                    cache.state = "gone"
+        for listing in listings:
+            cache = self.known.get(listing.cache)
+            if cache is None:
+                cache = self.known[listing.cache] = Cache(listing, now)
+            cache.state, cache.weight = listing.state, listing.weight or 1.0
+            started = listing.started or -1e9
+            if started > cache.started:
+                if cache.started > -1e9 or now - started < 60:
+                    cache.fresh_start(now)
+                cache.started = started
+        live = [cache for cache in self.known.values() if cache.state == "ready"]
+        self.mine = [c for c in live if c.zone == self.zone and c.kind not in (self.parent_kind, self.origin_kind)]
+        self.parents = [cache for cache in live if cache.kind == self.parent_kind]
+        self.origin = next((cache for cache in live if cache.kind == self.origin_kind), None)
+        edge = [c for c in live if c.kind not in (self.parent_kind, self.origin_kind)]
+        here, all_edge = sum(c.weight for c in self.mine), sum(c.weight for c in edge)
+        self.share = here / all_edge if all_edge else 1.0
+
+    def order(self, caches: list[Cache], salt: int, now: float) -> list[Cache]:
+        """Weighted rendezvous: each key ranks all machines, so that losing one moves only its own keys."""
+        scored = []
+        for cache in caches:
+            chance = ((mix(cache.salt, salt) >> 11) + 0.5) / (1 << 53)
+            weight = cache.weight * self.edge.part(cache, now) if cache.zone == self.zone else cache.weight
+            scored.append((-weight / log(chance), cache.mark, cache))
+        scored.sort(reverse=True)
+        return [cache for _, _, cache in scored]
+
+    def room(self, cache: Cache, work: float, now: float) -> bool:
+        """Whether a cold machine can take this work from this router."""
+        if cache is self.origin:
+            return True
+        upper = cache.kind == self.parent_kind
+        cold = self.upper if upper else self.edge
+        if cold.part(cache, now) >= 1.0:
+            return True
+        mates = self.parents if upper else self.mine
+        if self.weighed:
+            mine = cache.weight * (self.share if upper else 1.0)
+        else:  # no weights told: at least what a warm fellow bears from here, and usual load leaves it room
+            warm = [m.rate * 0.5 ** ((now - m.rated) / 5.0) for m in mates if cold.part(m, now) >= 1.0]
+            return cold.room(cache, work, 1.4 * sum(warm) / len(warm) if warm else 0.0, now)
+        return cold.room(cache, work, mine / max(self.routers.get(self.zone, 1), 1), now)
+
+
+class Forward:
+    """One forward of a visit: to a cache, with the source of a fill (the cache itself: none)."""
+
+    __slots__ = ("visit", "cache", "source", "sent", "pending", "outcome", "rank")
+
+    def __init__(self, visit: Visit, cache: Cache, source: Cache, rank: int, now: float) -> None:
+        self.visit, self.cache, self.source, self.rank, self.sent = visit, cache, source, rank, now
+        self.pending, self.outcome = True, None
+
+
+class Visit:
+    """One visit, from the taking to the last outcome of its forwards."""
+
+    def __init__(self, router: Router, caller: Caller, tariff: Tariff, item: Item, part: int, group: int,
+                 work: float, patience: float, repeat: bool, now: float) -> None:
+        self.router, self.caller, self.tariff, self.item, self.part = router, caller, tariff, item, part
+        self.group, self.work, self.born, self.repeat = group, work, now, repeat
+        self.expires = now + patience
+        self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
+        self.forwards: list[Forward] = []
+        self.done = False
+        self.held = False  # waits here for a fill's place or another's fill
+        self.at: Cache | None = None  # whose miss is to be filled
+        self.salt = mix(item.key, part)
+
+    # What the rules allow.
+
+    def risky(self) -> list[Forward]:
+        return [f for f in self.forwards if f.pending or f.outcome not in NEVER_RAN]
+
+    def allowed(self, cache: Cache, now: float) -> bool:
+        """Against a second effect: what may have run is repeated only where a repeat is known to be dropped."""
+        if len(self.forwards) >= self.router.most_forwards:
+            return False
+        if not self.router.second_copies and any(f.pending for f in self.forwards):
+            return False
+        risky = self.risky()
+        if not risky or self.tariff.effect is Effect.RERUNNABLE:
+            return True
+        if self.tariff.effect is Effect.EXCLUSIVE:
+            return False
+        first = min(risky, key=lambda f: f.sent)
+        if now - first.sent >= self.tariff.window - 0.05:
+            return False
+        group = self.tariff.group
+        return group == "all" or all(f.cache.zone == cache.zone and (group == "zone" or f.cache.cell == cache.cell)
+                                     for f in risky)
+
+    # The ordinary path.
+
+    def look(self, now: float) -> None:
+        """Ask the cache on the part's hash, and the next where that one fails."""
+        if self.tariff.passes_on:
+            self.pass_on(now)
+            return
+        router = self.router
+        tried = [f.cache for f in self.forwards if f.outcome is not Outcome.MISS]
+        work = router.mean(self.tariff)
+        for cache in router.fleet.order(router.fleet.mine, self.salt, now):
+            if cache not in tried and cache.usable(now) and self.allowed(cache, now) \
+                    and router.fleet.room(cache, work, now):
+                self.send(cache, cache, now)
+                return
+        self.stranded(now)
+
+    def stranded(self, now: float) -> None:
+        """No cache of the location will do: straight to a source where that is allowed."""
+        if any(f.pending for f in self.forwards):
+            return
+        source = self.router.source(self, now) if self.router.direct else None
+        if source and self.allowed(source, now) and now + self.work < self.due:
+            self.send(source, source, now)
+        else:
+            self.give_up(now)
+
+    def pass_on(self, now: float) -> None:
+        """What cannot be kept runs at the origin: straight there, or through a cache that names it."""
+        router, origin = self.router, self.router.fleet.origin
+        if origin and origin.usable(now) and now < self.expires - 0.1:
+            if router.direct:
+                if self.allowed(origin, now):
+                    self.send(origin, origin, now)
+                    return
+            else:
+                for cache in router.fleet.order(router.fleet.mine, self.salt, now):
+                    if cache.usable(now) and self.allowed(cache, now) \
+                            and router.fleet.room(cache, router.mean(self.tariff), now):
+                        self.send(cache, origin, now)
+                        return
+        if not any(f.pending for f in self.forwards):
+            self.give_up(now)
+
+    def fill(self, now: float) -> None:
+        """Fill the miss at self.at from the object's parent; wait while none has a place, until it is hopeless."""
+        router, cache = self.router, self.at
+        if self.done or any(f.pending and f.source is not f.cache for f in self.forwards):
+            return
+        if not cache.usable(now):
+            self.look(now)
+            return
+        if now + 0.9 * self.work > self.due and now + self.work > self.born + 0.6 * (self.due - self.born):
+            self.give_up(now)
+            return
+        if not self.allowed(cache, now) or not router.fleet.room(cache, router.mean(self.tariff), now):
+            self.give_up(now)
+            return
+        rank = router.shelf.rank(self.item, self.part, self.work)
+        mark = (self.item.key, self.part)
+        if rank and not router.joins and mark in router.filling:
+            router.filling[mark].append(self)
+            self.hold(now)
+            return
+        source = router.source(self, now)
+        if source is None:
+            router.queue.append(self)
+            self.hold(now)
+            return
+        if rank and mark not in router.filling:
+            router.filling[mark] = []
+        self.send(cache, source, now, rank)
+
+    def hold(self, now: float) -> None:
+        if not self.held:
+            self.held = True
+            self.router.outside.wake(max(self.due - 0.9 * self.work - now, 0.0) + 0.001, self.hold_over)
+
+    def hold_over(self, now: float) -> None:
+        """Waited as long as an answer in time was possible: say so at once."""
+        if self.held and not self.done and not any(f.pending for f in self.forwards):
+            self.give_up(now)
+
+    def send(self, cache: Cache, source: Cache, now: float, rank: int | None = None) -> None:
+        router, tariff = self.router, self.tariff
+        self.held = False
+        oldest = None
+        if not tariff.passes_on:
+            oldest = router.purges.oldest(self.item.key, self.group, now)
+            if oldest and tariff.fresh:
+                oldest = min(oldest, tariff.fresh)
+        if rank is None:
+            rank = 0 if cache not in router.fleet.mine else router.shelf.rank(self.item, self.part, self.work)
+        forward = Forward(self, cache, source, rank, now)
+        self.forwards.append(forward)
+        work = router.mean(tariff)
+        cache.pending.add(forward)
+        cache.charge(work, now)
+        if source is not cache:
+            source.filling.add(forward)
+            source.charge(work, now)
+        renew = bool(rank and tariff.fresh and tariff.effect is Effect.RERUNNABLE)
+        self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
+                            router.joins and source is not cache, False, renew)
+        router.outside.wake(0.4 + 2 * self.work, lambda then: self.overdue(forward, then))
+
+    # What happens to it.
+
+    def overdue(self, forward: Forward, now: float) -> None:
+        """Against a machine that takes work and answers nothing: if it has been silent to all since, count it as
+        failing and try the next one beside it."""
+        if not forward.pending or self.done:
+            return
+        cache = forward.cache
+        if cache.heard >= forward.sent:
+            return
+        cache.failed(now)
+        if self.tariff.effect is Effect.EXCLUSIVE or now > self.due:
+            return
+        if self.router.second_copies:
+            self.look(now)
+        elif self.router.cancel:
+            self.caller.withdraw(forward)
+
+    def ended(self, forward: Forward, outcome: Outcome, took: float, closed: bool, note: Note | None,
+              waited: float, now: float) -> None:
+        """The outcome of one forward. closed: the visit has its final answer, by this outcome or earlier."""
+        router, cache, source = self.router, forward.cache, forward.source
+        forward.pending, forward.outcome = False, outcome
+        cache.pending.discard(forward)
+        source.filling.discard(forward)
+        filled = source is not cache
+        if outcome in (Outcome.HONOURED, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
+            cache.answered(now)
+        elif outcome is not Outcome.MOOT and outcome is not Outcome.WITHDRAWN and cache.heard < forward.sent:
+            cache.failed(now)
+        if outcome is Outcome.HONOURED and not self.tariff.passes_on:
+            if not filled and cache in router.fleet.mine:
+                router.learn(self, took)
+                # After a restart k starts from nothing though the cache still holds the object: the paper keeps
+                # the pieces held and one more, so a hit above k raises it.
+                self.item.k = max(self.item.k, self.part + 1)
+        if filled:
+            router.filled(forward, outcome, took, note, now)
+        if outcome is Outcome.HONOURED or closed:
+            self.finish(now)
+        if self.done:
+            return
+        if now >= self.expires - 0.02:
+            self.give_up(now)
+        elif outcome is Outcome.MISS and not filled and not self.tariff.passes_on:
+            # A part below k has gone: the paper would have dropped the tail from there. Not so when the cache is
+            # new or the object was purged, since nothing was pushed out then.
+            self.item.k = min(self.item.k, self.part + 1)
+            self.at = cache
+            self.fill(now)
+        elif any(f.pending for f in self.forwards):
+            return
+        elif outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE:
+            self.give_up(now)
+        elif now + self.work > self.due:
+            self.give_up(now)
+        elif filled and cache.usable(now) and cache in router.fleet.mine and not self.tariff.passes_on:
+            self.at = cache
+            self.fill(now)
+        else:
+            self.look(now)
+
+    def began(self, forward: Forward, now: float) -> None:
+        """A streamed answer has begun: it is the client's, and no other may be sent."""
+        forward.cache.answered(now)
+        self.done = True
+
+    def left(self, now: float) -> None:
+        """The client has gone: nothing is owed, and what is out is only waste."""
+        self.finish(now)
+
+    def finish(self, now: float) -> None:
+        if self.done:
+            return
+        self.done = True
+        if self.router.cancel:
+            for forward in self.forwards:
+                if forward.pending:
+                    self.caller.withdraw(forward)
+
+    def give_up(self, now: float) -> None:
+        """Given up on: answered at once, with a time to come back where a new try is harmless."""
+        if self.done:
+            return
+        risky = self.risky()
+        harmless = not risky or self.tariff.effect is Effect.RERUNNABLE or (
+            self.tariff.effect is Effect.TICKETED and self.tariff.group == "all")
+        self.finish(now)
+        if harmless:
+            self.caller.deny(self.router.longest_wait)
+        else:
+            self.caller.abandon()
+
+    def out_of_time(self, now: float) -> None:
+        self.give_up(now)
+
+
+class Router:
+    """One instance."""
+
+    def __init__(self, outside: Outside, seed: int, fleet: Fleet, shelf: Shelf, purges: Purges, joins: bool,
+                 direct: bool, flow: float, most_forwards: int, second_copies: bool, cancel: bool, probes: bool,
+                 follows: bool, ask_within: float, longest_wait: float) -> None:
+        self.outside, self.chance, self.fleet, self.shelf, self.purges = outside, Chance(seed), fleet, shelf, purges
+        self.joins, self.direct, self.flow = joins, direct, flow
+        self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
+        self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
+        self.ask_again = ask_within / 8 or 1.0  # a failed call may be made up for well before the lists are held old
+        self.means: dict[str, float] = {}
+        self.filling: dict[tuple[int, int], list[Visit]] = {}
+        self.queue: list[Visit] = []
+
+    def start(self, now: float) -> None:
+        if self.follows:
+            self.outside.follow()
+        if self.probes:
+            self.outside.wake(0.1 + 0.4 * self.chance.draw(), self.round)
+
+    def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
+        self.fleet.listed(listings, whole, now)
+
+    def list_lost(self, now: float) -> None:
+        if self.follows:
+            self.outside.wake(self.ask_again * (0.5 + self.chance.draw()), lambda then: self.outside.follow())
+
+    def purged(self, key: int | None, group: int, ago: float, now: float) -> None:
+        self.purges.told(key, group, now - ago, now)
+
+    def take(self, caller: Caller, tariff: Tariff, key: int, part: int, group: int, size: float, patience: float,
+             repeat: bool, now: float) -> Visit:
+        """Take a visit; size in KB, 0 where it is not told."""
+        item = self.shelf.visit(key, part, now)
+        work = size / self.flow if size else item.work or self.mean(tariff)
+        visit = Visit(self, caller, tariff, item, part, group, work, patience, repeat, now)
+        self.outside.wake(max(patience - 0.02, 0.0), visit.out_of_time)
+        visit.look(now)
+        return visit
+
+    def mean(self, tariff: Tariff) -> float:
+        """Mean sending time of a tariff, learned; a pessimistic one until then, for the cold budgets' sake."""
+        return self.means.get(tariff.name, 0.5 * tariff.promised)
+
+    def learn(self, visit: Visit, took: float) -> None:
+        name = visit.tariff.name
+        self.means[name] = self.mean(visit.tariff) * 0.98 + took * 0.02
+        work = visit.item.work
+        visit.item.work = took if not work else work + (took - work) * (0.5 if took < work else 0.2)
+
+    def source(self, visit: Visit, now: float) -> Cache | None:
+        """The parent on the object's hash, the next where one fails, the origin where all do. None: no place."""
+        work = self.mean(visit.tariff)
+        alive = False
+        for parent in self.fleet.order(self.fleet.parents, visit.item.key, now):
+            if parent.usable(now):
+                if len(parent.filling) < parent.window and self.fleet.room(parent, work, now):
+                    return parent
+                alive = True
+        origin = self.fleet.origin
+        if not alive and origin and origin.usable(now) and len(origin.filling) < origin.window:
+            return origin
+        return None
+
+    def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
+        """A fill is over: judge the source's window by it, wake who waited for it, and hand on its place."""
+        source, visit = forward.source, forward.visit
+        late = outcome is not Outcome.HONOURED or now > visit.due
+        if outcome in (Outcome.WITHDRAWN, Outcome.MOOT):
+            late = now > visit.due
+        if late:
+            if now - source.shrunk > 0.5:
+                source.window, source.shrunk = max(source.window * 0.8, 3.0), now
+        elif len(source.filling) + 1 >= 0.5 * source.window:
+            source.window = min(source.window + 1.0 / source.window, 200.0)
+        if outcome is Outcome.HONOURED:
+            source.answered(now)
+        elif note in (Note.SOURCE_REFUSED, Note.SOURCE_LOST):
+            source.failed(now)
+        mark = (visit.item.key, visit.part)
+        if forward.rank and mark in self.filling:
+            for waiter in self.filling.pop(mark):
+                if not waiter.done:
+                    waiter.look(now)
+        self.serve(now)
+
+    def serve(self, now: float) -> None:
+        """Places go to who waits with the most revenue for its sending time, kept parts before passing ones."""
+        if not self.queue:
+            return
+        queue = [visit for visit in self.queue if not visit.done and visit.held]
+        queue.sort(key=lambda v: -v.tariff.revenue / (v.work + 0.05) * (1.5 if v.part < v.item.k else 1.0))
+        self.queue = []
+        for visit in queue:
+            visit.fill(now)
+
+    def round(self, now: float) -> None:
+        """Probes: what stands still or has died is noticed without losing visits to it."""
+        for cache in self.fleet.mine + self.fleet.parents:
+            self.outside.probe(cache)
+        self.outside.wake(0.7, self.round)
+        self.serve(now)
+
+    def probed(self, cache: Cache, outcome: Outcome, load: dict[str, float], now: float) -> None:
+        if outcome is not Outcome.HONOURED:
+            cache.failed(now)
+            return
+        if cache.strikes and not cache.pending:
+            cache.answered(now)
+        cache.link = load.get("x1", cache.link)
--- /dev/null
+++ b/wickhinge/interface.py
@@ -0,0 +1,115 @@
+"""What the decision module calls out on, and the plain types both sides share.
+
+A front (the bench's adapter today, a network front later) implements Caller and Outside, builds the parts of
+wickhinge.decide and calls them. Times are seconds with fractions. Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+
+class Effect(Enum):
+    """What a second run of a visit would do."""
+
+    RERUNNABLE = "rerunnable"
+    TICKETED = "ticketed"
+    EXCLUSIVE = "exclusive"
+
+
+class Outcome(Enum):
+    """How a forward, or a probe, ended."""
+
+    HONOURED = "honoured"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    UNREACHED = "unreached"
+    BROKEN = "broken"
+    WITHDRAWN = "withdrawn"
+    MOOT = "moot"
+    MISS = "miss"
+
+
+class Note(Enum):
+    """What an answer tells of the copy or of the fill, where the deployment tells it."""
+
+    HIT = 1
+    FILLED = 2
+    FILLED_BY_ORIGIN = 3
+    JOINED = 4
+    PAST_FRESH = 5
+    SOURCE_REFUSED = 6
+    SOURCE_LOST = 7
+    SOURCE_LACKS = 8
+    NO_PLACE = 9
+    ORIGIN_FAILED = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Tariff:
+    """One class of visits, as the settings state it."""
+
+    name: str
+    promised: float  # answered within this, plus stretch times its own sending time, it earns all its revenue
+    stretch: float
+    patience: float
+    revenue: float
+    late_share: float  # of the revenue, for an answer after the promised time
+    effect: Effect
+    group: str  # ticketed: the caches that drop a repeat: "all", "zone" or "cell"
+    window: float  # ticketed: how long they remember
+    fresh: float  # how long a copy is fresh; 0: until it is purged
+    grace: float  # how long past that it may still be served
+    stale_share: float  # of the revenue, for an answer past its fresh time
+    parts: bool  # objects come in parts, asked for in turn
+    passes_on: bool  # never kept: runs at the origin
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One machine as a list names it."""
+
+    cache: int
+    zone: str
+    kind: str
+    cell: int
+    state: str  # "ready", "draining" or "gone"
+    weight: float
+    started: float | None
+
+
+class Caller(Protocol):
+    """Whoever sent the visit; one for each visit. deny and abandon are final answers."""
+
+    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int, oldest: float | None,
+                join: bool, held_only: bool, renew: bool) -> None:
+        """Send the visit to a cache; source None is a plain look, which answers from a fresh copy or misses."""
+
+    def withdraw(self, forward: Any) -> None:
+        """Stop waiting for a forward."""
+
+    def deny(self, wait: float) -> None:
+        """Final: trying again is harmless, and best not before wait."""
+
+    def abandon(self) -> None:
+        """Final: promises nothing."""
+
+
+class Outside(Protocol):
+    """The rest of the world, one for each router."""
+
+    def wake(self, delay: float, call: Callable[[float], None]) -> None:
+        """Call back with the time then. Cannot be taken back."""
+
+    def probe(self, cache: Any) -> None:
+        """Ask a machine for its load; the answer is a call of Router.probed."""
+
+    def follow(self) -> None:
+        """Subscribe to changes of the list."""
+
+    def note(self, text: str) -> None:
+        """A line for the operators' log."""
--- /dev/null
+++ b/wickhinge/wirehost/codec.py
@@ -0,0 +1,92 @@
+"""The wire's lines and fields: read with checks, never guessed; milliseconds become seconds."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+
+class Malformed(Exception):
+    """Bad input; the text names the message and the field."""
+
+    def __init__(self, text: str, router: int | None = None) -> None:
+        super().__init__(text)
+        self.router = router
+
+
+def parse(line: bytes) -> tuple[str, dict[str, Any]]:
+    try:
+        message = orjson.loads(line)
+    except orjson.JSONDecodeError as problem:
+        raise Malformed(f"line is not JSON: {problem}") from None
+    if not isinstance(message, dict) or len(message) != 1:
+        raise Malformed("line is not an object with one key")
+    ((name, fields),) = message.items()
+    if not isinstance(fields, dict):
+        raise Malformed(f"{name}: fields are not an object")
+    return name, fields
+
+
+def number(name: str, fields: dict[str, Any], field: str, default: float | None = None) -> float:
+    value = fields.get(field)
+    if type(value) is float or type(value) is int:
+        return value
+    if value is None and default is not None:
+        return default
+    raise problem(name, fields, field, "a number")
+
+
+def integer(name: str, fields: dict[str, Any], field: str, default: int | None = None) -> int:
+    value = fields.get(field)
+    if type(value) is int:
+        return value
+    if value is None and default is not None:
+        return default
+    if type(value) is float and value.is_integer():
+        return int(value)
+    raise problem(name, fields, field, "a whole number")
+
+
+def seconds(name: str, fields: dict[str, Any], field: str, default: float | None = None) -> float:
+    return number(name, fields, field, default) / 1000.0
+
+
+def text(name: str, fields: dict[str, Any], field: str) -> str:
+    value = fields.get(field)
+    if type(value) is str:
+        return value
+    raise problem(name, fields, field, "a text")
+
+
+def flag(name: str, fields: dict[str, Any], field: str, default: bool | None = None) -> bool:
+    value = fields.get(field)
+    if type(value) is bool:
+        return value
+    if value is None and default is not None:
+        return default
+    raise problem(name, fields, field, "true or false")
+
+
+def listing(name: str, fields: dict[str, Any], field: str) -> list[Any]:
+    value = fields.get(field)
+    if type(value) is list:
+        return value
+    raise problem(name, fields, field, "a list")
+
+
+def record(name: str, fields: dict[str, Any], field: str) -> dict[str, Any]:
+    value = fields.get(field)
+    if type(value) is dict:
+        return value
+    raise problem(name, fields, field, "an object")
+
+
+def problem(name: str, fields: dict[str, Any], field: str, wanted: str) -> Malformed:
+    fault = "is missing" if fields.get(field) is None else f"is not {wanted}"
+    router = fields.get("router")
+    return Malformed(f"{name}: field {field} {fault}", router if type(router) is int else None)
+
+
+def line(name: str, fields: dict[str, Any]) -> bytes:
+    return orjson.dumps({name: fields}) + b"\n"
--- /dev/null
+++ b/wickhinge/wirehost/host.py
@@ -0,0 +1,223 @@
+"""Hosts many routers that share nothing: decoded fields go straight into calls, calls out become actions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, BinaryIO
+
+from wickhinge.interface import Listing, Note, Outcome
+from wickhinge.wirehost import codec
+from wickhinge.wirehost.codec import Malformed
+from wickhinge.wirehost.settings import build
+
+OUTCOMES = {10: Outcome.HONOURED, 20: Outcome.ERROR, 30: Outcome.FULL, 40: Outcome.TIMED_OUT, 50: Outcome.UNREACHED,
+            60: Outcome.BROKEN, 70: Outcome.WITHDRAWN, 80: Outcome.MOOT, 90: Outcome.MISS}
+STATES = {"U": "ready", "L": "draining", "D": "gone"}
+LISTS = {"incr": False, "total": True, "warm_copy": True}
+NOTES = {note.value: note for note in Note}
+
+
+class Door:
+    """The caller of one visit: its ref, and its forwards by their number."""
+
+    __slots__ = ("host", "ref", "forwards", "visit")
+
+    def __init__(self, host: Instance, ref: str) -> None:
+        self.host, self.ref = host, ref
+        self.forwards: list[Any] = []
+        self.visit: Any = None
+
+    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int, oldest: float | None,
+                join: bool, held_only: bool, renew: bool) -> None:
+        self.forwards.append(forward)
+        fields = {"ref": self.ref, "cache": cache.mark, "tryForMs": patience * 1000.0}
+        if source is None:
+            self.host.act("Try", fields)
+            return
+        fields |= {"source": source.mark, "admit": rank, "opts": join | held_only << 1 | renew << 3}
+        if oldest is not None:
+            fields["howOldMs"] = oldest * 1000.0
+        self.host.act("PullVia", fields)
+
+    def withdraw(self, forward: Any) -> None:
+        self.host.act("Abandon", {"ref": self.ref, "sendNo": self.forwards.index(forward)})
+
+    def deny(self, wait: float) -> None:
+        self.host.act("Refuse", {"ref": self.ref, "waitMs": wait * 1000.0})
+
+    def abandon(self) -> None:
+        self.host.act("DropRequest", {"ref": self.ref})
+
+
+class Instance:
+    """One router and what the wire calls its things."""
+
+    def __init__(self, number: int, replies: list[bytes]) -> None:
+        self.number, self.replies = number, replies
+        self.doors: dict[str, Door] = {}
+        self.alarms: dict[int, Callable[[float], None]] = {}
+        self.alarm = 0
+        self.router: Any = None
+        self.tariffs: dict[str, Any] = {}
+
+    def act(self, name: str, fields: dict[str, Any]) -> None:
+        fields["router"] = self.number
+        self.replies.append(codec.line(name, fields))
+
+    # Outside, for the module.
+
+    def wake(self, delay: float, call: Callable[[float], None]) -> None:
+        self.alarm += 1
+        self.alarms[self.alarm] = call
+        self.act("WakeMe", {"delayMs": max(delay, 0.0) * 1000.0, "handle": self.alarm})
+
+    def probe(self, cache: Any) -> None:
+        self.act("Poll", {"cache": cache.mark})
+
+    def follow(self) -> None:
+        self.act("Follow", {"want": True})
+
+    def note(self, text: str) -> None:
+        self.act("NoteDown", {"line": text})
+
+    # Events.
+
+    def power_on(self, name: str, fields: dict[str, Any], now: float) -> None:
+        seed, conf = codec.integer(name, fields, "initSeed"), codec.record(name, fields, "conf")
+        self.router, self.tariffs = build(conf, seed, self)
+        self.router.start(now)
+
+    def announce(self, name: str, fields: dict[str, Any], now: float) -> None:
+        kind = codec.text(name, fields, "kind")
+        if kind == "lost":
+            self.router.list_lost(now)
+            return
+        if kind not in LISTS:
+            raise Malformed(f"{name}: field kind holds an unknown word", self.number)
+        listings = []
+        for entry in codec.listing(name, fields, "hosts"):
+            if not isinstance(entry, dict):
+                raise Malformed(f"{name}: field hosts is not a list of objects", self.number)
+            state = codec.text(name, entry, "availability")
+            if state not in STATES:
+                raise Malformed(f"{name}: field availability holds an unknown word", self.number)
+            listings.append(Listing(
+                codec.integer(name, entry, "cache"), codec.text(name, entry, "campus"),
+                codec.text(name, entry, "familyType"), codec.integer(name, entry, "cluster", 0), STATES[state],
+                codec.number(name, entry, "share", 1.0), codec.seconds(name, entry, "readyAtMs", 0.0) or None))
+        self.router.listed(listings, LISTS[kind], now)
+
+    def inbound(self, name: str, fields: dict[str, Any], now: float) -> None:
+        tariff = self.tariffs.get(codec.text(name, fields, "kind"))
+        if tariff is None:
+            raise Malformed(f"{name}: field kind names no class of the settings", self.number)
+        door = self.doors[codec.text(name, fields, "ref")] = Door(self, fields["ref"])
+        content = fields.get("contentId")
+        door.visit = self.router.take(
+            door, tariff, 0 if content is None else self.key(name, fields), codec.integer(name, fields, "chunk", 0),
+            codec.integer(name, fields, "batchId", 0), codec.number(name, fields, "lengthKb", 0.0),
+            codec.seconds(name, fields, "expiresInMs"), codec.flag(name, fields, "repeat", False), now)
+
+    def key(self, name: str, fields: dict[str, Any]) -> int:
+        try:
+            return int(codec.text(name, fields, "contentId"), 16)
+        except ValueError:
+            raise Malformed(f"{name}: field contentId is not hex digits", self.number) from None
+
+    def resolved(self, name: str, fields: dict[str, Any], now: float) -> None:
+        door = self.doors.get(codec.text(name, fields, "ref"))
+        number = codec.integer(name, fields, "sendNo")
+        code = codec.integer(name, fields, "disposition")
+        if code not in OUTCOMES:
+            raise Malformed(f"{name}: field disposition holds an unknown code", self.number)
+        took, closed = codec.seconds(name, fields, "timeTakenMs"), codec.flag(name, fields, "doneFlag")
+        waited = codec.seconds(name, fields, "waitedMs", 0.0)
+        if door is None or not 0 <= number < len(door.forwards):
+            return
+        forward = door.forwards[number]
+        forward.visit.ended(forward, OUTCOMES[code], took, closed, NOTES.get(codec.integer(name, fields, "detail", 0)),
+                            waited, now)
+        if forward.visit.done and not any(one.pending for one in door.forwards):
+            self.doors.pop(door.ref, None)
+
+    def ack_first(self, name: str, fields: dict[str, Any], now: float) -> None:
+        door = self.doors.get(codec.text(name, fields, "ref"))
+        number = codec.integer(name, fields, "sendNo")
+        if door is not None and 0 <= number < len(door.forwards):
+            door.forwards[number].visit.began(door.forwards[number], now)
+
+    def gone(self, name: str, fields: dict[str, Any], now: float) -> None:
+        door = self.doors.get(codec.text(name, fields, "ref"))
+        if door is not None and door.visit is not None:
+            door.visit.left(now)
+
+    def check_result(self, name: str, fields: dict[str, Any], now: float) -> None:
+        cache = self.router.fleet.known.get(codec.integer(name, fields, "cache"))
+        code = codec.integer(name, fields, "disposition")
+        if code not in OUTCOMES:
+            raise Malformed(f"{name}: field disposition holds an unknown code", self.number)
+        load = {} if fields.get("report") is None else codec.record(name, fields, "report")
+        if cache is not None:
+            self.router.probed(cache, OUTCOMES[code], load, now)
+
+    def expired_now(self, name: str, fields: dict[str, Any], now: float) -> None:
+        key = None if fields.get("contentId") is None else self.key(name, fields)
+        self.router.purged(key, codec.integer(name, fields, "setNo", 0), codec.seconds(name, fields, "howOldMs"), now)
+
+    def ring(self, name: str, fields: dict[str, Any], now: float) -> None:
+        call = self.alarms.pop(codec.integer(name, fields, "handle"), None)
+        if call is not None:
+            call(now)
+
+    def from_peer(self, name: str, fields: dict[str, Any], now: float) -> None:
+        codec.text(name, fields, "content")  # routers share nothing
+
+
+EVENTS = {"PowerOn": Instance.power_on, "Announce": Instance.announce, "Inbound": Instance.inbound,
+          "Resolved": Instance.resolved, "AckFirst": Instance.ack_first, "Gone": Instance.gone,
+          "CheckResult": Instance.check_result, "ExpiredNow": Instance.expired_now, "Ring": Instance.ring,
+          "FromPeer": Instance.from_peer}
+
+
+class Host:
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+        self.replies: list[bytes] = []
+
+    def event(self, name: str, fields: dict[str, Any], now: float) -> None:
+        number = codec.integer(name, fields, "router")
+        if name == "Kill":
+            self.instances.pop(number, None)
+            return
+        if name == "PowerOn":
+            self.instances[number] = Instance(number, self.replies)
+        elif name not in EVENTS:
+            raise Malformed(f"{name}: unknown message", number)
+        instance = self.instances.get(number)
+        if instance is None:
+            raise Malformed(f"{name}: field router names no running instance", number)
+        EVENTS[name](instance, name, fields, now)
+
+
+def run(source: BinaryIO, sink: BinaryIO) -> None:
+    """Read batches until the end of input; one reply for each."""
+    host, now = Host(), None
+    for raw in source:
+        if not raw.strip():
+            continue
+        try:
+            name, fields = codec.parse(raw)
+            if name == "Batch":
+                now = codec.seconds(name, fields, "timeMs")
+            elif name == "Go":
+                sink.write(b"".join(host.replies) + b'{"Finished":{}}\n')
+                sink.flush()
+                host.replies.clear()
+            elif now is None:
+                raise Malformed(f"{name}: comes before any Batch")
+            else:
+                host.event(name, fields, now)
+        except Malformed as problem:
+            if problem.router is None:
+                raise
+            host.replies.append(codec.line("Broken", {"router": problem.router, "line": str(problem)}))
--- /dev/null
+++ b/wickhinge/wirehost/settings.py
@@ -0,0 +1,82 @@
+"""The wire's settings, turned into the parts of the decision module. Unknown keys are disregarded."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from wickhinge.decide import Cold, Fleet, Purges, Router, Shelf
+from wickhinge.interface import Effect, Outside, Tariff
+from wickhinge.wirehost.codec import Malformed, flag, integer, listing, number, record, seconds, text
+
+EFFECTS = {"pure": Effect.RERUNNABLE, "token": Effect.TICKETED, "side_effect": Effect.EXCLUSIVE}
+
+
+def word(name: str, fields: dict[str, Any], field: str, known: Any) -> Any:
+    value = text(name, fields, field)
+    if value not in known:
+        raise Malformed(f"{name}: field {field} holds an unknown word")
+    return value
+
+
+def spread(family: dict[str, Any], field: str, count: int) -> list[Any]:
+    values = listing("conf.familyInfo", family, field)
+    if len(values) != count:
+        raise Malformed(f"conf.familyInfo: field {field} does not hold one value for each")
+    return values
+
+
+def tariffs(conf: dict[str, Any]) -> dict[str, Tariff]:
+    family, classes = record("conf", conf, "familyInfo"), listing("conf", conf, "classes")
+    count = len(classes)
+    fresh, grace = spread(family, "maxAgeMs", count), spread(family, "staleForMs", count)
+    stale, parts = spread(family, "worthWhenOld", count), spread(family, "multiPart", count)
+    passes = spread(family, "passOn", count)
+    result = {}
+    for place, entry in enumerate(classes):
+        if not isinstance(entry, dict):
+            raise Malformed("conf: field classes is not a list of objects")
+        where = "conf.classes"
+        name = text(where, entry, "name")
+        effect = EFFECTS[word(where, entry, "effect", EFFECTS)]
+        result[name] = Tariff(
+            name=name, promised=seconds(where, entry, "onTimeMs"),
+            stretch=number(where, entry, "aimStretch", 0.0), patience=seconds(where, entry, "hardLimitMs"),
+            revenue=number(where, entry, "importance"), late_share=number(where, entry, "lateValue", 0.0),
+            effect=effect,
+            group=word(where, entry, "group", ("all", "zone", "cell")) if effect is Effect.TICKETED else "all",
+            window=seconds(where, entry, "windowMs") if effect is Effect.TICKETED else 0.0,
+            fresh=fresh[place] / 1000.0, grace=grace[place] / 1000.0, stale_share=stale[place],
+            parts=bool(parts[place]), passes_on=bool(passes[place]))
+    return result
+
+
+def build(conf: dict[str, Any], seed: int, outside: Outside) -> tuple[Router, dict[str, Tariff]]:
+    family, rules = record("conf", conf, "familyInfo"), record("conf", conf, "rules")
+    limits, stats = record("conf", conf, "limits"), record("conf", conf, "stats")
+    shapes, zones = listing("conf", conf, "shapes"), listing("conf", conf, "zones")
+    info = "conf.familyInfo"
+
+    def shape(field: str) -> str | None:
+        place = integer(info, family, field)
+        if place >= len(shapes):
+            raise Malformed(f"{info}: field {field} names no machine kind")
+        return shapes[place] if place >= 0 else None
+
+    hubs = {zone: zones[place] for zone, place in zip(zones, spread(family, "attachedTo", len(zones)), strict=True)}
+    routers = dict(zip(zones, spread(family, "zoneBalancers", len(zones)), strict=True))
+    edge = Cold(number("conf.rules", rules, "fallMultiple"), seconds("conf.rules", rules, "fallMs"),
+                number("conf.rules", rules, "coldFrom"), seconds("conf.rules", rules, "coldMs"))
+    upper = Cold(number(info, family, "upperFallMultiple"), seconds("conf.rules", rules, "fallMs"),
+                 number(info, family, "parentFloor"), seconds(info, family, "parentWarmsInMs"))
+    fleet = Fleet(text("conf", conf, "locality"), zones, hubs, routers, shape("shieldKind"), shape("sourceKind"),
+                  text("conf", conf, "weights") != "off", edge, upper)
+    wait = seconds("conf.limits", limits, "maxRetryAfterMs") if flag("conf.limits", limits, "retryAfter") else 0.0
+    router = Router(
+        outside, seed, fleet, Shelf(), Purges(seconds(info, family, "goneEverywhereMs")),
+        joins=flag(info, family, "joins"), direct=flag(info, family, "passThroughOk"),
+        flow=number(info, family, "oneFlowKbPerS"), most_forwards=integer("conf.limits", limits, "mostTries"),
+        second_copies=flag("conf.limits", limits, "mayDuplicate"), cancel=flag("conf.limits", limits, "cancel"),
+        probes=flag("conf.limits", limits, "probes") and text("conf.stats", stats, "how") != "none",
+        follows=text("conf", conf, "discovery") == "ask",
+        ask_within=seconds("conf.rules", rules, "mustAskInMs", 0.0), longest_wait=wait)
+    return router, tariffs(conf)
