Admission by predicted time: crowding at the cache learned, at the link as told

Cause: hits took 1.5 s where their own sending took 0.4 s, since one cache box of a location drained and the others' links were shared among too many; late answers took the pace of the rest. Change: each cache has a learned count of transfers it bears at full pace; a visit is sent only where it is predicted in time, else to the next on the hash, else denied.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -159,12 +159,13 @@
         self.heard = now
         self.strikes = 0
         self.shunned = 0.0  # until when
-        self.slow = 1.0  # answer time over what the work alone would take
+        self.lag = 0.05  # as a source: what a fill took beyond its transfer, smoothed
+        self.fit = self.best = 4.0  # transfers from here that it bears at full pace, learned
+        self.fitted = now
         self.window = 12.0  # fills out at once from it
         self.shrunk = now
         self.rate = 0.0  # work a second sent here, decayed
         self.rated = now
-        self.link = 0.0
 
     def charge(self, work: float, now: float) -> None:
         self.spent.append((now, work))
@@ -173,6 +174,24 @@
         self.rate = self.rate * 0.5 ** ((now - self.rated) / 5.0) + work * 0.14  # log(2) / 5 s
         self.rated = now
 
+    def crowd(self, more: int, now: float) -> float:
+        """How many times longer than alone a transfer takes, if so many more come."""
+        if self.fit < self.best:  # what slowed it may have passed, and a shunned one shows nothing
+            self.fit += (self.best - self.fit) * min((now - self.fitted) / 6.0, 1.0)
+        self.fitted = now
+        return max((len(self.pending) + more) / self.fit, 1.0)
+
+    def bore(self, ratio: float, now: float) -> None:
+        """Learn from one answer: it took ratio times its own sending time, with these pending."""
+        self.crowd(0, now)
+        out = len(self.pending) + 1
+        if ratio > 1.25:
+            self.fit += 0.1 * (out / ratio - self.fit)
+        elif out > self.fit:
+            self.fit += 0.2 * (out - self.fit)
+            self.best = max(self.best, self.fit)
+        self.fit = max(self.fit, 0.3)
+
     def usable(self, now: float) -> bool:
         return self.state == "ready" and now >= self.shunned
 
@@ -222,6 +241,9 @@
         self.mine = [c for c in live if c.zone == self.zone and c.kind not in (self.parent_kind, self.origin_kind)]
         self.parents = [cache for cache in live if cache.kind == self.parent_kind]
         self.origin = next((cache for cache in live if cache.kind == self.origin_kind), None)
+        if self.weighed:
+            for cache in self.mine:
+                cache.best = max(cache.weight / max(self.routers.get(self.zone, 1), 1), 0.5)
         edge = [c for c in live if c.kind not in (self.parent_kind, self.origin_kind)]
         here, all_edge = sum(c.weight for c in self.mine), sum(c.weight for c in edge)
         self.share = here / all_edge if all_edge else 1.0
@@ -314,8 +336,9 @@
         for cache in router.fleet.order(router.fleet.mine, self.salt, now):
             if cache not in tried and cache.usable(now) and self.allowed(cache, now) \
                     and router.fleet.room(cache, work, now):
-                self.send(cache, cache, now)
-                return
+                if now + self.work * cache.crowd(1, now) < self.due:
+                    self.send(cache, cache, now)
+                    return
         self.stranded(now)
 
     def stranded(self, now: float) -> None:
@@ -353,7 +376,7 @@
         if not cache.usable(now):
             self.look(now)
             return
-        if now + 0.9 * self.work > self.due and now + self.work > self.born + 0.6 * (self.due - self.born):
+        if now + self.work * max(cache.crowd(1, now), router.link_crowd()) > self.due:
             self.give_up(now)
             return
         if not self.allowed(cache, now) or not router.fleet.room(cache, router.mean(self.tariff), now):
@@ -401,6 +424,7 @@
         cache.charge(work, now)
         if source is not cache:
             source.filling.add(forward)
+            router.fills += 1
             source.charge(work, now)
         renew = bool(rank and tariff.fresh and tariff.effect is Effect.RERUNNABLE)
         self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
@@ -440,6 +464,7 @@
         if outcome is Outcome.HONOURED and not self.tariff.passes_on:
             if not filled and cache in router.fleet.mine:
                 router.learn(self, took)
+                cache.bore(took / max(self.work, 0.005), now)
                 # After a restart k starts from nothing though the cache still holds the object: the paper keeps
                 # the pieces held and one more, so a hit above k raises it.
                 self.item.k = max(self.item.k, self.part + 1)
@@ -451,7 +476,7 @@
             return
         if now >= self.expires - 0.02:
             self.give_up(now)
-        elif outcome is Outcome.MISS and not filled and not self.tariff.passes_on:
+        elif outcome is Outcome.MISS and not filled and cache in router.fleet.mine and not self.tariff.passes_on:
             # A part below k has gone: the paper would have dropped the tail from there. Not so when the cache is
             # new or the object was purged, since nothing was pushed out then.
             self.item.k = min(self.item.k, self.part + 1)
@@ -517,6 +542,8 @@
         self.ask_again = ask_within / 8 or 1.0  # a failed call may be made up for well before the lists are held old
         self.means: dict[str, float] = {}
         self.filling: dict[tuple[int, int], list[Visit]] = {}
+        self.fills = 0
+        self.link_load = self.link_fills = 0.0  # the location's link, as told, and this router's fills at that time
         self.queue: list[Visit] = []
 
     def start(self, now: float) -> None:
@@ -552,26 +579,26 @@
     def learn(self, visit: Visit, took: float) -> None:
         name = visit.tariff.name
         self.means[name] = self.mean(visit.tariff) * 0.98 + took * 0.02
+        # All parts are about as large, and crowding only adds: the shortest time seen is nearest to the work.
         work = visit.item.work
-        visit.item.work = took if not work else work + (took - work) * (0.5 if took < work else 0.2)
+        visit.item.work = took if not work or took < work else work + (took - work) * 0.05
 
     def source(self, visit: Visit, now: float) -> Cache | None:
         """The parent on the object's hash, the next where one fails, the origin where all do. None: no place."""
         work = self.mean(visit.tariff)
-        alive = False
         for parent in self.fleet.order(self.fleet.parents, visit.item.key, now):
             if parent.usable(now):
-                if len(parent.filling) < parent.window and self.fleet.room(parent, work, now):
-                    return parent
-                alive = True
+                room = len(parent.filling) < parent.window and self.fleet.room(parent, work, now)
+                return parent if room else None
         origin = self.fleet.origin
-        if not alive and origin and origin.usable(now) and len(origin.filling) < origin.window:
+        if origin and origin.usable(now) and len(origin.filling) < origin.window:
             return origin
         return None
 
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
         """A fill is over: judge the source's window by it, wake who waited for it, and hand on its place."""
         source, visit = forward.source, forward.visit
+        self.fills -= 1
         late = outcome is not Outcome.HONOURED or now > visit.due
         if outcome in (Outcome.WITHDRAWN, Outcome.MOOT):
             late = now > visit.due
@@ -601,6 +628,12 @@
         for visit in queue:
             visit.fill(now)
 
+    def link_crowd(self) -> float:
+        """How many times longer than alone a fill takes on the location's link, if one more comes."""
+        if self.link_load < 0.5:
+            return 1.0
+        return (self.fills + 1) * self.link_load / max(self.link_fills, 1.0)
+
     def round(self, now: float) -> None:
         """Probes: what stands still or has died is noticed without losing visits to it."""
         for cache in self.fleet.mine + self.fleet.parents:
@@ -614,4 +647,6 @@
             return
         if cache.strikes and not cache.pending:
             cache.answered(now)
-        cache.link = load.get("x1", cache.link)
+        if cache in self.fleet.mine and "x1" in load:
+            self.link_load += 0.1 * (load["x1"] - self.link_load)
+            self.link_fills += 0.1 * (self.fills - self.link_fills)
