Deny earlier: predicted times stretched by 1.6, and sources judged by the lag they add

Predicted times are now stretched by 1.6 against the visits still to come; a source's window shrinks only for the lag it adds itself, not for a crowded cache.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -19,6 +19,7 @@
 from wickhinge.interface import Caller, Effect, Listing, Note, Outcome, Outside, Tariff
 
 MASK = (1 << 64) - 1
+MARGIN = 1.6  # predicted times are stretched by this: more will come while the visit is under way
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT, Outcome.MISS)  # all others may have run
 
 
@@ -336,7 +337,7 @@
         for cache in router.fleet.order(router.fleet.mine, self.salt, now):
             if cache not in tried and cache.usable(now) and self.allowed(cache, now) \
                     and router.fleet.room(cache, work, now):
-                if now + self.work * cache.crowd(1, now) < self.due:
+                if now + MARGIN * self.work * cache.crowd(1, now) < self.due:
                     self.send(cache, cache, now)
                     return
         self.stranded(now)
@@ -376,7 +377,7 @@
         if not cache.usable(now):
             self.look(now)
             return
-        if now + self.work * max(cache.crowd(1, now), router.link_crowd()) > self.due:
+        if now + MARGIN * self.work * max(cache.crowd(1, now), router.link_crowd()) > self.due:
             self.give_up(now)
             return
         if not self.allowed(cache, now) or not router.fleet.room(cache, router.mean(self.tariff), now):
@@ -599,9 +600,12 @@
         """A fill is over: judge the source's window by it, wake who waited for it, and hand on its place."""
         source, visit = forward.source, forward.visit
         self.fills -= 1
-        late = outcome is not Outcome.HONOURED or now > visit.due
-        if outcome in (Outcome.WITHDRAWN, Outcome.MOOT):
-            late = now > visit.due
+        if outcome is Outcome.HONOURED or outcome is Outcome.WITHDRAWN:
+            # Only what the source added counts against it, not a crowded cache.
+            lag = took - visit.work * forward.cache.crowd(1, now)
+            late = lag > max(visit.tariff.promised, 0.5)
+        else:
+            late = outcome is not Outcome.MOOT
         if late:
             if now - source.shrunk > 0.5:
                 source.window, source.shrunk = max(source.window * 0.8, 3.0), now
