A source silent since an overdue fill is shunned; its fills go to the next parent

Change: a fill overdue at a source from which nothing was heard since it was sent counts against that source; the visit is withdrawn and filled from the next on the hash; a machine that failed twice is tried by one visit at a time; a probe that answers no longer clears failures.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -194,7 +194,9 @@
         self.fit = max(self.fit, 0.3)
 
     def usable(self, now: float) -> bool:
-        return self.state == "ready" and now >= self.shunned
+        """One that failed lately is tried again by one visit at a time."""
+        return self.state == "ready" and now >= self.shunned and (
+            self.strikes < 2 or not (self.pending or self.filling))
 
     def failed(self, now: float) -> None:
         """Two failures in a row are no chance: shun it for a while, longer each time; probes go on."""
@@ -430,25 +432,24 @@
         renew = bool(rank and tariff.fresh and tariff.effect is Effect.RERUNNABLE)
         self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
                             router.joins and source is not cache, False, renew)
-        router.outside.wake(0.4 + 2 * self.work, lambda then: self.overdue(forward, then))
+        router.outside.wake(0.3 + 2 * (self.work + source.lag), lambda then: self.overdue(forward, then))
 
     # What happens to it.
 
     def overdue(self, forward: Forward, now: float) -> None:
-        """Against a machine that takes work and answers nothing: if it has been silent to all since, count it as
-        failing and try the next one beside it."""
-        if not forward.pending or self.done:
+        """Against a machine that takes work and answers nothing, as a cache or as a source: one that has been silent
+        to all since is counted as failing, and the visit goes on elsewhere. A large object alone at a slow machine
+        looks the same and loses its place."""
+        silent = forward.cache if forward.cache.heard < forward.sent else forward.source
+        if not forward.pending or self.done or silent.heard >= forward.sent:
             return
-        cache = forward.cache
-        if cache.heard >= forward.sent:
+        silent.failed(now)
+        if self.tariff.effect is not Effect.RERUNNABLE or now + self.work > self.due:
             return
-        cache.failed(now)
-        if self.tariff.effect is Effect.EXCLUSIVE or now > self.due:
-            return
-        if self.router.second_copies:
-            self.look(now)
-        elif self.router.cancel:
+        if self.router.cancel:
             self.caller.withdraw(forward)
+        elif silent is forward.cache and self.router.second_copies:
+            self.look(now)
 
     def ended(self, forward: Forward, outcome: Outcome, took: float, closed: bool, note: Note | None,
               waited: float, now: float) -> None:
@@ -587,8 +588,9 @@
     def source(self, visit: Visit, now: float) -> Cache | None:
         """The parent on the object's hash, the next where one fails, the origin where all do. None: no place."""
         work = self.mean(visit.tariff)
+        failed = [f.source for f in visit.forwards if not f.pending and f.outcome is not Outcome.MISS]
         for parent in self.fleet.order(self.fleet.parents, visit.item.key, now):
-            if parent.usable(now):
+            if parent.usable(now) and parent not in failed:
                 room = len(parent.filling) < parent.window and self.fleet.room(parent, work, now)
                 return parent if room else None
         origin = self.fleet.origin
@@ -604,6 +606,7 @@
             # Only what the source added counts against it, not a crowded cache.
             lag = took - visit.work * forward.cache.crowd(1, now)
             late = lag > max(visit.tariff.promised, 0.5)
+            source.lag += 0.1 * (max(min(lag, 1.0), 0.0) - source.lag)
         else:
             late = outcome is not Outcome.MOOT
         if late:
@@ -649,8 +652,6 @@
         if outcome is not Outcome.HONOURED:
             cache.failed(now)
             return
-        if cache.strikes and not cache.pending:
-            cache.answered(now)
         if cache in self.fleet.mine and "x1" in load:
             self.link_load += 0.1 * (load["x1"] - self.link_load)
             self.link_fills += 0.1 * (self.fills - self.link_fills)
