Keep all at a cache that started lately, gLRU(1) growth, no shrink for purged copies

Changes, run one by one: (1) a miss is no sign of eviction when the object was purged or (2) the cache is under 15 s old; (3) such a cache keeps all, since an empty cache displaces nothing; (4) the p-th request adds p parts (the paper's gLRU(d), d = 1).

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -19,6 +19,8 @@
 from wickhinge.interface import Caller, Effect, Listing, Note, Outcome, Outside, Tariff
 
 MASK = (1 << 64) - 1
+YOUNG = 15
+KEEP = 15
 MARGIN = 1.6  # predicted times are stretched by this: more will come while the visit is under way
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT, Outcome.MISS)  # all others may have run
 
@@ -58,7 +60,7 @@
 class Shelf:
     """The count k of leading parts to keep, for each object: bounded, and the least lately asked goes first."""
 
-    def __init__(self, size: int = 20000, idle: float = 10.0, power: int = 1, often: float = 6.0,
+    def __init__(self, size: int = 20000, idle: float = 10.0, power: int = 2, often: float = 6.0,
                  middle: float = 0.15) -> None:
         self.size, self.idle, self.power, self.often, self.middle = size, idle, power, often, middle
         self.items: OrderedDict[int, Item] = OrderedDict()
@@ -386,6 +388,8 @@
             self.give_up(now)
             return
         rank = router.shelf.rank(self.item, self.part, self.work)
+        if not rank and now - cache.started < KEEP:
+            rank = 1
         mark = (self.item.key, self.part)
         if rank and not router.joins and mark in router.filling:
             router.filling[mark].append(self)
@@ -481,7 +485,8 @@
         elif outcome is Outcome.MISS and not filled and cache in router.fleet.mine and not self.tariff.passes_on:
             # A part below k has gone: the paper would have dropped the tail from there. Not so when the cache is
             # new or the object was purged, since nothing was pushed out then.
-            self.item.k = min(self.item.k, self.part + 1)
+            if now - cache.started > YOUNG and router.purges.oldest(self.item.key, self.group, now) is None:
+                self.item.k = min(self.item.k, self.part + 1)
             self.at = cache
             self.fill(now)
         elif any(f.pending for f in self.forwards):
