--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -60,9 +60,9 @@
 class Shelf:
     """The count k of leading parts to keep, for each object: bounded, and the least lately asked goes first."""
 
-    def __init__(self, size: int = 20000, idle: float = 10.0, power: int = 2, often: float = 6.0,
+    def __init__(self, size: int = 20000, idle: float = 10.0, growth: int = 1, often: float = 6.0,
                  middle: float = 0.15) -> None:
-        self.size, self.idle, self.power, self.often, self.middle = size, idle, power, often, middle
+        self.size, self.idle, self.growth, self.often, self.middle = size, idle, growth, often, middle
         self.items: OrderedDict[int, Item] = OrderedDict()
         self.kept = self.kept_middle = 0.0
 
@@ -82,7 +82,7 @@
         if part == 0:
             item.heat += 1
             item.asked += 1
-            item.k += item.asked ** (self.power - 1)
+            item.k += item.asked ** self.growth
         return item
 
     def rank(self, item: Item, part: int, work: float) -> int:
@@ -303,6 +303,7 @@
         self.done = False
         self.held = False  # waits here for a fill's place or another's fill
         self.at: Cache | None = None  # whose miss is to be filled
+        self.followers: list[Visit] = []  # wait for the copy that this one's fill leaves
         self.salt = mix(item.key, part)
 
     # What the rules allow.
@@ -391,17 +392,18 @@
         if not rank and now - cache.started < KEEP:
             rank = 1
         mark = (self.item.key, self.part)
-        if rank and not router.joins and mark in router.filling:
-            router.filling[mark].append(self)
+        leader = router.filling.get(mark)
+        if rank and not router.joins and leader and leader is not self:
+            leader.followers.append(self)
             self.hold(now)
             return
-        source = router.source(self, now)
+        source = router.neighbour(self, cache, now) or router.source(self, now)
         if source is None:
             router.queue.append(self)
             self.hold(now)
             return
-        if rank and mark not in router.filling:
-            router.filling[mark] = []
+        if rank:
+            router.filling[mark] = self
         self.send(cache, source, now, rank)
 
     def hold(self, now: float) -> None:
@@ -431,11 +433,12 @@
         cache.charge(work, now)
         if source is not cache:
             source.filling.add(forward)
-            router.fills += 1
+            router.fills += source not in router.fleet.mine
             source.charge(work, now)
         renew = bool(rank and tariff.fresh and tariff.effect is Effect.RERUNNABLE)
         self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
-                            router.joins and source is not cache, False, renew)
+                            router.joins and source is not cache, source in router.fleet.mine and source is not cache,
+                            renew)
         router.outside.wake(0.3 + 2 * (self.work + source.lag), lambda then: self.overdue(forward, then))
 
     # What happens to it.
@@ -518,6 +521,12 @@
             for forward in self.forwards:
                 if forward.pending:
                     self.caller.withdraw(forward)
+        mark = (self.item.key, self.part)
+        if self.router.filling.get(mark) is self:
+            del self.router.filling[mark]
+        for follower in self.followers:
+            if not follower.done:
+                follower.look(now)
 
     def give_up(self, now: float) -> None:
         """Given up on: answered at once, with a time to come back where a new try is harmless."""
@@ -540,15 +549,15 @@
     """One instance."""
 
     def __init__(self, outside: Outside, seed: int, fleet: Fleet, shelf: Shelf, purges: Purges, joins: bool,
-                 direct: bool, flow: float, most_forwards: int, second_copies: bool, cancel: bool, probes: bool,
+                 siblings: bool, direct: bool, flow: float, most_forwards: int, second_copies: bool, cancel: bool, probes: bool,
                  follows: bool, ask_within: float, longest_wait: float) -> None:
         self.outside, self.chance, self.fleet, self.shelf, self.purges = outside, Chance(seed), fleet, shelf, purges
-        self.joins, self.direct, self.flow = joins, direct, flow
+        self.joins, self.siblings, self.direct, self.flow = joins, siblings, direct, flow
         self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
         self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
         self.ask_again = ask_within / 8 or 1.0  # a failed call may be made up for well before the lists are held old
         self.means: dict[str, float] = {}
-        self.filling: dict[tuple[int, int], list[Visit]] = {}
+        self.filling: dict[tuple[int, int], Visit] = {}
         self.fills = 0
         self.link_load = self.link_fills = 0.0  # the location's link, as told, and this router's fills at that time
         self.queue: list[Visit] = []
@@ -603,10 +612,20 @@
             return origin
         return None
 
+    def neighbour(self, visit: Visit, cache: Cache, now: float) -> Cache | None:
+        """What a cache that started lately lacks, the next on the part's hash kept while it was away: a copy from
+        there spares the location's link."""
+        if not self.siblings or now - cache.started > YOUNG or len(visit.forwards) > 1:
+            return None
+        for mate in self.fleet.order(self.fleet.mine, visit.salt, now):
+            if mate is not cache and now - mate.started > YOUNG and mate.usable(now):
+                return mate if mate.crowd(1, now) < 1.2 else None
+        return None
+
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
         """A fill is over: judge the source's window by it, wake who waited for it, and hand on its place."""
         source, visit = forward.source, forward.visit
-        self.fills -= 1
+        self.fills -= source not in self.fleet.mine
         if outcome is Outcome.HONOURED or outcome is Outcome.WITHDRAWN:
             # Only what the source added counts against it, not a crowded cache.
             lag = took - visit.work * forward.cache.crowd(1, now)
@@ -623,11 +642,6 @@
             source.answered(now)
         elif note in (Note.SOURCE_REFUSED, Note.SOURCE_LOST):
             source.failed(now)
-        mark = (visit.item.key, visit.part)
-        if forward.rank and mark in self.filling:
-            for waiter in self.filling.pop(mark):
-                if not waiter.done:
-                    waiter.look(now)
         self.serve(now)
 
     def serve(self, now: float) -> None:
