--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -397,7 +397,7 @@
             leader.followers.append(self)
             self.hold(now)
             return
-        source = router.neighbour(self, cache, now) or router.source(self, now)
+        source = router.source(self, now)
         if source is None:
             router.queue.append(self)
             self.hold(now)
@@ -437,8 +437,7 @@
             source.charge(work, now)
         renew = bool(rank and tariff.fresh and tariff.effect is Effect.RERUNNABLE)
         self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
-                            router.joins and source is not cache, source in router.fleet.mine and source is not cache,
-                            renew)
+                            router.joins and source is not cache, False, renew)
         router.outside.wake(0.3 + 2 * (self.work + source.lag), lambda then: self.overdue(forward, then))
 
     # What happens to it.
@@ -549,10 +548,10 @@
     """One instance."""
 
     def __init__(self, outside: Outside, seed: int, fleet: Fleet, shelf: Shelf, purges: Purges, joins: bool,
-                 siblings: bool, direct: bool, flow: float, most_forwards: int, second_copies: bool, cancel: bool, probes: bool,
+                 direct: bool, flow: float, most_forwards: int, second_copies: bool, cancel: bool, probes: bool,
                  follows: bool, ask_within: float, longest_wait: float) -> None:
         self.outside, self.chance, self.fleet, self.shelf, self.purges = outside, Chance(seed), fleet, shelf, purges
-        self.joins, self.siblings, self.direct, self.flow = joins, siblings, direct, flow
+        self.joins, self.direct, self.flow = joins, direct, flow
         self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
         self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
         self.ask_again = ask_within / 8 or 1.0  # a failed call may be made up for well before the lists are held old
@@ -612,16 +611,6 @@
             return origin
         return None
 
-    def neighbour(self, visit: Visit, cache: Cache, now: float) -> Cache | None:
-        """What a cache that started lately lacks, the next on the part's hash kept while it was away: a copy from
-        there spares the location's link."""
-        if not self.siblings or now - cache.started > YOUNG or len(visit.forwards) > 1:
-            return None
-        for mate in self.fleet.order(self.fleet.mine, visit.salt, now):
-            if mate is not cache and now - mate.started > YOUNG and mate.usable(now):
-                return mate if mate.crowd(1, now) < 1.2 else None
-        return None
-
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
         """A fill is over: judge the source's window by it, wake who waited for it, and hand on its place."""
         source, visit = forward.source, forward.visit
--- a/wickhinge/wirehost/settings.py
+++ b/wickhinge/wirehost/settings.py
@@ -73,8 +73,7 @@
     wait = seconds("conf.limits", limits, "maxRetryAfterMs") if flag("conf.limits", limits, "retryAfter") else 0.0
     router = Router(
         outside, seed, fleet, Shelf(), Purges(seconds(info, family, "goneEverywhereMs")),
-        joins=flag(info, family, "joins"), siblings=text(info, family, "siblings") != "off",
-        direct=flag(info, family, "passThroughOk"),
+        joins=flag(info, family, "joins"), direct=flag(info, family, "passThroughOk"),
         flow=number(info, family, "oneFlowKbPerS"), most_forwards=integer("conf.limits", limits, "mostTries"),
         second_copies=flag("conf.limits", limits, "mayDuplicate"), cancel=flag("conf.limits", limits, "cancel"),
         probes=flag("conf.limits", limits, "probes") and text("conf.stats", stats, "how") != "none",
