--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -180,7 +180,7 @@
     def crowd(self, more: int, now: float) -> float:
         """How many times longer than alone a transfer takes, if so many more come."""
         if self.fit < self.best:  # what slowed it may have passed, and a shunned one shows nothing
-            self.fit += (self.best - self.fit) * min((now - self.fitted) / 6.0, 1.0)
+            self.fit += (self.best - self.fit) * min((now - self.fitted) / 20.0, 1.0)
         self.fitted = now
         return max((len(self.pending) + more) / self.fit, 1.0)
 
