--- /dev/null
+++ b/tests/test_decide.py
@@ -0,0 +1,289 @@
+import pytest
+from helpers import end, listing, router, take, tariff
+
+from wickhinge.decide import NEVER_RAN, Chance, Cold, Item, Purges, Shelf
+from wickhinge.interface import Effect, Outcome
+
+MISS, OK, FULL, TIMED = Outcome.MISS, Outcome.HONOURED, Outcome.FULL, Outcome.TIMED_OUT
+
+
+# The ordinary path.
+
+
+@pytest.mark.parametrize("times, k", [(1, 1), (2, 3), (3, 6)])
+def test_requests_of_part_0_raise_k(times, k):
+    shelf = Shelf()
+    for _ in range(times):
+        item = shelf.visit(5, 0, 1.0)
+    shelf.visit(5, 1, 1.0)
+    assert item.k == k
+
+
+@pytest.mark.parametrize("idle, k", [(9.0, 8), (10.0, 4), (25.0, 2), (1000.0, 0)])
+def test_idle_object_has_k_halved(idle, k):
+    shelf = Shelf()
+    shelf.visit(5, 1, 0.0).k = 8
+    assert shelf.visit(5, 1, idle).k == k
+
+
+def test_table_of_k_is_bounded_and_drops_the_least_lately_asked():
+    shelf = Shelf(size=2)
+    for key in (1, 2, 1, 3):
+        shelf.visit(key, 0, 0.0)
+    assert list(shelf.items) == [1, 3]
+
+
+@pytest.mark.parametrize("part, heat, rank", [(0, 1.0, 1), (2, 1.0, 1), (3, 50.0, 0), (0, 50.0, 2)])
+def test_parts_below_k_are_kept_and_those_asked_often_higher(part, heat, rank):
+    shelf, item = Shelf(), Item(5, 0.0)
+    item.k, item.heat = 3, heat
+    shelf.kept = 1000.0
+    assert shelf.rank(item, part, 1.0) == rank
+
+
+def test_middle_rank_holds_a_small_share():
+    shelf, item = Shelf(), Item(5, 0.0)
+    item.k, item.heat = 3, 50.0
+    ranks = [shelf.rank(item, 0, 1.0) for _ in range(1000)]
+    assert 0 < ranks[-500:].count(2) <= 0.2 * 500
+
+
+def test_a_miss_is_filled_at_the_cache_on_the_hash_from_the_objects_parent():
+    made = router()
+    for part in range(4):
+        _, caller = take(made, part=part)
+        look = caller.forwards[0]
+        assert look.cache is look.source
+        end(caller, MISS, 100.01)
+        fill = caller.forwards[1]
+        assert fill.cache is look.cache
+        assert fill.source is made.fleet.order(made.fleet.parents, 5, 100.0)[0]
+        assert (fill.rank > 0) == (part == 0)
+
+
+def test_losing_a_cache_moves_only_its_own_parts():
+    fleet = router(boxes=5).fleet
+    before = {salt: fleet.order(fleet.mine, salt, 0.0) for salt in range(200)}
+    gone = fleet.mine[2]
+    fleet.listed([listing(gone.mark, state="gone")], False, 0.0)
+    for salt, order in before.items():
+        assert fleet.order(fleet.mine, salt, 0.0) == [cache for cache in order if cache is not gone]
+
+
+@pytest.mark.parametrize("started, purged, k", [(None, False, 1), (99.0, False, 8), (None, True, 8)])
+def test_a_miss_below_k_shrinks_it_unless_nothing_was_pushed_out(started, purged, k):
+    made = router(extra=[listing(i + 1, started=started) for i in range(4)])
+    visit, caller = take(made)
+    visit.item.k = 8
+    if purged:
+        made.purged(5, 3, 0.1, 100.0)
+    end(caller, MISS, 100.01)
+    assert visit.item.k == k
+
+
+def test_a_hit_at_or_above_k_raises_it():
+    visit, caller = take(router(), part=6)
+    end(caller, OK, 100.1, closed=True)
+    assert visit.item.k == 7
+
+
+def test_an_empty_cache_keeps_parts_above_k():
+    made = router(boxes=0, extra=[listing(1, started=95.0, weight=200.0)])
+    _, caller = take(made, part=6)
+    end(caller, MISS, 100.01)
+    assert caller.forwards[1].rank == 1
+
+
+# The rules.
+
+
+@pytest.mark.parametrize("outcome", list(Outcome))
+@pytest.mark.parametrize("effect", list(Effect))
+def test_one_final_answer_at_the_end_of_patience_and_nothing_after(effect, outcome):
+    visit, caller = take(router(), tariff(effect))
+    visit.out_of_time(104.98)
+    harmless = effect is not Effect.EXCLUSIVE
+    assert [kind for kind, _ in caller.answers] == ["denied" if harmless else "abandoned"]
+    sent = len(caller.forwards)
+    end(caller, outcome, 105.0, closed=True)
+    visit.left(105.0)
+    visit.out_of_time(105.1)
+    for _, call in visit.router.outside.alarms:
+        call(106.0)
+    assert len(caller.answers) == 1 and len(caller.forwards) == sent
+
+
+@pytest.mark.parametrize("outcome", [o for o in Outcome if o is not OK])
+def test_exclusive_goes_on_only_after_what_never_ran(outcome):
+    _, caller = take(router(), tariff(Effect.EXCLUSIVE, passes_on=True))
+    end(caller, outcome, 100.1)
+    if outcome in NEVER_RAN:
+        assert len(caller.forwards) == 2 and not caller.answers
+    else:
+        assert len(caller.forwards) == 1 and caller.answers == [("abandoned", None)]
+
+
+@pytest.mark.parametrize("group, cell, later, allowed", [
+    ("all", 9, 1.0, True), ("zone", 9, 1.0, True), ("cell", 9, 1.0, False), ("cell", 0, 1.0, True),
+    ("all", 0, 5.0, False)])
+def test_ticketed_repeats_only_in_its_group_and_window(group, cell, later, allowed):
+    made = router(extra=[listing(9, cell=cell)])
+    visit, caller = take(made, tariff(Effect.TICKETED, group))
+    first = caller.forwards[0].it
+    first.pending, first.outcome = False, TIMED
+    other = next(c for c in made.fleet.mine if c.mark == 9 and c is not first.cache or c.mark == 9)
+    assert visit.allowed(other, 100.0 + later) is allowed
+
+
+def test_no_second_pending_copy_where_copies_are_barred():
+    made = router(second_copies=False)
+    visit, _ = take(made)
+    assert not any(visit.allowed(cache, 100.1) for cache in made.fleet.mine)
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_nothing_new_goes_to_what_drains_or_is_gone(state):
+    made = router(boxes=2, parents=2)
+    lost = [made.fleet.mine[0], made.fleet.parents[0]]
+    made.listed([listing(c.mark, c.kind, c.zone, state=state) for c in lost], False, 99.0)
+    for key in range(60):
+        _, caller = take(made, key=key)
+        end(caller, MISS, 100.01)
+        assert not any(f.cache in lost or f.source in lost for f in caller.forwards)
+
+
+def test_what_a_whole_list_leaves_out_is_gone():
+    made = router(boxes=2)
+    made.listed([listing(1)], True, 50.0)
+    assert [cache.mark for cache in made.fleet.mine] == [1] and not made.fleet.parents
+
+
+@pytest.mark.parametrize("weighed", [True, False])
+def test_cold_machines_get_no_more_than_this_routers_share(weighed):
+    made = router(boxes=2, weighed=weighed, extra=[listing(9, started=99.0)])
+    cold = next(c for c in made.fleet.mine if c.mark == 9)
+    for cache in made.fleet.mine:
+        cache.rate, cache.rated = 5.0, 100.0
+    sent = sum(made.fleet.room(cold, 0.3, 100.0) and not cold.charge(0.3, 100.0) for _ in range(500))
+    capacity = 20.0 if weighed else 7.0
+    assert 0 < sent * 0.3 <= 4.0 * 0.28 * capacity
+
+
+def test_fills_count_against_a_cold_parent():
+    made = router(boxes=2, parents=1, extra=[listing(100, "parent", "hub", started=99.0, weight=2.0)])
+    fills = 0
+    for key in range(40):
+        _, caller = take(made, key=key, now=100.0)
+        end(caller, MISS, 100.0)
+        fills += len(caller.forwards) - 1
+    assert 0 < fills * made.mean(tariff()) <= 2.0 * 0.19 * 2.0
+
+
+@pytest.mark.parametrize("told, key, group, now, oldest", [
+    ([(5, 3, 90.0)], 5, 3, 92.0, 2.0), ([(5, 3, 90.0)], 6, 3, 92.0, None), ([(None, 3, 90.0)], 6, 3, 92.0, 2.0),
+    ([(None, 3, 90.0), (5, 3, 91.0)], 5, 3, 92.0, 1.0), ([(5, 3, 91.0), (5, 3, 90.0)], 5, 3, 92.0, 1.0),
+    ([(5, 3, 90.0)], 5, 3, 99.0, None), ([(5, 3, 92.0)], 5, 3, 92.0, 0.001)])
+def test_the_youngest_purge_sets_the_oldest_copy(told, key, group, now, oldest):
+    purges = Purges(6.0)
+    for what, of, made in told:
+        purges.told(what, of, made, now)
+    assert purges.oldest(key, group, now) == pytest.approx(oldest, abs=0.002)
+
+
+def test_every_forward_of_a_purged_object_carries_the_limit():
+    made = router()
+    made.purged(5, 3, 1.0, 100.0)
+    _, caller = take(made, tariff(fresh=0.5), now=100.2)
+    end(caller, MISS, 100.3)
+    assert [forward.oldest for forward in caller.forwards] == [0.5, 0.5]
+    _, caller = take(made, now=100.2)
+    assert caller.forwards[0].oldest == pytest.approx(1.199)
+
+
+# Guards.
+
+
+def test_what_cannot_be_in_time_is_denied_at_once_with_a_time_to_come_back():
+    made = router(boxes=1, direct=False)
+    made.fleet.mine[0].fit = made.fleet.mine[0].best = 1.0
+    callers = [take(made, key=key, size=500.0)[1] for key in range(8)]
+    assert len(callers[0].forwards) == 1
+    assert not callers[-1].forwards and callers[-1].answers == [("denied", 0.5)]
+
+
+@pytest.mark.parametrize("ratio, grows", [(1.0, True), (4.0, False)])
+def test_capacity_is_learned_from_answer_times(ratio, grows):
+    cache = router().fleet.mine[0]
+    cache.fit = cache.best = 2.0
+    cache.pending = set(range(5))
+    for _ in range(20):
+        cache.bore(ratio, 0.0)
+    assert (cache.fit > 2.0) is grows
+
+
+def test_a_silent_source_is_left_for_the_next_parent():
+    made = router()
+    for part in range(2):
+        _, caller = take(made, key=5, part=part)
+        end(caller, MISS, 100.01)
+        fill = caller.forwards[1]
+        fill.source.heard = 99.0
+        fill.it.visit.overdue(fill.it, 100.6)
+        assert caller.withdrawn == [fill.it]
+        end(caller, Outcome.WITHDRAWN, 100.6, 1)
+        assert caller.forwards[2].source is not fill.source
+    assert not fill.source.usable(100.7)
+    assert made.source(take(made, key=5, part=7, now=100.7)[0], 100.7) is not fill.source
+
+
+def test_a_failed_machine_is_tried_by_one_visit_at_a_time():
+    cache = router().fleet.mine[0]
+    cache.failed(1.0)
+    cache.failed(1.0)
+    assert not cache.usable(1.5) and cache.usable(10.0)
+    cache.pending.add("trial")
+    assert not cache.usable(10.0)
+    cache.answered(10.1)
+    assert cache.usable(10.1)
+
+
+def test_one_fill_serves_those_who_ask_for_the_same_part_meanwhile():
+    made = router()
+    (_, first), (_, second) = take(made), take(made)
+    end(first, MISS, 100.01)
+    end(second, MISS, 100.01)
+    assert len(first.forwards) == 2 and len(second.forwards) == 1
+    end(first, OK, 100.2, closed=True)
+    assert second.forwards[1].source is second.forwards[1].cache
+
+
+def test_a_visit_sent_straight_to_a_parent_is_not_filled_there_from_another():
+    made = router(boxes=0)
+    _, caller = take(made)
+    end(caller, MISS, 100.1)
+    assert all(forward.source is forward.cache for forward in caller.forwards)
+
+
+def test_a_full_parent_keeps_its_visits_waiting_only_while_they_can_be_in_time():
+    made = router()
+    for parent in made.fleet.parents:
+        parent.window = 0
+    visit, caller = take(made)
+    end(caller, MISS, 100.01)
+    assert not caller.answers and len(caller.forwards) == 1
+    visit.hold_over(visit.due)
+    assert caller.answers == [("denied", 0.5)]
+
+
+def test_chance_depends_on_the_seed_alone():
+    one, two = Chance(1), Chance(1)
+    draws = [one.draw() for _ in range(100)]
+    assert draws == [two.draw() for _ in range(100)] and len(set(draws)) > 90
+    assert all(0 <= draw < 1 for draw in draws) and draws[0] != Chance(2).draw()
+
+
+@pytest.mark.parametrize("age, part", [(0.0, 0.2), (5.0, 0.6), (10.0, 1.0)])
+def test_a_cold_machine_warms_in_a_line(age, part):
+    cold = Cold(4.0, 1.0, 0.2, 10.0)
+    cache = router(extra=[listing(9, started=100.0)]).fleet.known[9]
+    assert cold.part(cache, 100.0 + age) == pytest.approx(part)
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -196,7 +196,13 @@
         instance = self.instances.get(number)
         if instance is None:
             raise Malformed(f"{name}: field router names no running instance", number)
-        EVENTS[name](instance, name, fields, now)
+        try:
+            EVENTS[name](instance, name, fields, now)
+        except Malformed as problem:
+            problem.router = number
+            if instance.router is None:
+                del self.instances[number]
+            raise
 
 
 def run(source: BinaryIO, sink: BinaryIO) -> None:
