--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -283,11 +283,12 @@
 class Forward:
     """One forward of a visit: to a cache, with the source of a fill (the cache itself: none)."""
 
-    __slots__ = ("visit", "cache", "source", "sent", "pending", "outcome", "rank")
+    __slots__ = ("visit", "cache", "source", "sent", "pending", "outcome", "rank", "far")
 
     def __init__(self, visit: Visit, cache: Cache, source: Cache, rank: int, now: float) -> None:
         self.visit, self.cache, self.source, self.rank, self.sent = visit, cache, source, rank, now
         self.pending, self.outcome = True, None
+        self.far = source is not cache or cache not in visit.router.fleet.mine  # comes through the location's link
 
 
 class Visit:
@@ -351,9 +352,10 @@
         """No cache of the location will do: straight to a source where that is allowed."""
         if any(f.pending for f in self.forwards):
             return
-        source = self.router.source(self, now) if self.router.direct else None
-        if source and self.allowed(source, now) and now + self.work < self.due:
-            self.send(source, source, now)
+        router = self.router
+        source = router.source(self, now) if router.direct else None
+        if source and self.allowed(source, now) and now + MARGIN * self.work * router.link_crowd() < self.due:
+            self.send(source, router.fleet.origin or source, now)
         else:
             self.give_up(now)
 
@@ -428,12 +430,12 @@
             rank = 0 if cache not in router.fleet.mine else router.shelf.rank(self.item, self.part, self.work)
         forward = Forward(self, cache, source, rank, now)
         self.forwards.append(forward)
+        router.fills += forward.far
         work = router.mean(tariff)
         cache.pending.add(forward)
         cache.charge(work, now)
         if source is not cache:
             source.filling.add(forward)
-            router.fills += source not in router.fleet.mine
             source.charge(work, now)
         renew = bool(rank and tariff.fresh and tariff.effect is Effect.RERUNNABLE)
         self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
@@ -464,6 +466,7 @@
         forward.pending, forward.outcome = False, outcome
         cache.pending.discard(forward)
         source.filling.discard(forward)
+        router.fills -= forward.far
         filled = source is not cache
         if outcome in (Outcome.HONOURED, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
             cache.answered(now)
@@ -614,7 +617,6 @@
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
         """A fill is over: judge the source's window by it, wake who waited for it, and hand on its place."""
         source, visit = forward.source, forward.visit
-        self.fills -= source not in self.fleet.mine
         if outcome is Outcome.HONOURED or outcome is Outcome.WITHDRAWN:
             # Only what the source added counts against it, not a crowded cache.
             lag = took - visit.work * forward.cache.crowd(1, now)
