--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,7 +13,8 @@
         self.forwards, self.withdrawn, self.answers, self.alarms, self.probes = [], [], [], [], []
 
     def forward(self, forward, cache, patience, source, rank, oldest, join, held_only, renew):
-        self.forwards.append(SimpleNamespace(it=forward, cache=cache, source=source, rank=rank, oldest=oldest))
+        sent = SimpleNamespace(it=forward, cache=cache, source=source, rank=rank, oldest=oldest)
+        self.forwards.append(sent)
 
     def withdraw(self, forward):
         self.withdrawn.append(forward)
@@ -48,12 +49,12 @@
 def router(boxes=4, parents=2, most_forwards=6, second_copies=True, cancel=True, direct=True, joins=False,
            weighed=True, extra=()):
     outside = Recorder()
-    fleet = Fleet("here", ["hub", "here"], {"hub": "hub", "here": "hub"}, {"hub": 0, "here": 1}, "parent", "origin",
-                  weighed, Cold(4.0, 1.0, 0.2, 10.0), Cold(2.0, 1.0, 0.1, 10.0))
+    fleet = Fleet("here", 1, "parent", "origin", weighed, Cold(4.0, 1.0, 0.2, 10.0), Cold(2.0, 1.0, 0.1,
+                    10.0))
     made = Router(outside, 7, fleet, Shelf(), Purges(6.0), joins=joins, direct=direct, flow=1000.0,
                   most_forwards=most_forwards, second_copies=second_copies, cancel=cancel, probes=True,
                   follows=False, ask_within=0.0, longest_wait=0.5)
-    made.listed([listing(i + 1) for i in range(boxes)]
+    made.fleet.listed([listing(i + 1) for i in range(boxes)]
                 + [listing(100 + i, "parent", "hub") for i in range(parents)]
                 + [listing(200, "origin", "hub"), *extra], True, 0.0)
     return made
@@ -61,9 +62,9 @@
 
 def take(made, kind=None, key=5, part=0, size=100.0, now=100.0, group=3, patience=5.0):
     caller = Recorder()
-    return made.take(caller, kind or tariff(), key, part, group, size, patience, False, now), caller
+    return made.take(caller, kind or tariff(), key, part, group, size, patience, now), caller
 
 
 def end(caller, outcome, now, number=-1, closed=False, took=0.01):
     forward = caller.forwards[number].it
-    forward.visit.ended(forward, outcome, took, closed, None, 0.0, now)
+    forward.visit.ended(forward, outcome, took, closed, None, now)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -76,7 +76,7 @@
     visit, caller = take(made)
     visit.item.k = 8
     if purged:
-        made.purged(5, 3, 0.1, 100.0)
+        made.purges.told(5, 3, 99.9, 100.0)
     end(caller, MISS, 100.01)
     assert visit.item.k == k
 
@@ -101,13 +101,13 @@
 @pytest.mark.parametrize("effect", list(Effect))
 def test_one_final_answer_at_the_end_of_patience_and_nothing_after(effect, outcome):
     visit, caller = take(router(), tariff(effect))
-    visit.out_of_time(104.98)
+    visit.give_up(104.98)
     harmless = effect is not Effect.EXCLUSIVE
     assert [kind for kind, _ in caller.answers] == ["denied" if harmless else "abandoned"]
     sent = len(caller.forwards)
     end(caller, outcome, 105.0, closed=True)
-    visit.left(105.0)
-    visit.out_of_time(105.1)
+    visit.finish(105.0)
+    visit.give_up(105.1)
     for _, call in visit.router.outside.alarms:
         call(106.0)
     assert len(caller.answers) == 1 and len(caller.forwards) == sent
@@ -145,7 +145,7 @@
 def test_nothing_new_goes_to_what_drains_or_is_gone(state):
     made = router(boxes=2, parents=2)
     lost = [made.fleet.mine[0], made.fleet.parents[0]]
-    made.listed([listing(c.mark, c.kind, c.zone, state=state) for c in lost], False, 99.0)
+    made.fleet.listed([listing(c.mark, c.kind, c.zone, state=state) for c in lost], False, 99.0)
     for key in range(60):
         _, caller = take(made, key=key)
         end(caller, MISS, 100.01)
@@ -154,7 +154,7 @@
 
 def test_what_a_whole_list_leaves_out_is_gone():
     made = router(boxes=2)
-    made.listed([listing(1)], True, 50.0)
+    made.fleet.listed([listing(1)], True, 50.0)
     assert [cache.mark for cache in made.fleet.mine] == [1] and not made.fleet.parents
 
 
@@ -180,7 +180,8 @@
 
 
 @pytest.mark.parametrize("told, key, group, now, oldest", [
-    ([(5, 3, 90.0)], 5, 3, 92.0, 2.0), ([(5, 3, 90.0)], 6, 3, 92.0, None), ([(None, 3, 90.0)], 6, 3, 92.0, 2.0),
+    ([(5, 3, 90.0)], 5, 3, 92.0, 2.0), ([(5, 3, 90.0)], 6, 3, 92.0, None),
+    ([(None, 3, 90.0)], 6, 3, 92.0, 2.0),
     ([(None, 3, 90.0), (5, 3, 91.0)], 5, 3, 92.0, 1.0), ([(5, 3, 91.0), (5, 3, 90.0)], 5, 3, 92.0, 1.0),
     ([(5, 3, 90.0)], 5, 3, 99.0, None), ([(5, 3, 92.0)], 5, 3, 92.0, 0.001)])
 def test_the_youngest_purge_sets_the_oldest_copy(told, key, group, now, oldest):
@@ -192,7 +193,7 @@
 
 def test_every_forward_of_a_purged_object_carries_the_limit():
     made = router()
-    made.purged(5, 3, 1.0, 100.0)
+    made.purges.told(5, 3, 99.0, 100.0)
     _, caller = take(made, tariff(fresh=0.5), now=100.2)
     end(caller, MISS, 100.3)
     assert [forward.oldest for forward in caller.forwards] == [0.5, 0.5]
--- a/wickhinge/interface.py
+++ b/wickhinge/interface.py
@@ -85,9 +85,19 @@
 class Caller(Protocol):
     """Whoever sent the visit; one for each visit. deny and abandon are final answers."""
 
-    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int, oldest: float | None,
-                join: bool, held_only: bool, renew: bool) -> None:
-        """Send the visit to a cache; source None is a plain look, which answers from a fresh copy or misses."""
+    def forward(
+        self,
+        forward: Any,
+        cache: Any,
+        patience: float,
+        source: Any,
+        rank: int,
+        oldest: float | None,
+        join: bool,
+        held_only: bool,
+        renew: bool,
+    ) -> None:
+        """Send the visit to a cache; source fills a miss (the cache itself: nobody, None: a plain look)."""
 
     def withdraw(self, forward: Any) -> None:
         """Stop waiting for a forward."""
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -10,8 +10,17 @@
 from wickhinge.wirehost.codec import Malformed
 from wickhinge.wirehost.settings import build
 
-OUTCOMES = {10: Outcome.HONOURED, 20: Outcome.ERROR, 30: Outcome.FULL, 40: Outcome.TIMED_OUT, 50: Outcome.UNREACHED,
-            60: Outcome.BROKEN, 70: Outcome.WITHDRAWN, 80: Outcome.MOOT, 90: Outcome.MISS}
+OUTCOMES = {
+    10: Outcome.HONOURED,
+    20: Outcome.ERROR,
+    30: Outcome.FULL,
+    40: Outcome.TIMED_OUT,
+    50: Outcome.UNREACHED,
+    60: Outcome.BROKEN,
+    70: Outcome.WITHDRAWN,
+    80: Outcome.MOOT,
+    90: Outcome.MISS,
+}
 STATES = {"U": "ready", "L": "draining", "D": "gone"}
 LISTS = {"incr": False, "total": True, "warm_copy": True}
 NOTES = {note.value: note for note in Note}
@@ -27,8 +36,18 @@
         self.forwards: list[Any] = []
         self.visit: Any = None
 
-    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int, oldest: float | None,
-                join: bool, held_only: bool, renew: bool) -> None:
+    def forward(
+        self,
+        forward: Any,
+        cache: Any,
+        patience: float,
+        source: Any,
+        rank: int,
+        oldest: float | None,
+        join: bool,
+        held_only: bool,
+        renew: bool,
+    ) -> None:
         self.forwards.append(forward)
         fields = {"ref": self.ref, "cache": cache.mark, "tryForMs": patience * 1000.0}
         if source is None:
@@ -101,11 +120,18 @@
             state = codec.text(name, entry, "availability")
             if state not in STATES:
                 raise Malformed(f"{name}: field availability holds an unknown word", self.number)
-            listings.append(Listing(
-                codec.integer(name, entry, "cache"), codec.text(name, entry, "campus"),
-                codec.text(name, entry, "familyType"), codec.integer(name, entry, "cluster", 0), STATES[state],
-                codec.number(name, entry, "share", 1.0), codec.seconds(name, entry, "readyAtMs", 0.0) or None))
-        self.router.listed(listings, LISTS[kind], now)
+            listings.append(
+                Listing(
+                    codec.integer(name, entry, "cache"),
+                    codec.text(name, entry, "campus"),
+                    codec.text(name, entry, "familyType"),
+                    codec.integer(name, entry, "cluster", 0),
+                    STATES[state],
+                    codec.number(name, entry, "share", 1.0),
+                    codec.seconds(name, entry, "readyAtMs", 0.0) or None,
+                )
+            )
+        self.router.fleet.listed(listings, LISTS[kind], now)
 
     def inbound(self, name: str, fields: dict[str, Any], now: float) -> None:
         tariff = self.tariffs.get(codec.text(name, fields, "kind"))
@@ -114,9 +140,15 @@
         door = self.doors[codec.text(name, fields, "ref")] = Door(self, fields["ref"])
         content = fields.get("contentId")
         door.visit = self.router.take(
-            door, tariff, 0 if content is None else self.key(name, fields), codec.integer(name, fields, "chunk", 0),
-            codec.integer(name, fields, "batchId", 0), codec.number(name, fields, "lengthKb", 0.0),
-            codec.seconds(name, fields, "expiresInMs"), codec.flag(name, fields, "repeat", False), now)
+            door,
+            tariff,
+            0 if content is None else self.key(name, fields),
+            codec.integer(name, fields, "chunk", 0),
+            codec.integer(name, fields, "batchId", 0),
+            codec.number(name, fields, "lengthKb", 0.0),
+            codec.seconds(name, fields, "expiresInMs"),
+            now,
+        )
 
     def key(self, name: str, fields: dict[str, Any]) -> int:
         try:
@@ -131,12 +163,11 @@
         if code not in OUTCOMES:
             raise Malformed(f"{name}: field disposition holds an unknown code", self.number)
         took, closed = codec.seconds(name, fields, "timeTakenMs"), codec.flag(name, fields, "doneFlag")
-        waited = codec.seconds(name, fields, "waitedMs", 0.0)
         if door is None or not 0 <= number < len(door.forwards):
             return
         forward = door.forwards[number]
-        forward.visit.ended(forward, OUTCOMES[code], took, closed, NOTES.get(codec.integer(name, fields, "detail", 0)),
-                            waited, now)
+        note = NOTES.get(codec.integer(name, fields, "detail", 0))
+        forward.visit.ended(forward, OUTCOMES[code], took, closed, note, now)
         if forward.visit.done and not any(one.pending for one in door.forwards):
             self.doors.pop(door.ref, None)
 
@@ -149,7 +180,7 @@
     def gone(self, name: str, fields: dict[str, Any], now: float) -> None:
         door = self.doors.get(codec.text(name, fields, "ref"))
         if door is not None and door.visit is not None:
-            door.visit.left(now)
+            door.visit.finish(now)
 
     def check_result(self, name: str, fields: dict[str, Any], now: float) -> None:
         cache = self.router.fleet.known.get(codec.integer(name, fields, "cache"))
@@ -162,7 +193,8 @@
 
     def expired_now(self, name: str, fields: dict[str, Any], now: float) -> None:
         key = None if fields.get("contentId") is None else self.key(name, fields)
-        self.router.purged(key, codec.integer(name, fields, "setNo", 0), codec.seconds(name, fields, "howOldMs"), now)
+        made = now - codec.seconds(name, fields, "howOldMs")
+        self.router.purges.told(key, codec.integer(name, fields, "setNo", 0), made, now)
 
     def ring(self, name: str, fields: dict[str, Any], now: float) -> None:
         call = self.alarms.pop(codec.integer(name, fields, "handle"), None)
@@ -173,10 +205,18 @@
         codec.text(name, fields, "content")  # routers share nothing
 
 
-EVENTS = {"PowerOn": Instance.power_on, "Announce": Instance.announce, "Inbound": Instance.inbound,
-          "Resolved": Instance.resolved, "AckFirst": Instance.ack_first, "Gone": Instance.gone,
-          "CheckResult": Instance.check_result, "ExpiredNow": Instance.expired_now, "Ring": Instance.ring,
-          "FromPeer": Instance.from_peer}
+EVENTS = {
+    "PowerOn": Instance.power_on,
+    "Announce": Instance.announce,
+    "Inbound": Instance.inbound,
+    "Resolved": Instance.resolved,
+    "AckFirst": Instance.ack_first,
+    "Gone": Instance.gone,
+    "CheckResult": Instance.check_result,
+    "ExpiredNow": Instance.expired_now,
+    "Ring": Instance.ring,
+    "FromPeer": Instance.from_peer,
+}
 
 
 class Host:
--- a/wickhinge/wirehost/settings.py
+++ b/wickhinge/wirehost/settings.py
@@ -39,14 +39,23 @@
         name = text(where, entry, "name")
         effect = EFFECTS[word(where, entry, "effect", EFFECTS)]
         result[name] = Tariff(
-            name=name, promised=seconds(where, entry, "onTimeMs"),
-            stretch=number(where, entry, "aimStretch", 0.0), patience=seconds(where, entry, "hardLimitMs"),
-            revenue=number(where, entry, "importance"), late_share=number(where, entry, "lateValue", 0.0),
+            name=name,
+            promised=seconds(where, entry, "onTimeMs"),
+            stretch=number(where, entry, "aimStretch", 0.0),
+            patience=seconds(where, entry, "hardLimitMs"),
+            revenue=number(where, entry, "importance"),
+            late_share=number(where, entry, "lateValue", 0.0),
             effect=effect,
-            group=word(where, entry, "group", ("all", "zone", "cell")) if effect is Effect.TICKETED else "all",
+            group=word(where, entry, "group", ("all", "zone", "cell"))
+            if effect is Effect.TICKETED
+            else "all",
             window=seconds(where, entry, "windowMs") if effect is Effect.TICKETED else 0.0,
-            fresh=fresh[place] / 1000.0, grace=grace[place] / 1000.0, stale_share=stale[place],
-            parts=bool(parts[place]), passes_on=bool(passes[place]))
+            fresh=fresh[place] / 1000.0,
+            grace=grace[place] / 1000.0,
+            stale_share=stale[place],
+            parts=bool(parts[place]),
+            passes_on=bool(passes[place]),
+        )
     return result
 
 
@@ -62,21 +71,50 @@
             raise Malformed(f"{info}: field {field} names no machine kind")
         return shapes[place] if place >= 0 else None
 
-    hubs = {zone: zones[place] for zone, place in zip(zones, spread(family, "attachedTo", len(zones)), strict=True)}
-    routers = dict(zip(zones, spread(family, "zoneBalancers", len(zones)), strict=True))
-    edge = Cold(number("conf.rules", rules, "fallMultiple"), seconds("conf.rules", rules, "fallMs"),
-                number("conf.rules", rules, "coldFrom"), seconds("conf.rules", rules, "coldMs"))
-    upper = Cold(number(info, family, "upperFallMultiple"), seconds("conf.rules", rules, "fallMs"),
-                 number(info, family, "parentFloor"), seconds(info, family, "parentWarmsInMs"))
-    fleet = Fleet(text("conf", conf, "locality"), zones, hubs, routers, shape("shieldKind"), shape("sourceKind"),
-                  text("conf", conf, "weights") != "off", edge, upper)
-    wait = seconds("conf.limits", limits, "maxRetryAfterMs") if flag("conf.limits", limits, "retryAfter") else 0.0
+    zone, routers = text("conf", conf, "locality"), spread(family, "zoneBalancers", len(zones))
+    if zone not in zones:
+        raise Malformed("conf: field locality names no zone")
+    edge = Cold(
+        number("conf.rules", rules, "fallMultiple"),
+        seconds("conf.rules", rules, "fallMs"),
+        number("conf.rules", rules, "coldFrom"),
+        seconds("conf.rules", rules, "coldMs"),
+    )
+    upper = Cold(
+        number(info, family, "upperFallMultiple"),
+        seconds("conf.rules", rules, "fallMs"),
+        number(info, family, "parentFloor"),
+        seconds(info, family, "parentWarmsInMs"),
+    )
+    fleet = Fleet(
+        zone,
+        integer("conf.familyInfo.zoneBalancers", dict(zip(zones, routers, strict=True)), zone),
+        shape("shieldKind"),
+        shape("sourceKind"),
+        text("conf", conf, "weights") != "off",
+        edge,
+        upper,
+    )
+    wait = (
+        seconds("conf.limits", limits, "maxRetryAfterMs")
+        if flag("conf.limits", limits, "retryAfter")
+        else 0.0
+    )
     router = Router(
-        outside, seed, fleet, Shelf(), Purges(seconds(info, family, "goneEverywhereMs")),
-        joins=flag(info, family, "joins"), direct=flag(info, family, "passThroughOk"),
-        flow=number(info, family, "oneFlowKbPerS"), most_forwards=integer("conf.limits", limits, "mostTries"),
-        second_copies=flag("conf.limits", limits, "mayDuplicate"), cancel=flag("conf.limits", limits, "cancel"),
-        probes=flag("conf.limits", limits, "probes") and text("conf.stats", stats, "how") != "none",
+        outside,
+        seed,
+        fleet,
+        Shelf(),
+        Purges(seconds(info, family, "goneEverywhereMs")),
+        joins=flag(info, family, "joins"),
+        direct=flag(info, family, "passThroughOk"),
+        flow=number(info, family, "oneFlowKbPerS"),
+        most_forwards=integer("conf.limits", limits, "mostTries"),
+        second_copies=flag("conf.limits", limits, "mayDuplicate"),
+        cancel=flag("conf.limits", limits, "cancel"),
+        probes=flag("conf.limits", limits, "probes") and text("conf.stats", stats, "how") != "off",
         follows=text("conf", conf, "discovery") == "ask",
-        ask_within=seconds("conf.rules", rules, "mustAskInMs", 0.0), longest_wait=wait)
+        ask_within=seconds("conf.rules", rules, "mustAskInMs", 0.0),
+        longest_wait=wait,
+    )
     return router, tariffs(conf)
