--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -162,20 +162,35 @@
 def test_cold_machines_get_no_more_than_this_routers_share(weighed):
     made = router(boxes=2, weighed=weighed, extra=[listing(9, started=99.0)])
     cold = next(c for c in made.fleet.mine if c.mark == 9)
-    for cache in made.fleet.mine:
-        cache.rate, cache.rated = 5.0, 100.0
+    made.fleet.usual = [5.0, 5.0]
     sent = sum(made.fleet.room(cold, 0.3, 100.0) and not cold.charge(0.3, 100.0) for _ in range(500))
     capacity = 20.0 if weighed else 7.0
     assert 0 < sent * 0.3 <= 4.0 * 0.28 * capacity
 
 
+def test_what_a_warm_parent_bears_is_remembered_when_all_have_started_anew():
+    made = router(weighed=False)
+    for parent in made.fleet.parents:
+        parent.rate, parent.rated = 5.0, 100.0
+    for _ in range(50):
+        made.fleet.weigh(100.0)
+    made.fleet.listed([listing(100 + i, "parent", "hub", started=100.0) for i in range(2)], False, 100.0)
+    made.fleet.weigh(105.0)
+    assert made.source(take(made, now=105.0)[0], 105.0) in made.fleet.parents
+
+
+def test_a_parent_too_cold_leaves_its_fills_to_the_next():
+    made = router(parents=1, extra=[listing(101, "parent", "hub", started=99.9, weight=0.01)])
+    assert {made.source(take(made, key=key)[0], 100.0).mark for key in range(20)} == {100}
+
+
 def test_fills_count_against_a_cold_parent():
     made = router(boxes=2, parents=1, extra=[listing(100, "parent", "hub", started=99.0, weight=2.0)])
     fills = 0
     for key in range(40):
         _, caller = take(made, key=key, now=100.0)
         end(caller, MISS, 100.0)
-        fills += len(caller.forwards) - 1
+        fills += sum(f.source.mark == 100 for f in caller.forwards)
     assert 0 < fills * made.mean(tariff()) <= 2.0 * 0.19 * 2.0
 
 
@@ -273,7 +288,7 @@
     visit, caller = take(made)
     end(caller, MISS, 100.01)
     assert not caller.answers and len(caller.forwards) == 1
-    visit.hold_over(visit.due)
+    made.outside.alarms[-1][1](visit.due)
     assert caller.answers == [("denied", 0.5)]
 
 
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -209,6 +209,7 @@
         self.known: dict[int, Cache] = {}
         self.mine, self.parents, self.origin = [], [], None
         self.share = 1.0  # this location's part of all traffic, by its caches
+        self.usual = [0.0, 0.0]  # work a second that this router sends to a warm cache, to a warm parent
 
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
         """Heeded at once, as sources too: what drains or is gone leaves the lists that all sends choose
@@ -242,16 +243,20 @@
 
         return sorted(caches, key=score)
 
+    def weigh(self, now: float) -> None:
+        """Remembered, since after a release no warm fellow may be left to compare with."""
+        for upper, cold, caches in ((0, self.edge, self.mine), (1, self.upper, self.parents)):
+            warm = [cache.bears(now) for cache in caches if cold.part(cache, now) >= 1.0]
+            self.usual[upper] += 0.1 * (sum(warm) / len(warm) - self.usual[upper]) if warm else 0.0
+
     def room(self, cache: Cache, work: float, now: float) -> bool:
         upper = cache.kind == self.parent_kind
         cold = self.upper if upper else self.edge
         if cache is self.origin or cold.part(cache, now) >= 1.0:
             return True
+        mine = 1.4 * self.usual[upper]  # no weights told: what a warm fellow bears, and some more
         if self.weighed:
             mine = cache.weight * (self.share if upper else 1.0) / self.routers
-        else:  # no weights told: what a warm fellow bears from here, and the usual load leaves some room
-            warm = [c.bears(now) for c in (self.parents if upper else self.mine) if cold.part(c, now) >= 1.0]
-            mine = 1.4 * sum(warm) / max(len(warm), 1)
         return cold.room(cache, work, mine, now)
 
 
@@ -352,11 +357,8 @@
         (leader.followers if follows else router.queue).append(self)
         if not self.held:  # only while an answer in time is possible; then it is told so at once
             self.held = True
-            router.outside.wake(max(self.due - 0.9 * self.work - now, 0.001), self.hold_over)
-
-    def hold_over(self, now: float) -> None:
-        if self.held:
-            self.give_up(now)
+            router.outside.wake(max(self.due - 0.9 * self.work - now, 0.001),
+                                lambda then: self.give_up(then) if self.held else None)
 
     def send(self, cache: Cache, source: Cache, now: float, rank: int = -1) -> None:
         router, tariff, self.held = self.router, self.tariff, False
@@ -477,8 +479,7 @@
     def start(self, now: float) -> None:
         if self.follows:
             self.outside.follow()
-        if self.probes:
-            self.outside.wake(0.1 + 0.4 * self.chance.draw(), self.round)
+        self.outside.wake(0.1 + 0.4 * self.chance.draw(), self.round)
 
     def list_lost(self, now: float) -> None:
         if self.follows:
@@ -506,14 +507,12 @@
         visit.item.work = work + (took - work) * 0.05
 
     def source(self, visit: Visit, now: float) -> Cache | None:
-        """The parent on the object's hash, the next where one fails, the origin where all do. None: no
-        place."""
-        work = self.mean(visit.tariff)
+        """The parent on the object's hash, the next where one fails or is too cold, then the origin; or no place."""
         failed = [f.source for f in visit.forwards if not f.pending and f.outcome is not Outcome.MISS]
         for source in [*self.fleet.order(self.fleet.parents, visit.item.key, now), self.fleet.origin]:
             if source and source.usable(now) and source not in failed:
-                place = len(source.filling) < source.window and self.fleet.room(source, work, now)
-                return source if place else None
+                if self.fleet.room(source, self.mean(visit.tariff), now):
+                    return source if len(source.filling) < source.window else None
         return None
 
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
@@ -547,9 +546,10 @@
 
     def round(self, now: float) -> None:
         """Probes: they tell the link's load, and of a dead machine before visits are lost to it."""
-        for cache in self.fleet.mine + self.fleet.parents:
+        for cache in self.fleet.mine + self.fleet.parents if self.probes else ():
             self.outside.probe(cache)
         self.outside.wake(0.7, self.round)
+        self.fleet.weigh(now)
         self.serve(now)
 
     def probed(self, cache: Cache, outcome: Outcome, load: dict[str, float], now: float) -> None:
