--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -507,7 +507,7 @@
         visit.item.work = work + (took - work) * 0.05
 
     def source(self, visit: Visit, now: float) -> Cache | None:
-        """The parent on the object's hash, the next where one fails or is too cold, then the origin; or no place."""
+        """The parent on the object's hash, the next where one fails or is too cold, then the origin."""
         failed = [f.source for f in visit.forwards if not f.pending and f.outcome is not Outcome.MISS]
         for source in [*self.fleet.order(self.fleet.parents, visit.item.key, now), self.fleet.origin]:
             if source and source.usable(now) and source not in failed:
