--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -228,6 +228,15 @@
 
 
 @pytest.mark.parametrize("ratio, grows", [(1.0, True), (4.0, False)])
+@pytest.mark.parametrize("load, denied", [(1.0, False), (30.0, True)])
+def test_a_fill_predicted_late_on_a_crowded_link_is_denied(load, denied):
+    made = router()
+    made.link_load, made.link_fills = load, 1.0
+    _, caller = take(made, size=400.0)
+    end(caller, MISS, 100.01)
+    assert bool(caller.answers) is denied and (len(caller.forwards) == 1) is denied
+
+
 def test_capacity_is_learned_from_answer_times(ratio, grows):
     cache = router().fleet.mine[0]
     cache.fit = cache.best = 2.0
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -21,7 +21,8 @@
 
 MASK = (1 << 64) - 1
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT, Outcome.MISS)  # all others may have run
-MARGIN = 1.8  # predicted times are stretched by this, for what will come while the visit is under way
+MARGIN = 2.0  # predicted times are stretched by this, for what will come while the visit is under way
+LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
 EMPTY = 15.0  # a cache that started less than this ago has nothing to push out
 GIVE_UP = 0.02  # before the client does, so that the answer is there in time
 
@@ -542,10 +543,9 @@
 
     def link_crowd(self) -> float:
         """How many times longer than alone a fill takes on the location's link, if one more comes."""
-        return max(0.5 * (self.fills + 1) * self.link_load / max(self.link_fills, 1.0), 1.0)
+        return max(LINK * (self.fills + 1) * self.link_load / max(self.link_fills, 1.0), 1.0)
 
     def round(self, now: float) -> None:
-        """Probes: they tell the link's load, and of a dead machine before visits are lost to it."""
         for cache in self.fleet.mine + self.fleet.parents if self.probes else ():
             self.outside.probe(cache)
         self.outside.wake(0.7, self.round)
