--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -227,7 +227,6 @@
     assert not callers[-1].forwards and callers[-1].answers == [("denied", 0.5)]
 
 
-@pytest.mark.parametrize("ratio, grows", [(1.0, True), (4.0, False)])
 @pytest.mark.parametrize("load, denied", [(1.0, False), (30.0, True)])
 def test_a_fill_predicted_late_on_a_crowded_link_is_denied(load, denied):
     made = router()
@@ -237,6 +236,7 @@
     assert bool(caller.answers) is denied and (len(caller.forwards) == 1) is denied
 
 
+@pytest.mark.parametrize("ratio, grows", [(1.0, True), (4.0, False)])
 def test_capacity_is_learned_from_answer_times(ratio, grows):
     cache = router().fleet.mine[0]
     cache.fit = cache.best = 2.0
@@ -253,9 +253,9 @@
         end(caller, MISS, 100.01)
         fill = caller.forwards[1]
         fill.source.heard = 99.0
-        fill.it.visit.overdue(fill.it, 100.6)
+        fill.it.visit.overdue(fill.it, 100.5)
         assert caller.withdrawn == [fill.it]
-        end(caller, Outcome.WITHDRAWN, 100.6, 1)
+        end(caller, Outcome.WITHDRAWN, 100.5, 1)
         assert caller.forwards[2].source is not fill.source
     assert not fill.source.usable(100.7)
     assert made.source(take(made, key=5, part=7, now=100.7)[0], 100.7) is not fill.source
