--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -60,9 +60,9 @@
     return made
 
 
-def take(made, kind=None, key=5, part=0, size=100.0, now=100.0, group=3, patience=5.0):
+def take(made, kind=None, key=5, part=0, size=100.0, now=100.0, group=3, patience=5.0, repeat=False):
     caller = Recorder()
-    return made.take(caller, kind or tariff(), key, part, group, size, patience, now), caller
+    return made.take(caller, kind or tariff(), key, part, group, size, patience, repeat, now), caller
 
 
 def end(caller, outcome, now, number=-1, closed=False, took=0.01):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -227,6 +227,13 @@
     assert not callers[-1].forwards and callers[-1].answers == [("denied", 0.5)]
 
 
+@pytest.mark.parametrize("repeat, crowd, denied", [
+    (True, 2.0, True), (False, 2.0, False), (True, 1.0, False)])
+def test_a_repeat_is_not_taken_into_a_crowd(repeat, crowd, denied):
+    visit, _ = take(router(), repeat=repeat)
+    assert visit.late(crowd, 100.0) is denied
+
+
 @pytest.mark.parametrize("load, denied", [(1.0, False), (30.0, True)])
 def test_a_fill_predicted_late_on_a_crowded_link_is_denied(load, denied):
     made = router()
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -50,8 +50,6 @@
 
 
 class Item:
-    """One object as this router knows it."""
-
     def __init__(self, key: int, now: float) -> None:
         self.key, self.k, self.asked, self.heat, self.last = key, 0, 0, 0.0, now
         self.work = 0.0  # sending time of a part, learned; 0 before the first
@@ -274,9 +272,9 @@
     """One visit, from the taking to the last outcome of its forwards."""
 
     def __init__(self, router: Router, caller: Caller, tariff: Tariff, item: Item, part: int, group: int,
-                 work: float, patience: float, now: float) -> None:
+                 work: float, patience: float, repeat: bool, now: float) -> None:
         self.router, self.caller, self.tariff, self.item, self.part = router, caller, tariff, item, part
-        self.group, self.work, self.salt = group, work, mix(item.key, part)
+        self.group, self.work, self.repeat, self.salt = group, work, repeat, mix(item.key, part)
         self.expires = now + patience
         self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
         self.forwards: list[Forward] = []
@@ -303,7 +301,8 @@
             f.cache.zone == cache.zone and (group == "zone" or f.cache.cell == cache.cell) for f in risky)
 
     def late(self, crowd: float, now: float) -> bool:
-        return now + MARGIN * self.work * crowd > self.due
+        # A repeat's promise mostly ran out with its first try: in a crowd it takes pace from first tries.
+        return now + MARGIN * self.work * crowd > self.due or (self.repeat and crowd > 1.0)
 
     def fits(self, cache: Cache, now: float) -> bool:
         return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(
@@ -487,11 +486,11 @@
             self.outside.wake(self.ask_again * (0.5 + self.chance.draw()), lambda then: self.outside.follow())
 
     def take(self, caller: Caller, tariff: Tariff, key: int, part: int, group: int, size: float,
-             patience: float, now: float) -> Visit:
+             patience: float, repeat: bool, now: float) -> Visit:
         """Take a visit; size in KB, 0 where it is not told."""
         item = self.shelf.visit(key, part, now)
         work = size / self.flow if size else item.work or self.mean(tariff)
-        visit = Visit(self, caller, tariff, item, part, group, work, patience, now)
+        visit = Visit(self, caller, tariff, item, part, group, work, patience, repeat, now)
         self.outside.wake(max(patience - GIVE_UP, 0.0), visit.give_up)
         visit.look(now)
         return visit
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -147,6 +147,7 @@
             codec.integer(name, fields, "batchId", 0),
             codec.number(name, fields, "lengthKb", 0.0),
             codec.seconds(name, fields, "expiresInMs"),
+            codec.flag(name, fields, "repeat", False),
             now,
         )
 
