Adapter: one check for words, for lists of objects, for outcomes and for naming a forward

The same checks stood two or three times in the adapter: unknown words, lists of objects, outcome codes, the forward that a message names.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -49,8 +49,8 @@
 def router(boxes=4, parents=2, most_forwards=6, second_copies=True, cancel=True, direct=True, joins=False,
            weighed=True, extra=()):
     outside = Recorder()
-    fleet = Fleet("here", 1, "parent", "origin", weighed, Cold(4.0, 1.0, 0.2, 10.0), Cold(2.0, 1.0, 0.1,
-                    10.0))
+    edge, upper = Cold(4.0, 1.0, 0.2, 10.0), Cold(2.0, 1.0, 0.1, 10.0)
+    fleet = Fleet("here", 1, "parent", "origin", weighed, edge, upper)
     made = Router(outside, 7, fleet, Shelf(), Purges(6.0), joins=joins, direct=direct, flow=1000.0,
                   most_forwards=most_forwards, second_copies=second_copies, cancel=cancel, probes=True,
                   follows=False, ask_within=0.0, longest_wait=0.5)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -131,7 +131,7 @@
     visit, caller = take(made, tariff(Effect.TICKETED, group))
     first = caller.forwards[0].it
     first.pending, first.outcome = False, TIMED
-    other = next(c for c in made.fleet.mine if c.mark == 9 and c is not first.cache or c.mark == 9)
+    other = next(c for c in made.fleet.mine if c.mark == 9)
     assert visit.allowed(other, 100.0 + later) is allowed
 
 
--- a/wickhinge/wirehost/codec.py
+++ b/wickhinge/wirehost/codec.py
@@ -59,6 +59,13 @@
     raise problem(name, fields, field, "a text")
 
 
+def word(name: str, fields: dict[str, Any], field: str, known: Any) -> Any:
+    value = text(name, fields, field)
+    if value not in known:
+        raise Malformed(f"{name}: field {field} holds an unknown word")
+    return value
+
+
 def flag(name: str, fields: dict[str, Any], field: str, default: bool | None = None) -> bool:
     value = fields.get(field)
     if type(value) is bool:
@@ -75,6 +82,13 @@
     raise problem(name, fields, field, "a list")
 
 
+def records(name: str, fields: dict[str, Any], field: str) -> list[dict[str, Any]]:
+    values = listing(name, fields, field)
+    if not all(type(value) is dict for value in values):
+        raise problem(name, fields, field, "a list of objects")
+    return values
+
+
 def record(name: str, fields: dict[str, Any], field: str) -> dict[str, Any]:
     value = fields.get(field)
     if type(value) is dict:
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -107,26 +107,19 @@
         self.router.start(now)
 
     def announce(self, name: str, fields: dict[str, Any], now: float) -> None:
-        kind = codec.text(name, fields, "kind")
+        kind = codec.word(name, fields, "kind", ("lost", *LISTS))
         if kind == "lost":
             self.router.list_lost(now)
             return
-        if kind not in LISTS:
-            raise Malformed(f"{name}: field kind holds an unknown word", self.number)
         listings = []
-        for entry in codec.listing(name, fields, "hosts"):
-            if not isinstance(entry, dict):
-                raise Malformed(f"{name}: field hosts is not a list of objects", self.number)
-            state = codec.text(name, entry, "availability")
-            if state not in STATES:
-                raise Malformed(f"{name}: field availability holds an unknown word", self.number)
+        for entry in codec.records(name, fields, "hosts"):
             listings.append(
                 Listing(
                     codec.integer(name, entry, "cache"),
                     codec.text(name, entry, "campus"),
                     codec.text(name, entry, "familyType"),
                     codec.integer(name, entry, "cluster", 0),
-                    STATES[state],
+                    STATES[codec.word(name, entry, "availability", STATES)],
                     codec.number(name, entry, "share", 1.0),
                     codec.seconds(name, entry, "readyAtMs", 0.0) or None,
                 )
@@ -158,25 +151,32 @@
             raise Malformed(f"{name}: field contentId is not hex digits", self.number) from None
 
     def resolved(self, name: str, fields: dict[str, Any], now: float) -> None:
-        door = self.doors.get(codec.text(name, fields, "ref"))
-        number = codec.integer(name, fields, "sendNo")
-        code = codec.integer(name, fields, "disposition")
-        if code not in OUTCOMES:
-            raise Malformed(f"{name}: field disposition holds an unknown code", self.number)
+        forward, outcome = self.sent(name, fields), self.outcome(name, fields)
         took, closed = codec.seconds(name, fields, "timeTakenMs"), codec.flag(name, fields, "doneFlag")
-        if door is None or not 0 <= number < len(door.forwards):
+        if forward is None:
             return
-        forward = door.forwards[number]
         note = NOTES.get(codec.integer(name, fields, "detail", 0))
-        forward.visit.ended(forward, OUTCOMES[code], took, closed, note, now)
+        forward.visit.ended(forward, outcome, took, closed, note, now)
+        door = forward.visit.caller
         if forward.visit.done and not any(one.pending for one in door.forwards):
             self.doors.pop(door.ref, None)
 
     def ack_first(self, name: str, fields: dict[str, Any], now: float) -> None:
+        forward = self.sent(name, fields)
+        if forward is not None:
+            forward.visit.began(forward, now)
+
+    def sent(self, name: str, fields: dict[str, Any]) -> Any:
+        """The forward that the message names, None where its visit is long over."""
         door = self.doors.get(codec.text(name, fields, "ref"))
         number = codec.integer(name, fields, "sendNo")
-        if door is not None and 0 <= number < len(door.forwards):
-            door.forwards[number].visit.began(door.forwards[number], now)
+        return door.forwards[number] if door is not None and 0 <= number < len(door.forwards) else None
+
+    def outcome(self, name: str, fields: dict[str, Any]) -> Outcome:
+        code = codec.integer(name, fields, "disposition")
+        if code not in OUTCOMES:
+            raise Malformed(f"{name}: field disposition holds an unknown code", self.number)
+        return OUTCOMES[code]
 
     def gone(self, name: str, fields: dict[str, Any], now: float) -> None:
         door = self.doors.get(codec.text(name, fields, "ref"))
@@ -185,12 +185,10 @@
 
     def check_result(self, name: str, fields: dict[str, Any], now: float) -> None:
         cache = self.router.fleet.known.get(codec.integer(name, fields, "cache"))
-        code = codec.integer(name, fields, "disposition")
-        if code not in OUTCOMES:
-            raise Malformed(f"{name}: field disposition holds an unknown code", self.number)
+        outcome = self.outcome(name, fields)
         load = {} if fields.get("report") is None else codec.record(name, fields, "report")
         if cache is not None:
-            self.router.probed(cache, OUTCOMES[code], load, now)
+            self.router.probed(cache, outcome, load, now)
 
     def expired_now(self, name: str, fields: dict[str, Any], now: float) -> None:
         key = None if fields.get("contentId") is None else self.key(name, fields)
--- a/wickhinge/wirehost/settings.py
+++ b/wickhinge/wirehost/settings.py
@@ -6,18 +6,22 @@
 
 from wickhinge.decide import Cold, Fleet, Purges, Router, Shelf
 from wickhinge.interface import Effect, Outside, Tariff
-from wickhinge.wirehost.codec import Malformed, flag, integer, listing, number, record, seconds, text
+from wickhinge.wirehost.codec import (
+    Malformed,
+    flag,
+    integer,
+    listing,
+    number,
+    record,
+    records,
+    seconds,
+    text,
+    word,
+)
 
 EFFECTS = {"pure": Effect.RERUNNABLE, "token": Effect.TICKETED, "side_effect": Effect.EXCLUSIVE}
 
 
-def word(name: str, fields: dict[str, Any], field: str, known: Any) -> Any:
-    value = text(name, fields, field)
-    if value not in known:
-        raise Malformed(f"{name}: field {field} holds an unknown word")
-    return value
-
-
 def spread(family: dict[str, Any], field: str, count: int) -> list[Any]:
     values = listing("conf.familyInfo", family, field)
     if len(values) != count:
@@ -26,15 +30,13 @@
 
 
 def tariffs(conf: dict[str, Any]) -> dict[str, Tariff]:
-    family, classes = record("conf", conf, "familyInfo"), listing("conf", conf, "classes")
+    family, classes = record("conf", conf, "familyInfo"), records("conf", conf, "classes")
     count = len(classes)
     fresh, grace = spread(family, "maxAgeMs", count), spread(family, "staleForMs", count)
     stale, parts = spread(family, "worthWhenOld", count), spread(family, "multiPart", count)
     passes = spread(family, "passOn", count)
     result = {}
     for place, entry in enumerate(classes):
-        if not isinstance(entry, dict):
-            raise Malformed("conf: field classes is not a list of objects")
         where = "conf.classes"
         name = text(where, entry, "name")
         effect = EFFECTS[word(where, entry, "effect", EFFECTS)]
