--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -4,7 +4,7 @@
 import pytest
 
 from wickhinge.wirehost.codec import Malformed
-from wickhinge.wirehost.host import run
+from wickhinge.wirehost.host import Instance, run
 
 CLASS = {
     "name": "t",
@@ -175,6 +175,17 @@
     assert any(key in reply["Broken"]["line"] for reply in replies if "Broken" in reply)
 
 
+def test_calls_the_module_does_not_make_yet_have_their_actions():
+    replies = []
+    instance = Instance(3, replies)
+    instance.read_list()
+    instance.say(-1, b"hi 7")
+    assert [json.loads(line) for line in replies] == [
+        {"ReadList": {"router": 3}},
+        {"Say": {"to": -1, "content": "aGkgNw==", "router": 3}},
+    ]
+
+
 def test_what_is_not_json_ends_the_run_with_a_message():
     with pytest.raises(Malformed, match="not JSON"):
         run(io.BytesIO(b"nonsense\n"), io.BytesIO())
--- a/wickhinge/interface.py
+++ b/wickhinge/interface.py
@@ -121,5 +121,14 @@
     def follow(self) -> None:
         """Subscribe to changes of the list."""
 
+    def read_list(self) -> None:
+        """Ask for the whole list once."""
+
+    def hang_up(self, cache: Any) -> None:
+        """Close idle connections to a machine."""
+
+    def say(self, to: int, content: bytes) -> None:
+        """Tell another router, or all (-1), where that is allowed."""
+
     def note(self, text: str) -> None:
         """A line for the operators' log."""
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from base64 import b64encode
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
@@ -96,6 +97,15 @@
     def follow(self) -> None:
         self.act("Follow", {"want": True})
 
+    def read_list(self) -> None:
+        self.act("ReadList", {})
+
+    def hang_up(self, cache: Any) -> None:
+        self.act("HangUp", {"cache": cache.mark})
+
+    def say(self, to: int, content: bytes) -> None:
+        self.act("Say", {"to": to, "content": b64encode(content).decode()})
+
     def note(self, text: str) -> None:
         self.act("NoteDown", {"line": text})
 
