A location's routers probe each cache together, parents not; dense lines undone

Change: probes a round are the location's caches over its routers, at least one, in turn; parents' probes told nothing that was used and went. Known caches are no longer built anew for each list; dense lines and wrapped docstrings undone.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -19,7 +19,7 @@
 
 from wickhinge.interface import Caller, Effect, Listing, Note, Outcome, Outside, Tariff
 
-MASK = (1 << 64) - 1
+MASK = 2**64 - 1
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT, Outcome.MISS)  # all others may have run
 MARGIN = 2.0  # predicted times are stretched by this, for what will come while the visit is under way
 LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
@@ -56,8 +56,7 @@
 
 
 class Shelf:
-    """The count k of leading parts to keep, for each object: bounded, and the least lately asked goes
-    first."""
+    """The count k of leading parts to keep, for each object; the least lately asked leaves first."""
 
     def __init__(self, size: int = 20000, idle: float = 10.0, growth: int = 1, often: float = 6.0,
                  middle: float = 0.15) -> None:
@@ -119,9 +118,8 @@
 class Cold:
     """The budget of a machine that started lately, by the settings' figures, and this router's share of it.
 
-    Against toppling it: all routers spend it unknown to each other, so one spends only its share, and less
-    than the rule allows, since sizes vary and a cold machine is late long before it topples. Costs some
-    denials."""
+    Against toppling it: routers spend it unknown to each other, so each spends its share alone, and less than
+    the rule allows, since sizes vary and a cold machine is late long before it topples. Costs denials."""
 
     def __init__(self, multiple: float, span: float, floor: float, warm: float) -> None:
         self.span, self.floor, self.warm = span, floor, warm
@@ -167,8 +165,7 @@
 
     def crowd(self, now: float) -> float:
         """How many times longer than alone a transfer takes, if one more comes. Against links shared among
-        too many: overload, a slow machine, a bad hash. One that gets nothing shows nothing, so belief drifts
-        back."""
+        too many: overload, a slow machine. One that gets nothing shows nothing, so belief drifts back."""
         self.fit += max(self.best - self.fit, 0.0) * min((now - self.fitted) / 20.0, 1.0)
         self.fitted = now
         return max((len(self.pending) + 1) / self.fit, 1.0)
@@ -186,7 +183,7 @@
     def usable(self, now: float) -> bool:
         """One that failed lately is tried again by one visit at a time."""
         return self.state == "ready" and now >= self.shunned and (
-            self.strikes < 2 or not (self.pending or self.filling))
+            self.strikes < 2 or not self.pending and not self.filling)
 
     def failed(self, now: float) -> None:
         """Two failures in a row are no chance: shun it for a while, longer each time."""
@@ -211,15 +208,14 @@
         self.usual = [0.0, 0.0]  # work a second that this router sends to a warm cache, to a warm parent
 
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
-        """Heeded at once, as sources too: what drains or is gone leaves the lists that all sends choose
-        from."""
+        """Heeded at once, as sources too: what drains or is gone leaves the lists that sends choose from."""
         if whole:
             named = {listing.cache for listing in listings}
             for cache in self.known.values():
                 if cache.mark not in named:
                     cache.state = "gone"
         for listing in listings:
-            cache = self.known.setdefault(listing.cache, Cache(listing, now))
+            cache = self.known[listing.cache] = self.known.get(listing.cache) or Cache(listing, now)
             cache.state, cache.weight = listing.state, listing.weight or 1.0
             if listing.started is not None and listing.started > cache.started:
                 cache.begin(now)
@@ -234,8 +230,7 @@
             cache.best = max(cache.weight / self.routers, 0.5)
 
     def order(self, caches: list[Cache], salt: int, now: float) -> list[Cache]:
-        """Weighted rendezvous: losing a machine moves only its own keys. A cold cache weighs what it can
-        do."""
+        """Weighted rendezvous: losing a machine moves only its own keys. A cold cache weighs less."""
         def score(cache: Cache) -> tuple[float, int]:
             weight = cache.weight * (self.edge.part(cache, now) if cache.zone == self.zone else 1.0)
             return weight / log(((mix(cache.salt, salt) >> 11) + 0.5) / (1 << 53)), cache.mark
@@ -282,15 +277,17 @@
         self.at: Cache | None = None  # whose miss is to be filled
         self.followers: list[Visit] = []  # wait for the copy that this one's fill leaves
 
+    def pending(self) -> list[Forward]:
+        return [f for f in self.forwards if f.pending]
+
     def risky(self) -> list[Forward]:
         return [f for f in self.forwards if f.pending or f.outcome not in NEVER_RAN]
 
     def allowed(self, cache: Cache, now: float) -> bool:
-        """Against a second effect: what may have run is repeated only where a repeat is known to be
-        dropped."""
+        """Against a second effect: what may have run is repeated only where a repeat is dropped."""
         risky = self.risky()
         if len(self.forwards) >= self.router.most_forwards or (
-                not self.router.second_copies and any(f.pending for f in risky)):
+                not self.router.second_copies and self.pending()):
             return False
         if not risky or self.tariff.effect is Effect.RERUNNABLE:
             return True
@@ -323,20 +320,19 @@
         elif wanted:
             self.send(wanted, wanted, now)
             return
-        elif router.direct and not any(f.pending for f in self.forwards):
+        elif router.direct and not self.pending():
             # No cache of the location will do: straight to a parent, past the caches' links.
             parent = router.source(self, now)
             if parent and self.allowed(parent, now) and not self.late(router.link_crowd(), now):
                 self.send(parent, fleet.origin or parent, now)
                 return
-        if not any(f.pending for f in self.forwards):
+        if not self.pending():
             self.give_up(now)
 
     def fill(self, now: float) -> None:
-        """Fill the miss at self.at from the object's parent; wait while none has a place, until it is
-        hopeless."""
+        """Fill the miss at self.at from the object's parent; wait for a place while there is hope."""
         router, cache = self.router, self.at
-        if self.done or any(f.pending and f.source is not f.cache for f in self.forwards):
+        if self.done or any(f.source is not f.cache for f in self.pending()):
             return
         if not cache.usable(now):
             self.look(now)
@@ -351,7 +347,8 @@
         follows = rank and not router.joins and leader is not self
         source = None if follows else router.source(self, now)
         if source:
-            router.filling.update({mark: self} if rank else {})
+            if rank:
+                router.filling[mark] = self
             self.send(cache, source, now, rank)
             return
         (leader.followers if follows else router.queue).append(self)
@@ -380,8 +377,7 @@
 
     def overdue(self, forward: Forward, now: float) -> None:
         """Against what takes work and answers nothing, cache or source: one silent to all since is failing,
-        and the visit goes on elsewhere. A large object alone at a slow machine looks the same and loses its
-        place."""
+        and the visit goes on elsewhere. A large object alone at a slow machine looks the same."""
         silent = forward.cache if forward.cache.heard < forward.sent else forward.source
         if not forward.pending or self.done or silent.heard >= forward.sent:
             return
@@ -394,7 +390,7 @@
 
     def ended(self, forward: Forward, outcome: Outcome, took: float, closed: bool, note: Note | None,
               now: float) -> None:
-        """The outcome of one forward. closed: the visit has its final answer, by this outcome or earlier."""
+        """closed: the visit has its final answer, by this outcome or earlier."""
         router, cache, source = self.router, forward.cache, forward.source
         forward.pending, forward.outcome = False, outcome
         cache.pending.discard(forward)
@@ -422,7 +418,7 @@
                 self.item.k = min(self.item.k, self.part + 1)
             self.at = cache
             self.fill(now)
-        elif any(f.pending for f in self.forwards):
+        elif self.pending():
             return
         elif now + self.work > self.due or (
                 outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE):
@@ -433,8 +429,7 @@
         else:
             self.look(now)
 
-    def began(self, forward: Forward, now: float) -> None:
-        """A streamed answer has begun: it is the client's, and no other may be sent."""
+    def began(self, forward: Forward, now: float) -> None:  # streamed: it is the client's from now on
         forward.cache.answered(now)
         self.done = True
 
@@ -443,7 +438,7 @@
         if self.done:
             return
         self.done = True
-        for forward in [f for f in self.forwards if f.pending and self.router.cancel]:
+        for forward in self.pending() if self.router.cancel else ():
             self.caller.withdraw(forward)
         if self.router.filling.get((self.item.key, self.part)) is self:
             del self.router.filling[self.item.key, self.part]
@@ -458,7 +453,10 @@
         harmless = self.tariff.effect is Effect.RERUNNABLE or not self.risky() or (
             self.tariff.effect is Effect.TICKETED and self.tariff.group == "all")
         self.finish(now)
-        self.caller.deny(self.router.longest_wait) if harmless else self.caller.abandon()
+        if harmless:
+            self.caller.deny(self.router.longest_wait)
+        else:
+            self.caller.abandon()
 
 
 class Router:
@@ -473,7 +471,7 @@
         self.means: dict[str, float] = {}
         self.filling: dict[tuple[int, int], Visit] = {}  # who fills a part that is kept
         self.queue: list[Visit] = []
-        self.fills = 0
+        self.fills = self.turn = 0
         self.link_load = self.link_fills = 0.0  # the location's link as told, and these fills meanwhile
 
     def start(self, now: float) -> None:
@@ -496,8 +494,7 @@
         return visit
 
     def mean(self, tariff: Tariff) -> float:
-        """Mean sending time of a tariff, learned; a pessimistic one until then, for the cold budgets'
-        sake."""
+        """Mean sending time of a tariff, learned; pessimistic until then, for the cold budgets' sake."""
         return self.means.get(tariff.name, 0.5 * tariff.promised)
 
     def learn(self, visit: Visit, took: float) -> None:
@@ -533,8 +530,7 @@
         self.serve(now)
 
     def serve(self, now: float) -> None:
-        """Places go to who waits with the most revenue for its sending time, kept parts before passing
-        ones."""
+        """Places go to the most revenue for its sending time, kept parts before passing ones."""
         waiting, self.queue = [visit for visit in self.queue if visit.held and not visit.done], []
         waiting.sort(key=lambda v: -v.tariff.revenue / (v.work + 0.05) * (1.5 if v.part < v.item.k else 1.0))
         for visit in waiting:
@@ -545,8 +541,12 @@
         return max(LINK * (self.fills + 1) * self.link_load / max(self.link_fills, 1.0), 1.0)
 
     def round(self, now: float) -> None:
-        for cache in self.fleet.mine + self.fleet.parents if self.probes else ():
-            self.outside.probe(cache)
+        if self.probes and self.fleet.mine:
+            # All routers of a location together probe each cache once a round: where each sees one visit in a
+            # hundred, its own probes of all would cost more than they tell.
+            for _ in range(max(len(self.fleet.mine) // self.fleet.routers, 1)):
+                self.turn += 1
+                self.outside.probe(self.fleet.mine[self.turn % len(self.fleet.mine)])
         self.outside.wake(0.7, self.round)
         self.fleet.weigh(now)
         self.serve(now)
@@ -556,5 +556,6 @@
         if outcome is not Outcome.HONOURED:
             cache.failed(now)
         elif cache in self.fleet.mine and "x1" in load:
-            self.link_load += 0.1 * (load["x1"] - self.link_load)
-            self.link_fills += 0.1 * (self.fills - self.link_fills)
+            gain = 0.1 * min(self.fleet.routers, 3)  # fewer probes, and all of one location tell the same
+            self.link_load += gain * (load["x1"] - self.link_load)
+            self.link_fills += gain * (self.fills - self.link_fills)
