k grows by and idles with the location's routers

Change: k rises by the routers of the location at part 0, and the idle time is as many times 10 s; one router: as before.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -58,9 +58,10 @@
 class Shelf:
     """The count k of leading parts to keep, for each object; the least lately asked leaves first."""
 
-    def __init__(self, size: int = 20000, idle: float = 10.0, growth: int = 1, often: float = 6.0,
-                 middle: float = 0.15) -> None:
-        self.size, self.idle, self.growth, self.often, self.middle = size, idle, growth, often, middle
+    def __init__(self, routers: int = 1, size: int = 20000, idle: float = 10.0, growth: int = 1,
+                 often: float = 6.0, middle: float = 0.15) -> None:
+        self.routers, self.size, self.growth, self.often, self.middle = routers, size, growth, often, middle
+        self.idle = idle * routers
         self.items: OrderedDict[int, Item] = OrderedDict()
         self.kept = self.kept_middle = 0.0
 
@@ -81,7 +82,7 @@
         if part == 0:
             item.heat += 1
             item.asked += 1
-            item.k += item.asked ** self.growth
+            item.k += self.routers * item.asked ** self.growth
         return item
 
     def rank(self, item: Item, part: int, work: float) -> int:
--- a/wickhinge/wirehost/settings.py
+++ b/wickhinge/wirehost/settings.py
@@ -106,7 +106,7 @@
         outside,
         seed,
         fleet,
-        Shelf(),
+        Shelf(fleet.routers),
         Purges(seconds(info, family, "goneEverywhereMs")),
         joins=flag(info, family, "joins"),
         direct=flag(info, family, "passThroughOk"),
