A cache's crowd counts the other routers' transfers as like this one's

Cause: a router holds 0 or 1 transfers of a cache that bears eight; its own count and a share of weight below one told only chance.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -143,6 +143,7 @@
     def __init__(self, listing: Listing, now: float) -> None:
         self.mark, self.zone, self.kind, self.cell = listing.cache, listing.zone, listing.kind, listing.cell
         self.salt, self.weight, self.state, self.started = mix(listing.cache), 1.0, "ready", -1e9
+        self.others = 0.0  # transfers that the location's other routers have here, guessed
         self.begin(now)
 
     def begin(self, now: float) -> None:
@@ -152,7 +153,7 @@
         self.pending: set[Forward] = set()
         self.filling: set[Forward] = set()  # fills it is the source of
         self.heard, self.strikes, self.shunned = now, 0, 0.0
-        self.fit = self.best = 4.0  # transfers from here that it bears at full pace, learned
+        self.fit = self.best = 12.0  # transfers from here that it bears at full pace, learned; hopeful at first
         self.fitted = now
         self.lag = 0.05  # as a source: what a fill takes beyond its transfer
         self.window, self.shrunk = 12.0, now  # fills out at once from it
@@ -164,17 +165,21 @@
     def bears(self, now: float) -> float:
         return self.rate * 0.5 ** ((now - self.rated) / 5.0)
 
+    def out(self) -> float:
+        """Transfers here with one more: own ones counted, other routers' taken to be like this one's usual."""
+        return len(self.pending) + 1 + self.others
+
     def crowd(self, now: float) -> float:
         """How many times longer than alone a transfer takes, if one more comes. Against links shared among
         too many: overload, a slow machine. One that gets nothing shows nothing, so belief drifts back."""
         self.fit += max(self.best - self.fit, 0.0) * min((now - self.fitted) / 20.0, 1.0)
         self.fitted = now
-        return max((len(self.pending) + 1) / self.fit, 1.0)
+        return max(self.out() / self.fit, 1.0)
 
     def bore(self, ratio: float, now: float) -> None:
         """Learn from one answer: it took ratio times its own sending time."""
         self.crowd(now)
-        out = len(self.pending) + 1
+        out = self.out()
         if ratio > 1.25:
             self.fit = max(self.fit + 0.1 * (out / ratio - self.fit), 0.3)
         elif out > self.fit:
@@ -206,6 +211,7 @@
         self.known: dict[int, Cache] = {}
         self.mine, self.parents, self.origin = [], [], None
         self.share = 1.0  # this location's part of all traffic, by its caches
+        self.pending = 0.0  # this router's transfers out at once, lately
         self.usual = [0.0, 0.0]  # work a second that this router sends to a warm cache, to a warm parent
 
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
@@ -228,7 +234,7 @@
         self.origin = next((cache for cache in live if cache.kind == self.origin_kind), None)
         self.share = sum(c.weight for c in self.mine) / (sum(c.weight for c in edge) or 1.0)
         for cache in self.mine if self.weighed else ():
-            cache.best = max(cache.weight / self.routers, 0.5)
+            cache.best = max(cache.weight, 0.5)
 
     def order(self, caches: list[Cache], salt: int, now: float) -> list[Cache]:
         """Weighted rendezvous: losing a machine moves only its own keys. A cold cache weighs less."""
@@ -244,6 +250,13 @@
             warm = [cache.bears(now) for cache in caches if cold.part(cache, now) >= 1.0]
             self.usual[upper] += 0.1 * (sum(warm) / len(warm) - self.usual[upper]) if warm else 0.0
 
+    def count(self) -> None:
+        """Pooled over the location: where a hundred routers share a load, one cache's own count is chance."""
+        out, total = sum(len(cache.pending) for cache in self.mine), sum(cache.weight for cache in self.mine)
+        self.pending += 0.1 * (out - self.pending)
+        for cache in self.mine:
+            cache.others = (self.routers - 1) * self.pending * cache.weight / total
+
     def room(self, cache: Cache, work: float, now: float) -> bool:
         upper = cache.kind == self.parent_kind
         cold = self.upper if upper else self.edge
@@ -274,6 +287,7 @@
         self.expires = now + patience
         self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
         self.forwards: list[Forward] = []
+        self.known = True  # its sending time, or guessed by its tariff's mean
         self.done = self.held = False  # held: waits here for a fill's place or for another's fill
         self.at: Cache | None = None  # whose miss is to be filled
         self.followers: list[Visit] = []  # wait for the copy that this one's fill leaves
@@ -404,7 +418,8 @@
             cache.failed(now)
         if outcome is Outcome.HONOURED and ours and not filled:
             router.learn(self, took)
-            cache.bore(took / max(self.work, 0.005), now)
+            if self.known:  # a guessed time tells the size of the object, not of the crowd
+                cache.bore(took / max(self.work, 0.005), now)
             # After a restart k is zero though the cache holds the object; the paper keeps what is held.
             self.item.k = max(self.item.k, self.part + 1)
         if filled:
@@ -489,7 +504,9 @@
         """Take a visit; size in KB, 0 where it is not told."""
         item = self.shelf.visit(key, part, now)
         work = size / self.flow if size else item.work or self.mean(tariff)
+        self.fleet.count()
         visit = Visit(self, caller, tariff, item, part, group, work, patience, repeat, now)
+        visit.known = bool(size or item.work)
         self.outside.wake(max(patience - GIVE_UP, 0.0), visit.give_up)
         visit.look(now)
         return visit
