What was gone is cold from its first answer; cold shares on credit; empty caches filled unlooked

(2) a share smaller than one visit is spent on credit, from a start of chance; sliding windows let a router of 200 send nothing. (3) 0.45 of the rule's multiple without a ceiling of one. (4) an empty cache is filled without a look, which spent half its budget.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -1,20 +1,18 @@
 """Every decision of wickhinge: tables, tuned values and all.
 
-How to call it. A front builds one Router for each instance from its settings (the parts Shelf, Purges, Cold
-and Fleet take their own few), tells it the list with Fleet.listed and purges with Purges.told, and hands it
-each visit with Router.take, which gives a Visit. What happens to the visit later is a call on it: Visit.ended
-for the outcome of a forward, Visit.finish when the client has gone. Probe answers go to Router.probed. The
-module calls out through Caller (one a visit) and Outside (one a router); both, and the plain types, live in
-wickhinge/interface.py. Every call carries the time now, in seconds; nothing else tells the time.
+How to call it. A front builds one Router for each instance from its settings, tells it the list with
+Fleet.listed and purges with Purges.told, and hands it each visit with Router.take, which gives a Visit; its
+later life is calls on that: Visit.ended for the outcome of a forward, Visit.finish when the client has gone.
+Probe answers go to Router.probed. The module calls out through Caller (one a visit) and Outside (one a
+router); both, and the plain types, live in wickhinge/interface.py. Every call carries the time, in seconds.
 
 The ordinary path, from gLRU: Router.take raises the object's k at part 0, Visit.look asks the cache on the
-part's hash, a miss is filled from the parent on the object's hash, and parts below k are kept. The rest are
-guards.
+part's hash, a miss is filled from the parent on the object's hash, parts below k are kept. The rest guards.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from math import log
 
 from wickhinge.interface import Caller, Effect, Listing, Note, Outcome, Outside, Tariff
@@ -24,6 +22,7 @@
 MARGIN = 2.0  # predicted times are stretched by this, for what will come while the visit is under way
 LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
 EMPTY = 15.0  # a cache that started less than this ago has nothing to push out
+ROUND = 0.7  # seconds from one look at the whole fleet to the next
 GIVE_UP = 0.02  # before the client does, so that the answer is there in time
 
 
@@ -51,38 +50,34 @@
 
 class Item:
     def __init__(self, key: int, now: float) -> None:
-        self.key, self.k, self.asked, self.heat, self.last = key, 0, 0, 0.0, now
-        self.work = 0.0  # sending time of a part, learned; 0 before the first
+        self.key, self.k, self.heat, self.last, self.work = key, 0, 0.0, now, 0.0  # work: 0 before the first
 
 
 class Shelf:
     """The count k of leading parts to keep, for each object; the least lately asked leaves first."""
 
-    def __init__(self, routers: int = 1, size: int = 20000, idle: float = 10.0, growth: int = 1,
-                 often: float = 6.0, middle: float = 0.15) -> None:
-        self.routers, self.size, self.growth, self.often, self.middle = routers, size, growth, often, middle
+    def __init__(self, routers: int = 1, size: int = 20000, idle: float = 10.0, often: float = 6.0,
+                 middle: float = 0.15) -> None:
+        self.routers, self.size, self.often, self.middle = routers, size, often, middle
         self.idle = idle * routers
         self.items: OrderedDict[int, Item] = OrderedDict()
         self.kept = self.kept_middle = 0.0
 
     def visit(self, key: int, part: int, now: float) -> Item:
-        """The object, its k halved for each idle time and raised at part 0: by p ** growth at the p-th
-        request, the paper's gLRU(d). Plain gLRU (growth 0) takes as many requests as an object has parts."""
+        """k rises by p at the p-th request, gLRU(1), times the routers for which a visit seen here stands."""
         item = self.items.get(key)
         if item is None:
             item = self.items[key] = Item(key, now)
             if len(self.items) > self.size:
                 self.items.popitem(last=False)
         self.items.move_to_end(key)
-        rests = min(int((now - item.last) / self.idle), 60)
-        item.k >>= rests
-        item.asked >>= rests
-        item.heat *= 0.5 ** ((now - item.last) / self.idle)
+        rests = min((now - item.last) / self.idle, 60.0)
+        item.k >>= int(rests)
+        item.heat *= 0.5 ** rests
         item.last = now
         if part == 0:
             item.heat += 1
-            item.asked += 1
-            item.k += self.routers * item.asked ** self.growth
+            item.k += self.routers * round(item.heat)
         return item
 
     def rank(self, item: Item, part: int, work: float) -> int:
@@ -90,16 +85,12 @@
         if part >= item.k:
             return 0
         self.kept = self.kept * 0.999 + work
-        self.kept_middle *= 0.999
-        if item.heat < self.often or self.kept_middle + work > self.middle * self.kept:
-            return 1
-        self.kept_middle += work
-        return 2
+        middle = item.heat >= self.often and self.kept_middle + work <= self.middle * self.kept
+        self.kept_middle = self.kept_middle * 0.999 + work * middle
+        return 1 + middle
 
 
 class Purges:
-    """Purges still in the works, turned into the oldest copy that will do."""
-
     def __init__(self, done: float) -> None:
         self.done = done + 2.0  # a parent may still be fetching an old copy when the others are done
         self.objects, self.groups = {}, {}
@@ -117,68 +108,69 @@
 
 
 class Cold:
-    """The budget of a machine that started lately, by the settings' figures, and this router's share of it.
-
-    Against toppling it: routers spend it unknown to each other, so each spends its share alone, and less than
-    the rule allows, since sizes vary and a cold machine is late long before it topples. Costs denials."""
+    """A router's share of what a tier's machines that started lately can do, against toppling them: routers
+    spend unknown to each other, so each its share alone, and under half of the rule's, as sizes vary."""
 
     def __init__(self, multiple: float, span: float, floor: float, warm: float) -> None:
-        self.span, self.floor, self.warm = span, floor, warm
-        self.multiple = min(0.45 * multiple, 1.0)
+        self.multiple, self.span, self.floor, self.warm = 0.45 * multiple, span, floor, warm
+        self.usual = 0.0  # work a second that this router sends to a warm machine of the tier
 
     def part(self, cache: Cache, now: float) -> float:
-        age = now - cache.started
+        age = 0.0 if cache.lost else now - cache.started
         return 1.0 if age >= self.warm else self.floor + (1 - self.floor) * max(age, 0.0) / self.warm
 
-    def room(self, cache: Cache, work: float, mine: float, now: float) -> bool:
-        while cache.spent and cache.spent[0][0] <= now - self.span:
-            cache.spent.popleft()
-        work += sum(spent for _, spent in cache.spent)
-        return work <= self.multiple * self.part(cache, now) * mine * self.span
+    def weigh(self, caches: list[Cache], now: float) -> None:
+        """Remembered, since after a release no warm fellow may be left to compare with."""
+        warm = [cache.sent / ROUND for cache in caches if self.part(cache, now) >= 1.0]
+        self.usual += 0.1 * (sum(warm) / len(warm) - self.usual) if warm else 0.0
+        for cache in caches:  # one that gets nothing shows nothing, so what is believed of it drifts back
+            cache.sent = 0.0
+            cache.fit += 0.035 * max(cache.best - cache.fit, 0.0)
+
+    def room(self, cache: Cache, mine: float, now: float) -> bool:
+        """One visit may be more than a share: it is sent on credit, and the debt sat out."""
+        rate = self.multiple * self.part(cache, now) * mine
+        cache.credit = min(cache.credit + rate * (now - cache.credited), 0.5 * rate * self.span)
+        cache.credited = now
+        return cache.credit > 0.0
 
 
 class Cache:
-    """One machine as this router knows it: a cache, a parent or the origin."""
-
-    def __init__(self, listing: Listing, now: float) -> None:
+    def __init__(self, listing: Listing, chance: Chance, now: float) -> None:
+        self.chance = chance
         self.mark, self.zone, self.kind, self.cell = listing.cache, listing.zone, listing.kind, listing.cell
         self.salt, self.weight, self.state, self.started = mix(listing.cache), 1.0, "ready", -1e9
         self.others = 0.0  # transfers that the location's other routers have here, guessed
         self.begin(now)
 
-    def begin(self, now: float) -> None:
-        """A process new to this router: nothing learned of the last one holds."""
-        self.spent: deque[tuple[float, float]] = deque(maxlen=2000)  # what it was sent, and when
-        self.rate, self.rated = 0.0, now  # work a second sent here
+    def begin(self, now: float) -> None:  # nothing learned of the last process holds
+        self.owe(now)
+        self.sent = 0.0  # work, since last weighed
         self.pending: set[Forward] = set()
         self.filling: set[Forward] = set()  # fills it is the source of
-        self.heard, self.strikes, self.shunned = now, 0, 0.0
-        self.fit = self.best = 12.0  # transfers from here that it bears at full pace, learned; hopeful at first
-        self.fitted = now
+        self.heard, self.strikes, self.lost, self.shunned, self.asked = now, 0, False, 0.0, 0.0
+        self.fit = self.best = 12.0  # transfers from here that it bears at full pace: hopeful, then learned
         self.lag = 0.05  # as a source: what a fill takes beyond its transfer
         self.window, self.shrunk = 12.0, now  # fills out at once from it
 
-    def charge(self, work: float, now: float) -> None:
-        self.spent.append((now, work))
-        self.rate, self.rated = self.bears(now) + work * 0.14, now  # log(2) / 5 s
+    def owe(self, now: float) -> None:
+        """A debt of chance, up to a large part's sending time, lest all routers' first visits meet."""
+        self.credit, self.credited = -0.5 * self.chance.draw(), now
 
-    def bears(self, now: float) -> float:
-        return self.rate * 0.5 ** ((now - self.rated) / 5.0)
+    def charge(self, work: float) -> None:
+        self.credit -= work
+        self.sent += work
 
     def out(self) -> float:
-        """Transfers here with one more: own ones counted, other routers' taken to be like this one's usual."""
+        """Transfers here with one more: own ones, and other routers' taken to be like this one's usual."""
         return len(self.pending) + 1 + self.others
 
-    def crowd(self, now: float) -> float:
+    def crowd(self) -> float:
         """How many times longer than alone a transfer takes, if one more comes. Against links shared among
-        too many: overload, a slow machine. One that gets nothing shows nothing, so belief drifts back."""
-        self.fit += max(self.best - self.fit, 0.0) * min((now - self.fitted) / 20.0, 1.0)
-        self.fitted = now
+        too many: overload, a slow machine."""
         return max(self.out() / self.fit, 1.0)
 
-    def bore(self, ratio: float, now: float) -> None:
-        """Learn from one answer: it took ratio times its own sending time."""
-        self.crowd(now)
+    def bore(self, ratio: float) -> None:  # took ratio times its own sending time
         out = self.out()
         if ratio > 1.25:
             self.fit = max(self.fit + 0.1 * (out / ratio - self.fit), 0.3)
@@ -188,41 +180,43 @@
 
     def usable(self, now: float) -> bool:
         """One that failed lately is tried again by one visit at a time."""
-        return self.state == "ready" and now >= self.shunned and (
-            self.strikes < 2 or not self.pending and not self.filling)
+        return self.state == "ready" and now >= self.shunned and not (
+            self.lost and (self.pending or self.filling))
 
-    def failed(self, now: float) -> None:
-        """Two failures in a row are no chance: shun it for a while, longer each time."""
+    def failed(self, now: float, unreached: bool = False) -> None:
+        """Two failures in a row are no chance: it rests, then gets what it could do if it started anew."""
         self.strikes += 1
-        if self.strikes >= 2:
-            self.shunned = now + min(0.5 * self.strikes, 3.0)
+        if unreached or self.strikes >= 2:
+            self.lost, self.shunned = True, now + min(0.5 * self.strikes, 3.0)
+            self.owe(now)
 
     def answered(self, now: float) -> None:
-        self.heard, self.strikes, self.shunned = now, 0, 0.0
+        """One that was gone and is back has started anew, cold, long before the list can say so."""
+        if self.lost:
+            self.begin(now)
+            self.started = now
+        self.heard, self.strikes = now, 0
 
 
 class Fleet:
-    """The machines this router may use: the caches of its location, all parents, the origin."""
-
-    def __init__(self, zone: str, routers: int, parent_kind: str | None, origin_kind: str | None,
-                 weighed: bool, edge: Cold, upper: Cold) -> None:
-        self.zone, self.routers, self.weighed = zone, max(routers, 1), weighed
+    def __init__(self, chance: Chance, zone: str, routers: int, parent_kind: str | None,
+                 origin_kind: str | None, weighed: bool, edge: Cold, upper: Cold) -> None:
+        self.chance, self.zone, self.routers, self.weighed = chance, zone, max(routers, 1), weighed
         self.parent_kind, self.origin_kind, self.edge, self.upper = parent_kind, origin_kind, edge, upper
         self.known: dict[int, Cache] = {}
         self.mine, self.parents, self.origin = [], [], None
         self.share = 1.0  # this location's part of all traffic, by its caches
         self.pending = 0.0  # this router's transfers out at once, lately
-        self.usual = [0.0, 0.0]  # work a second that this router sends to a warm cache, to a warm parent
 
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
         """Heeded at once, as sources too: what drains or is gone leaves the lists that sends choose from."""
-        if whole:
-            named = {listing.cache for listing in listings}
-            for cache in self.known.values():
-                if cache.mark not in named:
-                    cache.state = "gone"
+        named = {listing.cache for listing in listings}
+        for cache in self.known.values() if whole else ():
+            if cache.mark not in named:
+                cache.state = "gone"
         for listing in listings:
-            cache = self.known[listing.cache] = self.known.get(listing.cache) or Cache(listing, now)
+            cache = self.known.get(listing.cache) or Cache(listing, self.chance, now)
+            self.known[cache.mark] = cache
             cache.state, cache.weight = listing.state, listing.weight or 1.0
             if listing.started is not None and listing.started > cache.started:
                 cache.begin(now)
@@ -244,12 +238,6 @@
 
         return sorted(caches, key=score)
 
-    def weigh(self, now: float) -> None:
-        """Remembered, since after a release no warm fellow may be left to compare with."""
-        for upper, cold, caches in ((0, self.edge, self.mine), (1, self.upper, self.parents)):
-            warm = [cache.bears(now) for cache in caches if cold.part(cache, now) >= 1.0]
-            self.usual[upper] += 0.1 * (sum(warm) / len(warm) - self.usual[upper]) if warm else 0.0
-
     def count(self) -> None:
         """Pooled over the location: where a hundred routers share a load, one cache's own count is chance."""
         out, total = sum(len(cache.pending) for cache in self.mine), sum(cache.weight for cache in self.mine)
@@ -257,20 +245,18 @@
         for cache in self.mine:
             cache.others = (self.routers - 1) * self.pending * cache.weight / total
 
-    def room(self, cache: Cache, work: float, now: float) -> bool:
+    def room(self, cache: Cache, now: float) -> bool:
         upper = cache.kind == self.parent_kind
         cold = self.upper if upper else self.edge
         if cache is self.origin or cold.part(cache, now) >= 1.0:
             return True
-        mine = 1.4 * self.usual[upper]  # no weights told: what a warm fellow bears, and some more
+        mine = 0.7 * cold.usual  # no weights told: what a warm fellow bears, if this one is smaller
         if self.weighed:
             mine = cache.weight * (self.share if upper else 1.0) / self.routers
-        return cold.room(cache, work, mine, now)
+        return cold.room(cache, mine, now)
 
 
 class Forward:
-    """One forward of a visit: to a cache, with the source of a fill (the cache itself: none)."""
-
     def __init__(self, visit: Visit, cache: Cache, source: Cache, now: float) -> None:
         self.visit, self.cache, self.source, self.sent = visit, cache, source, now
         self.pending, self.outcome = True, None
@@ -278,19 +264,17 @@
 
 
 class Visit:
-    """One visit, from the taking to the last outcome of its forwards."""
-
     def __init__(self, router: Router, caller: Caller, tariff: Tariff, item: Item, part: int, group: int,
-                 work: float, patience: float, repeat: bool, now: float) -> None:
+                 work: float, known: bool, patience: float, repeat: bool, now: float) -> None:
         self.router, self.caller, self.tariff, self.item, self.part = router, caller, tariff, item, part
-        self.group, self.work, self.repeat, self.salt = group, work, repeat, mix(item.key, part)
+        self.group, self.repeat, self.salt = group, repeat, mix(item.key, part)
+        self.work, self.known = work, known  # its sending time, or a guess by the tariff's mean
         self.expires = now + patience
         self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
         self.forwards: list[Forward] = []
-        self.known = True  # its sending time, or guessed by its tariff's mean
-        self.done = self.held = False  # held: waits here for a fill's place or for another's fill
+        self.done = self.held = False  # held: waits here for a fill's place
+        self.rest = 0.0  # waits at least until then
         self.at: Cache | None = None  # whose miss is to be filled
-        self.followers: list[Visit] = []  # wait for the copy that this one's fill leaves
 
     def pending(self) -> list[Forward]:
         return [f for f in self.forwards if f.pending]
@@ -317,8 +301,7 @@
         return now + MARGIN * self.work * crowd > self.due or (self.repeat and crowd > 1.0)
 
     def fits(self, cache: Cache, now: float) -> bool:
-        return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(
-            cache, self.router.mean(self.tariff), now)
+        return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(cache, now)
 
     def look(self, now: float) -> None:
         """Ask the cache on the part's hash, and the next where that one fails or would be late."""
@@ -326,22 +309,23 @@
         failed = [f.cache for f in self.forwards if f.outcome is not Outcome.MISS]
         wanted = next((cache for cache in fleet.order(fleet.mine, self.salt, now)
                        if cache not in failed and self.fits(cache, now)
-                       and (self.tariff.passes_on or not self.late(cache.crowd(now), now))), None)
+                       and (self.tariff.passes_on or not self.late(cache.crowd(), now))), None)
+        source = fleet.origin
         if self.tariff.passes_on:  # runs at the origin: straight there, or through a cache that names it
-            wanted = fleet.origin if router.direct else wanted
-            if wanted and fleet.origin and self.allowed(wanted, now) and now + self.work < self.expires:
-                self.send(wanted, fleet.origin, now)
-                return
+            wanted = source if router.direct else wanted
+            hopeful = source and now + self.work < self.expires
         elif wanted:
-            self.send(wanted, wanted, now)
-            return
-        elif router.direct and not self.pending():
-            # No cache of the location will do: straight to a parent, past the caches' links.
-            parent = router.source(self, now)
-            if parent and self.allowed(parent, now) and not self.late(router.link_crowd(), now):
-                self.send(parent, fleet.origin or parent, now)
+            source = hopeful = wanted
+            if now - wanted.started < EMPTY:
+                self.at = wanted  # a look would miss, and cost as much of a cold cache's budget as the fill
+                self.fill(now)
                 return
-        if not self.pending():
+        else:  # no cache of the location will do: straight to a parent, past the caches' links
+            wanted = router.source(self, now) if router.direct and not self.pending() else None
+            hopeful = not self.late(router.link_crowd(), now)
+        if wanted and hopeful and self.allowed(wanted, now):
+            self.send(wanted, source or wanted, now)
+        elif not self.pending():
             self.give_up(now)
 
     def fill(self, now: float) -> None:
@@ -349,28 +333,25 @@
         router, cache = self.router, self.at
         if self.done or any(f.source is not f.cache for f in self.pending()):
             return
+        # An empty cache displaces nothing by keeping all, and its tails need not cross the link again.
+        rank = router.shelf.rank(self.item, self.part, self.work) or int(now - cache.started < EMPTY)
         if not cache.usable(now):
             self.look(now)
-            return
-        if self.late(max(cache.crowd(now), router.link_crowd()), now) or not self.fits(cache, now):
+        elif self.late(max(cache.crowd(), router.link_crowd()), now) or not self.fits(cache, now):
             self.give_up(now)
-            return
-        # An empty cache displaces nothing by keeping all, and its tails need not cross the link again.
-        rank = router.shelf.rank(self.item, self.part, self.work) or int(now - cache.started < EMPTY)
-        mark = (self.item.key, self.part)
-        leader = router.filling.get(mark, self)
-        follows = rank and not router.joins and leader is not self
-        source = None if follows else router.source(self, now)
-        if source:
-            if rank:
-                router.filling[mark] = self
+        elif source := router.source(self, now):
             self.send(cache, source, now, rank)
-            return
-        (leader.followers if follows else router.queue).append(self)
-        if not self.held:  # only while an answer in time is possible; then it is told so at once
+        else:
+            self.wait(now)
+
+    def wait(self, now: float) -> None:
+        """Only while an answer in time is possible."""
+        self.router.queue.append(self)
+        self.rest = now + 0.3 * self.router.chance.draw()
+        if not self.held:
             self.held = True
-            router.outside.wake(max(self.due - 0.9 * self.work - now, 0.001),
-                                lambda then: self.give_up(then) if self.held else None)
+            self.router.outside.wake(max(self.due - 0.9 * self.work - now, 0.001),
+                                     lambda then: self.give_up(then) if self.held else None)
 
     def send(self, cache: Cache, source: Cache, now: float, rank: int = -1) -> None:
         router, tariff, self.held = self.router, self.tariff, False
@@ -382,10 +363,10 @@
         self.forwards.append(forward)
         router.fills += forward.far
         cache.pending.add(forward)
-        cache.charge(router.mean(tariff), now)
+        cache.charge(router.mean(tariff))
         if source is not cache:
             source.filling.add(forward)
-            source.charge(router.mean(tariff), now)
+            source.charge(router.mean(tariff))
         self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
                             router.joins and source is not cache, False, bool(rank and tariff.fresh))
         router.outside.wake(0.3 + 2 * (self.work + source.lag), lambda then: self.overdue(forward, then))
@@ -400,7 +381,7 @@
         if self.tariff.effect is Effect.RERUNNABLE and now + self.work < self.due:
             if self.router.cancel:
                 self.caller.withdraw(forward)
-            elif silent is forward.cache and self.router.second_copies:
+            else:
                 self.look(now)
 
     def ended(self, forward: Forward, outcome: Outcome, took: float, closed: bool, note: Note | None,
@@ -415,11 +396,11 @@
         if outcome in (Outcome.HONOURED, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
             cache.answered(now)
         elif outcome not in (Outcome.MOOT, Outcome.WITHDRAWN) and cache.heard < forward.sent:
-            cache.failed(now)
+            cache.failed(now, outcome in (Outcome.UNREACHED, Outcome.BROKEN))
         if outcome is Outcome.HONOURED and ours and not filled:
             router.learn(self, took)
             if self.known:  # a guessed time tells the size of the object, not of the crowd
-                cache.bore(took / max(self.work, 0.005), now)
+                cache.bore(took / max(self.work, 0.005))
             # After a restart k is zero though the cache holds the object; the paper keeps what is held.
             self.item.k = max(self.item.k, self.part + 1)
         if filled:
@@ -439,6 +420,8 @@
         elif now + self.work > self.due or (
                 outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE):
             self.give_up(now)
+        elif filled and outcome is Outcome.FULL:
+            self.wait(now)  # the next parent would only ask the same origin once more
         elif filled and ours and cache.usable(now):
             self.at = cache
             self.fill(now)
@@ -456,11 +439,6 @@
         self.done = True
         for forward in self.pending() if self.router.cancel else ():
             self.caller.withdraw(forward)
-        if self.router.filling.get((self.item.key, self.part)) is self:
-            del self.router.filling[self.item.key, self.part]
-        for follower in self.followers:
-            if follower.held and not follower.done:
-                follower.look(now)
 
     def give_up(self, now: float) -> None:
         """Given up on: answered at once, with a time to come back where a new try is harmless."""
@@ -476,18 +454,17 @@
 
 
 class Router:
-    def __init__(self, outside: Outside, seed: int, fleet: Fleet, shelf: Shelf, purges: Purges, joins: bool,
-                 direct: bool, flow: float, most_forwards: int, second_copies: bool, cancel: bool,
-                 probes: bool, follows: bool, ask_within: float, longest_wait: float) -> None:
-        self.outside, self.chance, self.fleet, self.shelf = outside, Chance(seed), fleet, shelf
+    def __init__(self, outside: Outside, chance: Chance, fleet: Fleet, shelf: Shelf, purges: Purges,
+                 joins: bool, direct: bool, flow: float, most_forwards: int, second_copies: bool,
+                 cancel: bool, probes: bool, follows: bool, ask_within: float, longest_wait: float) -> None:
+        self.outside, self.chance, self.fleet, self.shelf = outside, chance, fleet, shelf
         self.purges, self.joins, self.direct, self.flow = purges, joins, direct, flow
         self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
         self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
         self.ask_again = ask_within / 8 or 1.0  # a failed call is made up for before the list counts as old
         self.means: dict[str, float] = {}
-        self.filling: dict[tuple[int, int], Visit] = {}  # who fills a part that is kept
         self.queue: list[Visit] = []
-        self.fills = self.turn = 0
+        self.fills = 0
         self.link_load = self.link_fills = 0.0  # the location's link as told, and these fills meanwhile
 
     def start(self, now: float) -> None:
@@ -496,17 +473,15 @@
         self.outside.wake(0.1 + 0.4 * self.chance.draw(), self.round)
 
     def list_lost(self, now: float) -> None:
-        if self.follows:
-            self.outside.wake(self.ask_again * (0.5 + self.chance.draw()), lambda then: self.outside.follow())
+        self.outside.wake(self.ask_again * (0.5 + self.chance.draw()), lambda then: self.outside.follow())
 
     def take(self, caller: Caller, tariff: Tariff, key: int, part: int, group: int, size: float,
-             patience: float, repeat: bool, now: float) -> Visit:
-        """Take a visit; size in KB, 0 where it is not told."""
+             patience: float, repeat: bool, now: float) -> Visit:  # size in KB, 0: not told
         item = self.shelf.visit(key, part, now)
         work = size / self.flow if size else item.work or self.mean(tariff)
         self.fleet.count()
-        visit = Visit(self, caller, tariff, item, part, group, work, patience, repeat, now)
-        visit.known = bool(size or item.work)
+        known = bool(size or item.work)
+        visit = Visit(self, caller, tariff, item, part, group, work, known, patience, repeat, now)
         self.outside.wake(max(patience - GIVE_UP, 0.0), visit.give_up)
         visit.look(now)
         return visit
@@ -523,18 +498,18 @@
 
     def source(self, visit: Visit, now: float) -> Cache | None:
         """The parent on the object's hash, the next where one fails or is too cold, then the origin."""
-        failed = [f.source for f in visit.forwards if not f.pending and f.outcome is not Outcome.MISS]
+        failed = [f.source for f in visit.forwards
+                  if not f.pending and f.outcome not in (Outcome.MISS, Outcome.FULL)]
         for source in [*self.fleet.order(self.fleet.parents, visit.item.key, now), self.fleet.origin]:
-            if source and source.usable(now) and source not in failed:
-                if self.fleet.room(source, self.mean(visit.tariff), now):
-                    return source if len(source.filling) < source.window else None
+            if source and source.usable(now) and source not in failed and self.fleet.room(source, now):
+                return source if len(source.filling) < source.window else None
         return None
 
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
         """A fill is over: judge the source's window by what the source added, and hand on its place."""
         source, visit, late = forward.source, forward.visit, outcome is not Outcome.MOOT
         if outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
-            lag = took - visit.work * forward.cache.crowd(now)
+            lag = took - visit.work * forward.cache.crowd()
             late = lag > max(visit.tariff.promised, 0.5)
             source.lag += 0.1 * (max(min(lag, 1.0), 0.0) - source.lag)
         if late and now - source.shrunk > 0.5:
@@ -543,37 +518,40 @@
             source.window = min(source.window + 1.0 / source.window, 200.0)
         if outcome is Outcome.HONOURED:
             source.answered(now)
-        elif note in (Note.SOURCE_REFUSED, Note.SOURCE_LOST):
-            source.failed(now)
+        elif note is Note.SOURCE_LOST or note is None and outcome is Outcome.ERROR:
+            source.failed(now, True)
+        elif note is None and outcome is Outcome.FULL and now - source.asked > 1.0:
+            source.asked = now  # refused or dead? Nothing tells, so it is asked itself
+            self.outside.probe(source)
         self.serve(now)
 
     def serve(self, now: float) -> None:
-        """Places go to the most revenue for its sending time, kept parts before passing ones."""
-        waiting, self.queue = [visit for visit in self.queue if visit.held and not visit.done], []
-        waiting.sort(key=lambda v: -v.tariff.revenue / (v.work + 0.05) * (1.5 if v.part < v.item.k else 1.0))
-        for visit in waiting:
-            visit.fill(now)
+        """Places go to the most revenue for its sending time."""
+        held = [visit for visit in self.queue if visit.held and not visit.done]
+        waiting, self.queue = [v for v in held if v.rest <= now], [v for v in held if v.rest > now]
+        for visit in sorted(waiting, key=lambda v: (v.work + 0.05) / v.tariff.revenue):
+            (visit.fill if visit.at else visit.look)(now)
 
     def link_crowd(self) -> float:
-        """How many times longer than alone a fill takes on the location's link, if one more comes."""
         return max(LINK * (self.fills + 1) * self.link_load / max(self.link_fills, 1.0), 1.0)
 
     def round(self, now: float) -> None:
-        if self.probes and self.fleet.mine:
-            # All routers of a location together probe each cache once a round: where each sees one visit in a
-            # hundred, its own probes of all would cost more than they tell.
-            for _ in range(max(len(self.fleet.mine) // self.fleet.routers, 1)):
-                self.turn += 1
-                self.outside.probe(self.fleet.mine[self.turn % len(self.fleet.mine)])
-        self.outside.wake(0.7, self.round)
-        self.fleet.weigh(now)
+        for cache in self.fleet.mine if self.probes else ():
+            # By chance, about three a cache from all routers of the location: more cost more than they tell.
+            if self.chance.draw() * self.fleet.routers < 3:
+                self.outside.probe(cache)
+        self.outside.wake(ROUND, self.round)
+        self.fleet.edge.weigh(self.fleet.mine, now)
+        self.fleet.upper.weigh(self.fleet.parents, now)
         self.serve(now)
 
     def probed(self, cache: Cache, outcome: Outcome, load: dict[str, float], now: float) -> None:
         """One that answers is not therefore well: a hung one may answer probes and nothing else."""
         if outcome is not Outcome.HONOURED:
-            cache.failed(now)
+            cache.failed(now, outcome in (Outcome.UNREACHED, Outcome.BROKEN))
+        elif cache.lost:
+            cache.answered(now)
         elif cache in self.fleet.mine and "x1" in load:
-            gain = 0.1 * min(self.fleet.routers, 3)  # fewer probes, and all of one location tell the same
+            gain = 0.1 * min(self.fleet.routers, 3)
             self.link_load += gain * (load["x1"] - self.link_load)
             self.link_fills += gain * (self.fills - self.link_fills)
--- a/wickhinge/wirehost/settings.py
+++ b/wickhinge/wirehost/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from wickhinge.decide import Cold, Fleet, Purges, Router, Shelf
+from wickhinge.decide import Chance, Cold, Fleet, Purges, Router, Shelf
 from wickhinge.interface import Effect, Outside, Tariff
 from wickhinge.wirehost.codec import (
     Malformed,
@@ -88,7 +88,9 @@
         number(info, family, "parentFloor"),
         seconds(info, family, "parentWarmsInMs"),
     )
+    chance = Chance(seed)
     fleet = Fleet(
+        chance,
         zone,
         integer("conf.familyInfo.zoneBalancers", dict(zip(zones, routers, strict=True)), zone),
         shape("shieldKind"),
@@ -104,7 +106,7 @@
     )
     router = Router(
         outside,
-        seed,
+        chance,
         fleet,
         Shelf(fleet.routers),
         Purges(seconds(info, family, "goneEverywhereMs")),
