Fills denied by their source's lag; silence counts with two forwards out; later parts raise k

Those that came took 1.1 to 1.4 s against 0.4 s for a hit, though the first byte came within 0.25 s: the parents' links are full, and nothing told a router to ask for less, as its window never fills.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -1,18 +1,17 @@
 """Every decision of wickhinge: tables, tuned values and all.
 
-How to call it. A front builds one Router for each instance from its settings, tells it the list with
-Fleet.listed and purges with Purges.told, and hands it each visit with Router.take, which gives a Visit; its
-later life is calls on that: Visit.ended for the outcome of a forward, Visit.finish when the client has gone.
-Probe answers go to Router.probed. The module calls out through Caller (one a visit) and Outside (one a
-router); both, and the plain types, live in wickhinge/interface.py. Every call carries the time, in seconds.
-
-The ordinary path, from gLRU: Router.take raises the object's k at part 0, Visit.look asks the cache on the
-part's hash, a miss is filled from the parent on the object's hash, parts below k are kept. The rest guards.
+A front builds one Router for each instance from its settings, tells it the list with Fleet.listed and purges
+with Purges.told, and hands it each visit with Router.take, which gives a Visit; its later life is calls on
+that: Visit.ended for the outcome of a forward, Visit.finish when the client has gone. Probe answers go to
+Router.probed. The module calls out through Caller (one a visit) and Outside (one a router); both, and the
+plain types, live in wickhinge/interface.py. Every call carries the time, in seconds.
+
+Ordinary path, from gLRU: Router.take raises the object's k at part 0, Visit.look asks the cache on the part's
+hash, a miss is filled from the parent on the object's hash, parts below k are kept. The rest is guards.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from math import log
 
 from wickhinge.interface import Caller, Effect, Listing, Note, Outcome, Outside, Tariff
@@ -53,31 +52,28 @@
         self.key, self.k, self.heat, self.last, self.work = key, 0, 0.0, now, 0.0  # work: 0 before the first
 
 
-class Shelf:
-    """The count k of leading parts to keep, for each object; the least lately asked leaves first."""
-
+class Shelf:  # the count k of leading parts to keep, for each object
     def __init__(self, routers: int = 1, size: int = 20000, idle: float = 10.0, often: float = 6.0,
-                 middle: float = 0.15) -> None:
-        self.routers, self.size, self.often, self.middle = routers, size, often, middle
-        self.idle = idle * routers
-        self.items: OrderedDict[int, Item] = OrderedDict()
+                 middle: float = 0.15, later: float = 0.12) -> None:
+        self.routers, self.size, self.idle = routers, size, idle * routers
+        self.often, self.middle, self.later = often, middle, later
+        self.items: dict[int, Item] = {}  # the least lately asked first
         self.kept = self.kept_middle = 0.0
 
     def visit(self, key: int, part: int, now: float) -> Item:
         """k rises by p at the p-th request, gLRU(1), times the routers for which a visit seen here stands."""
-        item = self.items.get(key)
-        if item is None:
-            item = self.items[key] = Item(key, now)
-            if len(self.items) > self.size:
-                self.items.popitem(last=False)
-        self.items.move_to_end(key)
+        item = self.items[key] = self.items.pop(key, None) or Item(key, now)
+        if len(self.items) > self.size:
+            del self.items[next(iter(self.items))]
         rests = min((now - item.last) / self.idle, 60.0)
-        item.k >>= int(rests)
+        item.k *= 0.5 ** int(rests)
         item.heat *= 0.5 ** rests
         item.last = now
         if part == 0:
             item.heat += 1
             item.k += self.routers * round(item.heat)
+        else:  # its part 0 was asked for, but at another router
+            item.k += self.later * (self.routers - 1)
         return item
 
     def rank(self, item: Item, part: int, work: float) -> int:
@@ -108,8 +104,8 @@
 
 
 class Cold:
-    """A router's share of what a tier's machines that started lately can do, against toppling them: routers
-    spend unknown to each other, so each its share alone, and under half of the rule's, as sizes vary."""
+    """A router's share of what machines that started lately can do, against toppling them: routers spend
+    unknown to each other, so each its share alone, and under half of the rule's, as sizes vary."""
 
     def __init__(self, multiple: float, span: float, floor: float, warm: float) -> None:
         self.multiple, self.span, self.floor, self.warm = 0.45 * multiple, span, floor, warm
@@ -125,6 +121,7 @@
         self.usual += 0.1 * (sum(warm) / len(warm) - self.usual) if warm else 0.0
         for cache in caches:  # one that gets nothing shows nothing, so what is believed of it drifts back
             cache.sent = 0.0
+            cache.lag *= 0.9
             cache.fit += 0.035 * max(cache.best - cache.fit, 0.0)
 
     def room(self, cache: Cache, mine: float, now: float) -> bool:
@@ -166,8 +163,7 @@
         return len(self.pending) + 1 + self.others
 
     def crowd(self) -> float:
-        """How many times longer than alone a transfer takes, if one more comes. Against links shared among
-        too many: overload, a slow machine."""
+        """How many times longer than alone a transfer takes, if one more comes."""
         return max(self.out() / self.fit, 1.0)
 
     def bore(self, ratio: float) -> None:  # took ratio times its own sending time
@@ -218,6 +214,7 @@
             cache = self.known.get(listing.cache) or Cache(listing, self.chance, now)
             self.known[cache.mark] = cache
             cache.state, cache.weight = listing.state, listing.weight or 1.0
+            cache.best = max(cache.weight, 0.5) if self.weighed else cache.best
             if listing.started is not None and listing.started > cache.started:
                 cache.begin(now)
                 cache.started = listing.started
@@ -227,8 +224,6 @@
         self.parents = [cache for cache in live if cache.kind == self.parent_kind]
         self.origin = next((cache for cache in live if cache.kind == self.origin_kind), None)
         self.share = sum(c.weight for c in self.mine) / (sum(c.weight for c in edge) or 1.0)
-        for cache in self.mine if self.weighed else ():
-            cache.best = max(cache.weight, 0.5)
 
     def order(self, caches: list[Cache], salt: int, now: float) -> list[Cache]:
         """Weighted rendezvous: losing a machine moves only its own keys. A cold cache weighs less."""
@@ -250,10 +245,10 @@
         cold = self.upper if upper else self.edge
         if cache is self.origin or cold.part(cache, now) >= 1.0:
             return True
-        mine = 0.7 * cold.usual  # no weights told: what a warm fellow bears, if this one is smaller
         if self.weighed:
-            mine = cache.weight * (self.share if upper else 1.0) / self.routers
-        return cold.room(cache, mine, now)
+            return cold.room(cache, cache.weight * (self.share if upper else 1.0) / self.routers, now)
+        # What a warm fellow bears; this one may be smaller, and a parent topples sooner.
+        return cold.room(cache, (0.7 if upper else 1.4) * cold.usual, now)
 
 
 class Forward:
@@ -272,8 +267,7 @@
         self.expires = now + patience
         self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
         self.forwards: list[Forward] = []
-        self.done = self.held = False  # held: waits here for a fill's place
-        self.rest = 0.0  # waits at least until then
+        self.done, self.held, self.rest = False, False, 0.0  # held: waits here, until rest at least
         self.at: Cache | None = None  # whose miss is to be filled
 
     def pending(self) -> list[Forward]:
@@ -339,10 +333,12 @@
             self.look(now)
         elif self.late(max(cache.crowd(), router.link_crowd()), now) or not self.fits(cache, now):
             self.give_up(now)
-        elif source := router.source(self, now):
-            self.send(cache, source, now, rank)
-        else:
+        elif not (source := router.source(self, now)):
             self.wait(now)
+        elif self.late(1.0, now + source.lag):  # its link is full, or what it asks itself is slow
+            self.give_up(now)
+        else:
+            self.send(cache, source, now, rank)
 
     def wait(self, now: float) -> None:
         """Only while an answer in time is possible."""
@@ -372,11 +368,13 @@
         router.outside.wake(0.3 + 2 * (self.work + source.lag), lambda then: self.overdue(forward, then))
 
     def overdue(self, forward: Forward, now: float) -> None:
-        """Against what takes work and answers nothing, cache or source: one silent to all since is failing,
-        and the visit goes on elsewhere. A large object alone at a slow machine looks the same."""
+        """Against what takes work and answers nothing, cache or source: one silent to all since then."""
         silent = forward.cache if forward.cache.heard < forward.sent else forward.source
         if not forward.pending or self.done or silent.heard >= forward.sent:
             return
+        if len(silent.pending) + len(silent.filling) < 2:  # alone out there it may only be slow
+            self.router.outside.wake(0.3, lambda then: self.overdue(forward, then))
+            return
         silent.failed(now)
         if self.tariff.effect is Effect.RERUNNABLE and now + self.work < self.due:
             if self.router.cancel:
@@ -428,9 +426,9 @@
         else:
             self.look(now)
 
-    def began(self, forward: Forward, now: float) -> None:  # streamed: it is the client's from now on
+    def began(self, forward: Forward, now: float) -> None:
         forward.cache.answered(now)
-        self.done = True
+        self.done = True  # streamed: it is the client's from now on
 
     def finish(self, now: float) -> None:
         """Answered, or the client has gone: nothing is owed, and what is still out is only waste."""
@@ -509,9 +507,10 @@
         """A fill is over: judge the source's window by what the source added, and hand on its place."""
         source, visit, late = forward.source, forward.visit, outcome is not Outcome.MOOT
         if outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
-            lag = took - visit.work * forward.cache.crowd()
+            lag = took - visit.work * max(forward.cache.crowd(), self.link_crowd())
             late = lag > max(visit.tariff.promised, 0.5)
-            source.lag += 0.1 * (max(min(lag, 1.0), 0.0) - source.lag)
+            if visit.known:
+                source.lag += 0.1 * min(self.fleet.routers, 3) * (max(min(lag, 1.0), 0.0) - source.lag)
         if late and now - source.shrunk > 0.5:
             source.window, source.shrunk = max(source.window * 0.8, 3.0), now
         elif not late and len(source.filling) + 1 >= 0.5 * source.window:
@@ -526,7 +525,6 @@
         self.serve(now)
 
     def serve(self, now: float) -> None:
-        """Places go to the most revenue for its sending time."""
         held = [visit for visit in self.queue if visit.held and not visit.done]
         waiting, self.queue = [v for v in held if v.rest <= now], [v for v in held if v.rest > now]
         for visit in sorted(waiting, key=lambda v: (v.work + 0.05) / v.tariff.revenue):
@@ -537,7 +535,7 @@
 
     def round(self, now: float) -> None:
         for cache in self.fleet.mine if self.probes else ():
-            # By chance, about three a cache from all routers of the location: more cost more than they tell.
+            # Three a cache by all routers of the location, by chance: more cost more than they tell.
             if self.chance.draw() * self.fleet.routers < 3:
                 self.outside.probe(cache)
         self.outside.wake(ROUND, self.round)
