Windows of fills out dropped: the lag admission bounds a source; a refusal counts as lag

Cause: two guards on a source overlapped; windows of 12 a router never fill at full size and withhold fills in the small. Not told from each other: a parent's hit and its fetch from a slow origin, where answers carry no notes.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -121,7 +121,7 @@
         self.usual += 0.1 * (sum(warm) / len(warm) - self.usual) if warm else 0.0
         for cache in caches:  # one that gets nothing shows nothing, so what is believed of it drifts back
             cache.sent = 0.0
-            cache.lag *= 0.9
+            cache.lag *= 0.8
             cache.fit += 0.035 * max(cache.best - cache.fit, 0.0)
 
     def room(self, cache: Cache, mine: float, now: float) -> bool:
@@ -148,7 +148,6 @@
         self.heard, self.strikes, self.lost, self.shunned, self.asked = now, 0, False, 0.0, 0.0
         self.fit = self.best = 12.0  # transfers from here that it bears at full pace: hopeful, then learned
         self.lag = 0.05  # as a source: what a fill takes beyond its transfer
-        self.window, self.shrunk = 12.0, now  # fills out at once from it
 
     def owe(self, now: float) -> None:
         """A debt of chance, up to a large part's sending time, lest all routers' first visits meet."""
@@ -500,21 +499,17 @@
                   if not f.pending and f.outcome not in (Outcome.MISS, Outcome.FULL)]
         for source in [*self.fleet.order(self.fleet.parents, visit.item.key, now), self.fleet.origin]:
             if source and source.usable(now) and source not in failed and self.fleet.room(source, now):
-                return source if len(source.filling) < source.window else None
+                return source
         return None
 
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
         """A fill is over: judge the source's window by what the source added, and hand on its place."""
-        source, visit, late = forward.source, forward.visit, outcome is not Outcome.MOOT
-        if outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
-            lag = took - visit.work * max(forward.cache.crowd(), self.link_crowd())
-            late = lag > max(visit.tariff.promised, 0.5)
-            if visit.known:
-                source.lag += 0.1 * min(self.fleet.routers, 3) * (max(min(lag, 1.0), 0.0) - source.lag)
-        if late and now - source.shrunk > 0.5:
-            source.window, source.shrunk = max(source.window * 0.8, 3.0), now
-        elif not late and len(source.filling) + 1 >= 0.5 * source.window:
-            source.window = min(source.window + 1.0 / source.window, 200.0)
+        source, visit = forward.source, forward.visit
+        lag = took - visit.work * max(forward.cache.crowd(), self.link_crowd())
+        if outcome is Outcome.FULL:
+            lag = 1.0  # refused, and from all routers the same refused fills would come again at once
+        if outcome is Outcome.FULL or visit.known and outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
+            source.lag += 0.1 * min(self.fleet.routers, 3) * (max(min(lag, 1.0), 0.0) - source.lag)
         if outcome is Outcome.HONOURED:
             source.answered(now)
         elif note is Note.SOURCE_LOST or note is None and outcome is Outcome.ERROR:
