--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -417,8 +417,8 @@
         elif now + self.work > self.due or (
                 outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE):
             self.give_up(now)
-        elif filled and outcome is Outcome.FULL:
-            self.wait(now)  # the next parent would only ask the same origin once more
+        elif outcome in (Outcome.FULL, Outcome.UNREACHED) and (filled or self.tariff.passes_on):
+            self.wait(now)  # asked again at once, the same origin would refuse again
         elif filled and ours and cache.usable(now):
             self.at = cache
             self.fill(now)
@@ -506,15 +506,15 @@
         """A fill is over: judge the source's window by what the source added, and hand on its place."""
         source, visit = forward.source, forward.visit
         lag = took - visit.work * max(forward.cache.crowd(), self.link_crowd())
-        if outcome is Outcome.FULL:
-            lag = 1.0  # refused, and from all routers the same refused fills would come again at once
-        if outcome is Outcome.FULL or visit.known and outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
+        if refused := outcome in (Outcome.FULL, Outcome.ERROR):
+            lag = 1.0  # from all routers the same refused fills would come again at once
+        if refused or visit.known and outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
             source.lag += 0.1 * min(self.fleet.routers, 3) * (max(min(lag, 1.0), 0.0) - source.lag)
         if outcome is Outcome.HONOURED:
             source.answered(now)
-        elif note is Note.SOURCE_LOST or note is None and outcome is Outcome.ERROR:
+        elif note is Note.SOURCE_LOST:
             source.failed(now, True)
-        elif note is None and outcome is Outcome.FULL and now - source.asked > 1.0:
+        elif note is None and outcome in (Outcome.ERROR, Outcome.FULL) and now - source.asked > 1.0:
             source.asked = now  # refused or dead? Nothing tells, so it is asked itself
             self.outside.probe(source)
         self.serve(now)
