After an error the same cache is asked twice more before the next on the hash

Told from a dead or slow cache by the tap: answers in a millisecond, some of each cache's looks well served, probes fine. Moving on at an error takes the part to a cache that must fill it, so parents fill up and refuse, and everything is denied.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -299,7 +299,9 @@
     def look(self, now: float) -> None:
         """Ask the cache on the part's hash, and the next where that one fails or would be late."""
         router, fleet = self.router, self.router.fleet
-        failed = [f.cache for f in self.forwards if f.outcome is not Outcome.MISS]
+        # An error may pass, and elsewhere the part must be filled anew: the same cache is asked twice more.
+        failed = [f.cache for f in self.forwards if f.outcome not in (Outcome.MISS, Outcome.ERROR)]
+        failed += [f.cache for f in self.forwards if f.outcome is Outcome.ERROR][2:]
         wanted = next((cache for cache in fleet.order(fleet.mine, self.salt, now)
                        if cache not in failed and self.fits(cache, now)
                        and (self.tariff.passes_on or not self.late(cache.crowd(), now))), None)
