--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -108,7 +108,7 @@
     unknown to each other, so each its share alone, and under half of the rule's, as sizes vary."""
 
     def __init__(self, multiple: float, span: float, floor: float, warm: float) -> None:
-        self.multiple, self.span, self.floor, self.warm = 0.45 * multiple, span, floor, warm
+        self.multiple, self.span, self.floor, self.warm = 0.65 * multiple, span, floor, warm
         self.usual = 0.0  # work a second that this router sends to a warm machine of the tier
 
     def part(self, cache: Cache, now: float) -> float:
