--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -64,9 +64,16 @@
 
     def deny(self, wait: float) -> None:
         self.host.act("Refuse", {"ref": self.ref, "waitMs": wait * 1000.0})
+        self.close()
 
     def abandon(self) -> None:
         self.host.act("DropRequest", {"ref": self.ref})
+        self.close()
+
+    def close(self) -> None:
+        """The visit is over: nothing will name it once no forward is out."""
+        if not any(forward.pending for forward in self.forwards):
+            self.host.doors.pop(self.ref, None)
 
 
 class Instance:
@@ -167,9 +174,8 @@
             return
         note = NOTES.get(codec.integer(name, fields, "detail", 0))
         forward.visit.ended(forward, outcome, took, closed, note, now)
-        door = forward.visit.caller
-        if forward.visit.done and not any(one.pending for one in door.forwards):
-            self.doors.pop(door.ref, None)
+        if forward.visit.done:
+            forward.visit.caller.close()
 
     def ack_first(self, name: str, fields: dict[str, Any], now: float) -> None:
         forward = self.sent(name, fields)
@@ -192,6 +198,7 @@
         door = self.doors.get(codec.text(name, fields, "ref"))
         if door is not None and door.visit is not None:
             door.visit.finish(now)
+            door.close()
 
     def check_result(self, name: str, fields: dict[str, Any], now: float) -> None:
         cache = self.router.fleet.known.get(codec.integer(name, fields, "cache"))
