--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -121,7 +121,7 @@
         self.usual += 0.1 * (sum(warm) / len(warm) - self.usual) if warm else 0.0
         for cache in caches:  # one that gets nothing shows nothing, so what is believed of it drifts back
             cache.sent = 0.0
-            cache.lag *= 0.8
+            cache.lags = {name: 0.8 * lag for name, lag in cache.lags.items()}
             cache.fit += 0.035 * max(cache.best - cache.fit, 0.0)
 
     def room(self, cache: Cache, mine: float, now: float) -> bool:
@@ -147,7 +147,7 @@
         self.filling: set[Forward] = set()  # fills it is the source of
         self.heard, self.strikes, self.lost, self.shunned, self.asked = now, 0, False, 0.0, 0.0
         self.fit = self.best = 12.0  # transfers from here that it bears at full pace: hopeful, then learned
-        self.lag = 0.05  # as a source: what a fill takes beyond its transfer
+        self.lags: dict[str, float] = {}  # as a source: what fills take beyond their own time, over that time
 
     def owe(self, now: float) -> None:
         """A debt of chance, up to a large part's sending time, lest all routers' first visits meet."""
@@ -173,6 +173,10 @@
             self.fit += 0.2 * (out - self.fit)
             self.best = max(self.best, self.fit)
 
+    def lag(self, visit: Visit) -> float:
+        """By tariffs: a full link stretches large fills more than small ones, a slow origin the small."""
+        return self.lags.get(visit.tariff.name, 0.1) * (visit.work + 0.1)
+
     def usable(self, now: float) -> bool:
         """One that failed lately is tried again by one visit at a time."""
         return self.state == "ready" and now >= self.shunned and not (
@@ -336,7 +340,7 @@
             self.give_up(now)
         elif not (source := router.source(self, now)):
             self.wait(now)
-        elif self.late(1.0, now + source.lag):  # its link is full, or what it asks itself is slow
+        elif self.late(1.0, now + source.lag(self)):  # its link is full, or what it asks itself is slow
             self.give_up(now)
         else:
             self.send(cache, source, now, rank)
@@ -366,7 +370,8 @@
             source.charge(router.mean(tariff))
         self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
                             router.joins and source is not cache, False, bool(rank and tariff.fresh))
-        router.outside.wake(0.3 + 2 * (self.work + source.lag), lambda then: self.overdue(forward, then))
+        latest = 0.3 + 2 * (self.work + source.lag(self))
+        router.outside.wake(latest, lambda then: self.overdue(forward, then))
 
     def overdue(self, forward: Forward, now: float) -> None:
         """Against what takes work and answers nothing, cache or source: one silent to all since then."""
@@ -505,13 +510,14 @@
         return None
 
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
-        """A fill is over: judge the source's window by what the source added, and hand on its place."""
+        """A fill is over: judge the source by what it added, and try again for those who wait."""
         source, visit = forward.source, forward.visit
-        lag = took - visit.work * max(forward.cache.crowd(), self.link_crowd())
+        lag = (took - visit.work * max(forward.cache.crowd(), self.link_crowd())) / (visit.work + 0.1)
         if refused := outcome in (Outcome.FULL, Outcome.ERROR):
-            lag = 1.0  # from all routers the same refused fills would come again at once
+            lag = 5.0  # from all routers the same refused fills would come again at once
         if refused or visit.known and outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
-            source.lag += 0.1 * min(self.fleet.routers, 3) * (max(min(lag, 1.0), 0.0) - source.lag)
+            gain, usual = 0.1 * min(self.fleet.routers, 3), source.lags.get(visit.tariff.name, 0.1)
+            source.lags[visit.tariff.name] = usual + gain * (max(min(lag, 5.0), 0.0) - usual)
         if outcome is Outcome.HONOURED:
             source.answered(now)
         elif note is Note.SOURCE_LOST:
