--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -386,6 +386,15 @@
     assert len(caller.forwards) == 2
 
 
+@pytest.mark.parametrize("lag, sent", [(0.1, 1), (5.0, 0)])
+def test_a_visit_straight_to_a_parent_is_held_to_its_lag(lag, sent):
+    made = router(boxes=0)
+    for parent in made.fleet.parents:
+        parent.lags["t"] = lag
+    _, caller = take(made, size=500.0)
+    assert len(caller.forwards) == sent and len(caller.answers) == 1 - sent
+
+
 def test_chance_depends_on_the_seed_alone():
     one, two = Chance(1), Chance(1)
     draws = [one.draw() for _ in range(100)]
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -321,7 +321,7 @@
                 return
         else:  # no cache of the location will do: straight to a parent, past the caches' links
             wanted = router.source(self, now) if router.direct and not self.pending() else None
-            hopeful = not self.late(router.link_crowd(), now)
+            hopeful = wanted and not self.late(router.link_crowd(), now + wanted.lag(self))
         if wanted and hopeful and self.allowed(wanted, now):
             self.send(wanted, source or wanted, now)
         elif not self.pending():
