--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -336,11 +336,11 @@
         rank = router.shelf.rank(self.item, self.part, self.work) or int(now - cache.started < EMPTY)
         if not cache.usable(now):
             self.look(now)
-        elif self.late(max(cache.crowd(), router.link_crowd()), now) or not self.fits(cache, now):
+        elif self.late(crowd := max(cache.crowd(), router.link_crowd()), now) or not self.fits(cache, now):
             self.give_up(now)
         elif not (source := router.source(self, now)):
             self.wait(now)
-        elif self.late(1.0, now + source.lag(self)):  # its link is full, or what it asks itself is slow
+        elif self.late(crowd, now + source.lag(self)):  # its link is full, or what it asks itself is slow
             self.give_up(now)
         else:
             self.send(cache, source, now, rank)
