--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -250,8 +250,8 @@
             return True
         if self.weighed:
             return cold.room(cache, cache.weight * (self.share if upper else 1.0) / self.routers, now)
-        # What a warm fellow bears; this one may be smaller, and a parent topples sooner.
-        return cold.room(cache, (0.7 if upper else 1.4) * cold.usual, now)
+        # Of what a warm fellow bears: more than it can, maybe, and this one may be half as large.
+        return cold.room(cache, (0.3 if upper else 0.7) * cold.usual, now)
 
 
 class Forward:
