Gain, gone outcomes and the location's weight stand once; a fill asks usable once

The location's weight was added up at every visit and is now kept from the list; the gain of one sample and the pair of outcomes that tell of a dead process were written twice; a fill checked usable by itself and again in fits; the cold budget's docstring still said under half where it has been 0.65.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -18,6 +18,7 @@
 
 MASK = 2**64 - 1
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT, Outcome.MISS)  # all others may have run
+GONE = (Outcome.UNREACHED, Outcome.BROKEN)  # the process, not only this forward
 MARGIN = 2.0  # predicted times are stretched by this, for what will come while the visit is under way
 LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
 EMPTY = 15.0  # a cache that started less than this ago has nothing to push out
@@ -105,7 +106,7 @@
 
 class Cold:
     """A router's share of what machines that started lately can do, against toppling them: routers spend
-    unknown to each other, so each its share alone, and under half of the rule's, as sizes vary."""
+    unknown to each other, so each its share alone, and two thirds of the rule's, as sizes vary."""
 
     def __init__(self, multiple: float, span: float, floor: float, warm: float) -> None:
         self.multiple, self.span, self.floor, self.warm = 0.65 * multiple, span, floor, warm
@@ -204,7 +205,7 @@
         self.parent_kind, self.origin_kind, self.edge, self.upper = parent_kind, origin_kind, edge, upper
         self.known: dict[int, Cache] = {}
         self.mine, self.parents, self.origin = [], [], None
-        self.share = 1.0  # this location's part of all traffic, by its caches
+        self.weight, self.share = 0.0, 1.0  # of this location's caches, and their part of all traffic
         self.pending = 0.0  # this router's transfers out at once, lately
 
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
@@ -226,7 +227,8 @@
         self.mine = [cache for cache in edge if cache.zone == self.zone]
         self.parents = [cache for cache in live if cache.kind == self.parent_kind]
         self.origin = next((cache for cache in live if cache.kind == self.origin_kind), None)
-        self.share = sum(c.weight for c in self.mine) / (sum(c.weight for c in edge) or 1.0)
+        self.weight = sum(c.weight for c in self.mine)
+        self.share = self.weight / (sum(c.weight for c in edge) or 1.0)
 
     def order(self, caches: list[Cache], salt: int, now: float) -> list[Cache]:
         """Weighted rendezvous: losing a machine moves only its own keys. A cold cache weighs less."""
@@ -238,10 +240,9 @@
 
     def count(self) -> None:
         """Pooled over the location: where a hundred routers share a load, one cache's own count is chance."""
-        out, total = sum(len(cache.pending) for cache in self.mine), sum(cache.weight for cache in self.mine)
-        self.pending += 0.1 * (out - self.pending)
+        self.pending += 0.1 * (sum(len(cache.pending) for cache in self.mine) - self.pending)
         for cache in self.mine:
-            cache.others = (self.routers - 1) * self.pending * cache.weight / total
+            cache.others = (self.routers - 1) * self.pending * cache.weight / self.weight
 
     def room(self, cache: Cache, now: float) -> bool:
         upper = cache.kind == self.parent_kind
@@ -298,7 +299,7 @@
         return now + MARGIN * self.work * crowd > self.due or (self.repeat and crowd > 1.0)
 
     def fits(self, cache: Cache, now: float) -> bool:
-        return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(cache, now)
+        return self.allowed(cache, now) and self.router.fleet.room(cache, now)
 
     def look(self, now: float) -> None:
         """Ask the cache on the part's hash, and the next where that one fails or would be late."""
@@ -307,7 +308,7 @@
         failed = [f.cache for f in self.forwards if f.outcome not in (Outcome.MISS, Outcome.ERROR)]
         failed += [f.cache for f in self.forwards if f.outcome is Outcome.ERROR][2:]
         wanted = next((cache for cache in fleet.order(fleet.mine, self.salt, now)
-                       if cache not in failed and self.fits(cache, now)
+                       if cache not in failed and cache.usable(now) and self.fits(cache, now)
                        and (self.tariff.passes_on or not self.late(cache.crowd(), now))), None)
         source = fleet.origin
         if self.tariff.passes_on:  # runs at the origin: straight there, or through a cache that names it
@@ -400,7 +401,7 @@
         if outcome in (Outcome.HONOURED, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
             cache.answered(now)
         elif outcome not in (Outcome.MOOT, Outcome.WITHDRAWN) and cache.heard < forward.sent:
-            cache.failed(now, outcome in (Outcome.UNREACHED, Outcome.BROKEN))
+            cache.failed(now, outcome in GONE)
         if outcome is Outcome.HONOURED and ours and not filled:
             router.learn(self, took)
             if self.known:  # a guessed time tells the size of the object, not of the crowd
@@ -468,7 +469,7 @@
         self.ask_again = ask_within / 8 or 1.0  # a failed call is made up for before the list counts as old
         self.means: dict[str, float] = {}
         self.queue: list[Visit] = []
-        self.fills = 0
+        self.fills, self.gain = 0, 0.1 * min(fleet.routers, 3)  # of one sample: larger where few are seen
         self.link_load = self.link_fills = 0.0  # the location's link as told, and these fills meanwhile
 
     def start(self, now: float) -> None:
@@ -516,8 +517,8 @@
         if refused := outcome in (Outcome.FULL, Outcome.ERROR):
             lag = 5.0  # from all routers the same refused fills would come again at once
         if refused or visit.known and outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
-            gain, usual = 0.1 * min(self.fleet.routers, 3), source.lags.get(visit.tariff.name, 0.1)
-            source.lags[visit.tariff.name] = usual + gain * (max(min(lag, 5.0), 0.0) - usual)
+            usual = source.lags.get(visit.tariff.name, 0.1)
+            source.lags[visit.tariff.name] = usual + self.gain * (max(min(lag, 5.0), 0.0) - usual)
         if outcome is Outcome.HONOURED:
             source.answered(now)
         elif note is Note.SOURCE_LOST:
@@ -549,10 +550,9 @@
     def probed(self, cache: Cache, outcome: Outcome, load: dict[str, float], now: float) -> None:
         """One that answers is not therefore well: a hung one may answer probes and nothing else."""
         if outcome is not Outcome.HONOURED:
-            cache.failed(now, outcome in (Outcome.UNREACHED, Outcome.BROKEN))
+            cache.failed(now, outcome in GONE)
         elif cache.lost:
             cache.answered(now)
         elif cache in self.fleet.mine and "x1" in load:
-            gain = 0.1 * min(self.fleet.routers, 3)
-            self.link_load += gain * (load["x1"] - self.link_load)
-            self.link_fills += gain * (self.fills - self.link_fills)
+            self.link_load += self.gain * (load["x1"] - self.link_load)
+            self.link_fills += self.gain * (self.fills - self.link_fills)
