--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from wickhinge.wirehost.codec import Malformed
+from wickhinge.fields import Malformed
 from wickhinge.wirehost.host import Instance, run
 
 CLASS = {"name": "t", "effect": "pure", "onTimeMs": 600, "aimStretch": 1.6, "hardLimitMs": 5000,
--- /dev/null
+++ b/wickhinge/__main__.py
@@ -0,0 +1,34 @@
+"""python -m wickhinge: one router on sockets, told what it is by RELAY_CONFIG."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+
+from twisted.internet import reactor
+
+from wickhinge.fields import Malformed
+from wickhinge.net import config
+from wickhinge.net.router import Node
+
+
+def main() -> int:
+    try:
+        node = Node(config.read(os.environ), reactor)
+        node.start()
+    except Malformed as problem:
+        sys.stderr.write(f"{problem}\n")
+        return 2
+    except OSError as problem:
+        sys.stderr.write(f"config: field listen: {problem}\n")
+        return 2
+    # The handler runs between two turns of the reactor, never inside a call.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(node.leave))
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wickhinge/fields.py
@@ -0,0 +1,87 @@
+"""Checks on decoded fields, for both fronts: read with care, never guessed; milliseconds become seconds."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class Malformed(Exception):
+    """Bad input; the text names the message and the field."""
+
+    def __init__(self, text: str, router: int | None = None) -> None:
+        super().__init__(text)
+        self.router = router
+
+
+def number(name: str, fields: dict[str, Any], field: str, default: float | None = None) -> float:
+    value = fields.get(field)
+    if type(value) is float or type(value) is int:
+        return value
+    if value is None and default is not None:
+        return default
+    raise problem(name, fields, field, "a number")
+
+
+def integer(name: str, fields: dict[str, Any], field: str, default: int | None = None) -> int:
+    value = fields.get(field)
+    if type(value) is int:
+        return value
+    if value is None and default is not None:
+        return default
+    if type(value) is float and value.is_integer():
+        return int(value)
+    raise problem(name, fields, field, "a whole number")
+
+
+def seconds(name: str, fields: dict[str, Any], field: str, default: float | None = None) -> float:
+    return number(name, fields, field, default) / 1000.0
+
+
+def text(name: str, fields: dict[str, Any], field: str) -> str:
+    value = fields.get(field)
+    if type(value) is str:
+        return value
+    raise problem(name, fields, field, "a text")
+
+
+def word(name: str, fields: dict[str, Any], field: str, known: Any) -> Any:
+    value = text(name, fields, field)
+    if value not in known:
+        raise Malformed(f"{name}: field {field} holds an unknown word")
+    return value
+
+
+def flag(name: str, fields: dict[str, Any], field: str, default: bool | None = None) -> bool:
+    value = fields.get(field)
+    if type(value) is bool:
+        return value
+    if value is None and default is not None:
+        return default
+    raise problem(name, fields, field, "true or false")
+
+
+def listing(name: str, fields: dict[str, Any], field: str) -> list[Any]:
+    value = fields.get(field)
+    if type(value) is list:
+        return value
+    raise problem(name, fields, field, "a list")
+
+
+def records(name: str, fields: dict[str, Any], field: str) -> list[dict[str, Any]]:
+    values = listing(name, fields, field)
+    if not all(type(value) is dict for value in values):
+        raise problem(name, fields, field, "a list of objects")
+    return values
+
+
+def record(name: str, fields: dict[str, Any], field: str) -> dict[str, Any]:
+    value = fields.get(field)
+    if type(value) is dict:
+        return value
+    raise problem(name, fields, field, "an object")
+
+
+def problem(name: str, fields: dict[str, Any], field: str, wanted: str) -> Malformed:
+    fault = "is missing" if fields.get(field) is None else f"is not {wanted}"
+    router = fields.get("router")
+    return Malformed(f"{name}: field {field} {fault}", router if type(router) is int else None)
--- /dev/null
+++ b/wickhinge/net/__init__.py
@@ -0,0 +1,1 @@
+"""The front on sockets: it carries and times; every choice is made in wickhinge.decide."""
--- /dev/null
+++ b/wickhinge/net/caches.py
@@ -0,0 +1,244 @@
+"""Connections to caches, parents and the origin: they belong to an id, never to an address."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from wickhinge.net import resp
+from wickhinge.net.buffers import Body, Pool
+from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.ends import End, unconnected
+
+LINES = 4  # connections to one machine
+SHARED = 4  # requests on each before another is opened
+EARLY = 0.8  # of the caches' idle time: a request sent into their close would count as lost
+LEFT = 256  # ids given up on a connection that are remembered
+
+
+class Line(Protocol):
+    """One connection. Requests wait in its own queue, so that it is known which was wholly written."""
+
+    def __init__(self, machine: Machine) -> None:
+        self.machine, self.caches = machine, machine.caches
+        self.stream = resp.Stream(machine.caches.pool)
+        self.open: dict[bytes, int] = {}  # what is out here, by its id on the wire
+        self.unwritten: set[bytes] = set()
+        self.queue: deque[tuple[bytes, bytes]] = deque()
+        self.flying = b""  # the id whose bytes the transport holds
+        self.left: dict[bytes, None] = {}  # given up here: a late answer may still come under such an id
+        self.up = self.down = self.writing = self.doubted = self.closing = False
+        self.heard = self.used = machine.caches.deadlines.now()
+        self.attempt: Any = None
+
+    def connect(self, address: tuple[str, int]) -> None:
+        caches = self.caches
+        factory = Factory()
+        factory.noisy = False
+        factory.protocol = lambda: self
+        endpoint = TCP4ClientEndpoint(caches.reactor, *address, timeout=None)
+        self.attempt = endpoint.connect(factory)
+        self.attempt.addCallbacks(self.connected, self.unconnected)
+        self.attempt.addErrback(lambda failure: caches.fault(failure.getErrorMessage()))
+        caches.deadlines.after(caches.connect_within, self.overdue)
+
+    def connected(self, _: Any) -> None:
+        self.up, self.attempt = True, None
+        self.heard = self.used = self.caches.deadlines.now()
+        self.transport.setTcpNoDelay(True)
+        if self.caches.paused:
+            self.transport.pauseProducing()
+        self.caches.deadlines.after(self.caches.idle, self.rest)
+        self.pump()
+
+    def unconnected(self, failure: Failure) -> None:
+        self.attempt = None
+        self.over(unconnected(failure), failure.getErrorMessage())
+
+    def overdue(self) -> None:
+        if self.attempt is not None:
+            self.attempt.cancel()
+
+    def send(self, tag: bytes, number: int, payload: bytes) -> None:
+        self.used = self.caches.deadlines.now()
+        self.open[tag] = number
+        self.unwritten.add(tag)
+        self.queue.append((tag, payload))
+        self.pump()
+
+    def pump(self) -> None:
+        if self.up and not self.writing and self.queue:
+            self.writing = True
+            self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """The transport has written all it held: what flew is out, and one more may follow."""
+        self.unwritten.discard(self.flying)
+        self.flying = b""
+        if self.queue:
+            self.flying, payload = self.queue.popleft()
+            self.transport.write(payload)
+        else:
+            self.writing = False
+            self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        pass  # the connection is lost, which connectionLost tells
+
+    def stop(self, tag: bytes, since: float) -> None:
+        """Give a request up. One that never left is only taken out of the queue."""
+        if self.open.pop(tag, None) is None:
+            return
+        if self.heard < since:
+            self.doubted = True  # silent, maybe vanished: nothing new may pile up here
+        if tag in self.unwritten and tag != self.flying:
+            self.queue = deque(item for item in self.queue if item[0] != tag)
+            self.unwritten.discard(tag)
+        elif not self.down:
+            self.left[tag] = None
+            if len(self.left) > LEFT:
+                del self.left[next(iter(self.left))]
+            self.queue.append((b"", resp.pack(b"STOP", tag)))
+            self.pump()
+        self.settle()
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard = self.caches.deadlines.now()
+        try:
+            arrays = self.stream.feed(data)
+        except resp.Unreadable as problem:
+            self.over(End.UNREADABLE, str(problem))
+            return
+        for items in arrays:
+            body = items[3] if len(items) > 3 else None
+            number = self.open.pop(items[0], None)
+            if number is None:
+                self.left.pop(items[0], None)
+                self.caches.late(items[0])
+                if isinstance(body, Body):
+                    body.release()
+                continue
+            self.unwritten.discard(items[0])
+            word = items[1] if len(items) > 1 else b""
+            told = items[2] if len(items) > 2 else b"-"
+            self.caches.answered(number, word, told, body)
+        self.settle()
+
+    def settle(self) -> None:
+        if self.doubted and not self.open and not self.queue and not self.down:
+            self.close()
+
+    def close(self) -> None:
+        self.closing = True
+        if self in self.machine.lines:
+            self.machine.lines.remove(self)
+        if self.up:
+            self.transport.loseConnection()
+        elif self.attempt is not None:
+            self.attempt.cancel()
+
+    def rest(self) -> None:
+        if self.down or self.closing:
+            return
+        now = self.caches.deadlines.now()
+        if not self.open and now - self.used >= self.caches.idle - 0.001:
+            self.close()
+        else:
+            left = self.used + self.caches.idle - now
+            self.caches.deadlines.after(max(left, 0.5), self.rest)
+
+    def connectionLost(self, reason: Failure) -> None:
+        self.over(End.LOST_WRITTEN, reason.getErrorMessage())
+
+    def over(self, end: End, why: str) -> None:
+        """The connection has ended, or is no use any more, and with it all that was open on it."""
+        if self.down:
+            return
+        self.down, lost, self.open = True, self.open, {}
+        if self in self.machine.lines:
+            self.machine.lines.remove(self)
+        self.stream.close()
+        if self.up and end is not End.LOST_WRITTEN:
+            self.transport.abortConnection()
+        if end is End.LOST_WRITTEN and not lost:
+            end = End.CLOSED_BY_US if self.closing else End.CLOSED_IDLE
+        if end is not End.CLOSED_BY_US:
+            self.caches.log("line_end", cache=self.machine.name, end=end.value, open=len(lost), why=why)
+        for tag, number in lost.items():
+            unwritten = end is End.LOST_WRITTEN and tag in self.unwritten
+            self.caches.ended(number, End.LOST_UNWRITTEN if unwritten else end)
+
+
+class Machine:
+    def __init__(self, caches: Caches, name: str, address: tuple[str, int]) -> None:
+        self.caches, self.name, self.address = caches, name, address
+        self.lines: list[Line] = []
+
+    def moved(self, address: tuple[str, int]) -> None:
+        if address != self.address:
+            self.address = address
+            for line in list(self.lines):
+                line.doubted = True
+                line.settle()
+
+    def send(self, tag: bytes, number: int, payload: bytes) -> Line | None:
+        caches = self.caches
+        lines = [line for line in self.lines if not line.doubted and tag not in line.left
+                 and tag not in line.open and len(line.open) < caches.streams]
+        line = min(lines, key=lambda line: (len(line.open), not line.up), default=None)
+        if line is None or (len(line.open) >= SHARED and len(self.lines) < LINES):
+            if sum(len(machine.lines) for machine in caches.machines.values()) < caches.most:
+                line = Line(self)
+                self.lines.append(line)
+                line.connect(self.address)
+        if line is not None:
+            line.send(tag, number, payload)
+        return line
+
+    def hang_up(self) -> None:
+        for line in list(self.lines):
+            if not line.open:
+                line.close()
+
+
+class Caches:
+    """All machines by id. What comes back from them goes to answered, ended, late and log."""
+
+    def __init__(self, reactor: Any, deadlines: Deadlines, pool: Pool, connect_within: float, idle: float,
+                 streams: int, most: int, log: Callable[..., None], fault: Callable[[str], None]) -> None:
+        self.reactor, self.deadlines, self.pool = reactor, deadlines, pool
+        self.connect_within, self.idle, self.streams, self.most = connect_within, EARLY * idle, streams, most
+        self.log, self.fault = log, fault
+        self.machines: dict[int, Machine] = {}
+        self.paused = False
+        self.answered: Callable[..., None] = lambda *_: None
+        self.ended: Callable[..., None] = lambda *_: None
+        self.lates = 0
+
+    def listed(self, mark: int, name: str, address: tuple[str, int]) -> None:
+        machine = self.machines.get(mark)
+        if machine is None:
+            self.machines[mark] = Machine(self, name, address)
+        else:
+            machine.moved(address)
+
+    def late(self, tag: bytes) -> None:
+        self.lates += 1
+
+    def pause(self) -> None:
+        self.each("pauseProducing", True)
+
+    def resume(self) -> None:
+        self.each("resumeProducing", False)
+
+    def each(self, call: str, paused: bool) -> None:
+        self.paused = paused
+        for machine in self.machines.values():
+            for line in machine.lines:
+                if line.up and not line.down:
+                    getattr(line.transport, call)()
--- /dev/null
+++ b/wickhinge/net/ends.py
@@ -0,0 +1,66 @@
+"""Every way in which a forward, a probe or a connection can end, and the one map to the module's outcomes."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from twisted.internet import error
+from twisted.python.failure import Failure
+
+from wickhinge.interface import Outcome
+
+
+class End(Enum):
+    SERVED = "served"
+    SAME = "same"
+    MISS = "miss"
+    BUSY = "busy"
+    ERR = "err"
+    VOID = "void"
+    UP = "up"
+    DOWN = "down"
+    REFUSED = "refused"
+    NO_CONNECT = "no connection in time"
+    NO_DESCRIPTOR = "no descriptor for a connection"
+    LOST_UNWRITTEN = "lost before it was wholly written"
+    LOST_WRITTEN = "lost after it was written"
+    UNREADABLE = "an answer that could not be read"
+    SILENT = "no answer in time"
+    STOPPED = "stopped by us"
+    LATE = "answered after its end"
+    CLOSED_IDLE = "closed while idle"
+    CLOSED_BY_US = "closed by us"
+
+
+OUTCOMES: dict[End, Outcome | None] = {
+    End.SERVED: Outcome.HONOURED,
+    End.SAME: Outcome.HONOURED,
+    End.MISS: Outcome.MISS,
+    End.BUSY: Outcome.FULL,
+    End.ERR: Outcome.ERROR,
+    End.VOID: Outcome.MOOT,
+    End.UP: Outcome.HONOURED,
+    End.DOWN: Outcome.ERROR,
+    End.REFUSED: Outcome.UNREACHED,
+    End.NO_CONNECT: Outcome.UNREACHED,
+    End.NO_DESCRIPTOR: Outcome.UNREACHED,
+    End.LOST_UNWRITTEN: Outcome.UNREACHED,
+    End.LOST_WRITTEN: Outcome.BROKEN,
+    End.UNREADABLE: Outcome.BROKEN,
+    End.SILENT: Outcome.TIMED_OUT,
+    End.STOPPED: Outcome.WITHDRAWN,
+    End.LATE: None,  # told already
+    End.CLOSED_IDLE: None,  # nothing was open: no failure of the cache at all
+    End.CLOSED_BY_US: None,
+}
+
+WORDS = {b"OK": End.SERVED, b"SAME": End.SAME, b"MISS": End.MISS, b"BUSY": End.BUSY, b"ERR": End.ERR,
+         b"VOID": End.VOID, b"UP": End.UP, b"DOWN": End.DOWN}
+
+
+def unconnected(reason: Failure) -> End:
+    if reason.check(error.ConnectionRefusedError):
+        return End.REFUSED
+    if reason.check(error.ConnectBindError, error.ConnectingCancelledError) is error.ConnectBindError:
+        return End.NO_DESCRIPTOR
+    return End.NO_CONNECT
--- /dev/null
+++ b/wickhinge/net/forwards.py
@@ -0,0 +1,122 @@
+"""Forwards and probes under way, in numbered slots: out to a cache, back into the module's outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from wickhinge.interface import Note, Outcome
+from wickhinge.net import resp
+from wickhinge.net.caches import Caches
+from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.ends import OUTCOMES, WORDS, End
+from wickhinge.net.slots import Slots
+
+NOTES = dict(zip("hfojsrblnx", Note, strict=True))
+
+
+class Sent:
+    """One forward on its way; for a probe there is no door and no forward, only the cache."""
+
+    __slots__ = ("door", "forward", "cache", "line", "tag", "since", "number")
+
+    def __init__(self, door: Any, forward: Any, cache: Any, since: float) -> None:
+        self.door, self.forward, self.cache, self.since = door, forward, cache, since
+        self.line: Any = None
+        self.tag, self.number = b"", 0
+
+
+class Forwards:
+    def __init__(self, caches: Caches, deadlines: Deadlines, probe_within: float,
+                 log: Callable[..., None], fault: Callable[[str], None]) -> None:
+        self.caches, self.deadlines, self.probe_within = caches, deadlines, probe_within
+        self.log, self.fault = log, fault
+        self.slots = Slots()
+        self.router: Any = None
+        caches.answered, caches.ended = self.answered, self.ended
+
+    def send(self, door: Any, forward: Any, cache: Any, patience: float, source: Any, rank: int,
+             oldest: float | None, join: bool, held_only: bool, renew: bool) -> int:
+        fields = [*door.passed, f"budget={max(int(patience * 1000), 1)}"]
+        if source is not None and source is not cache:
+            fields.append(f"src=s-{source.mark:08x}")
+        if rank:
+            fields.append(f"keep={rank}")
+        if oldest is not None:
+            # 0 would lift the limit, and rounding up would widen it.
+            fields.append(f"maxage={max(int(oldest * 1000), 1)}")
+        flags = [word for word, on in (("coalesce", join), ("shallow", held_only), ("freshen", renew)) if on]
+        if flags:
+            fields.append(f"flags={'+'.join(flags)}")
+        payload = resp.pack(b"REQ", door.rid, ",".join(fields).encode(), door.body)
+        return self.put(Sent(door, forward, cache, self.deadlines.now()), door.rid, payload, patience)
+
+    def probe(self, cache: Any) -> None:
+        sent = Sent(None, None, cache, self.deadlines.now())
+        self.put(sent, b"", b"", self.probe_within)
+
+    def put(self, sent: Sent, tag: bytes, payload: bytes, patience: float) -> int:
+        sent.number = number = self.slots.put(sent)
+        sent.tag = tag or b"p%d" % number
+        machine = self.caches.machines[sent.cache.mark]
+        sent.line = machine.send(sent.tag, number, payload or resp.pack(b"STAT", sent.tag))
+        if sent.line is None:
+            self.deadlines.soon(self.ended, number, End.NO_DESCRIPTOR)
+        else:
+            self.deadlines.after(patience, self.expire, number)
+        return number
+
+    def expire(self, number: int) -> None:
+        self.halt(number, End.SILENT)
+
+    def withdraw(self, number: int) -> None:
+        """Stopped now; the module hears of it on the next turn, since this is called from within it."""
+        sent = self.slots.get(number)
+        if sent is not None:
+            if sent.line is not None:
+                sent.line.stop(sent.tag, sent.since)
+            self.deadlines.soon(self.ended, number, End.STOPPED)
+
+    def halt(self, number: int, end: End) -> None:
+        sent = self.slots.get(number)
+        if sent is not None:
+            if sent.line is not None:
+                sent.line.stop(sent.tag, sent.since)
+            self.ended(number, end)
+
+    def answered(self, number: int, word: bytes, told: bytes, body: Any) -> None:
+        sent = self.slots.get(number)
+        end = WORDS.get(word)
+        if sent is not None and end is not None:
+            self.ended(number, end, resp.fields(told), body)
+        else:
+            if body is not None:
+                body.release()
+            if sent is not None:
+                self.ended(number, End.UNREADABLE)
+
+    def ended(self, number: int, end: End, fields: dict[str, str] | None = None, body: Any = None) -> None:
+        sent = self.slots.drop(number)
+        if sent is None:
+            if body is not None:
+                body.release()
+            return
+        now, outcome, fields = self.deadlines.now(), OUTCOMES[end], fields or {}
+        door, took = sent.door, now - sent.since
+        if door is None:
+            if body is not None:
+                body.release()
+            self.router.probed(sent.cache, outcome, resp.loads(fields.get("use", "")), now)
+            return
+        door.trace(sent, end, took, fields)
+        if outcome is Outcome.HONOURED:
+            door.serve(body, end is End.SAME)
+        elif body is not None:
+            body.release()
+        try:
+            note = NOTES.get(fields.get("detail", ""))
+            sent.forward.visit.ended(sent.forward, outcome, took, door.final, note, now)
+        except Exception:
+            self.fault("forward")
+            door.broken()
+        door.forgotten(sent.forward)
--- /dev/null
+++ b/wickhinge/net/journal.py
@@ -0,0 +1,165 @@
+"""The journal service: numbered events as binary frames, taken up again at the last number had."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from struct import Struct
+from typing import Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from wickhinge.net.deadlines import Deadlines
+
+HEAD = Struct(">IQB")
+RECORD = Struct(">IIHBBBHIQ")
+OBJECT = Struct(">QQ")
+GROUP = Struct(">HQ")
+NUMBER = Struct(">Q")
+LONGEST = 9 + RECORD.size * 8192
+NOTHING, WHOLE, CHANGES, PURGED_OBJECT, PURGED_GROUP = range(5)
+QUIET = 2.5  # seconds without a frame, one of which comes each second: the connection is dead
+AGAIN = 0.25  # seconds before the next try
+
+
+class Unreadable(Exception):
+    """No such frame; the text names the fault."""
+
+
+class Stream:
+    """Frames out of bytes at any split: (number, kind, payload)."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[tuple[int, int, bytes]]:
+        data, place, frames = self.rest + data, 0, []
+        while len(data) - place >= 4:
+            length = int.from_bytes(data[place : place + 4])
+            if not 9 <= length <= LONGEST:
+                raise Unreadable(f"a frame of length {length}")
+            if len(data) - place < 4 + length:
+                break
+            _, number, kind = HEAD.unpack_from(data, place)
+            frames.append((number, kind, data[place + HEAD.size : place + 4 + length]))
+            place += 4 + length
+        self.rest = data[place:]
+        return frames
+
+
+def records(payload: bytes) -> list[tuple[int, ...]]:
+    """id, address, port, state, zone, kind, cell, weight in thousandths, started in ms: one each machine."""
+    if len(payload) % RECORD.size:
+        raise Unreadable(f"a list of {len(payload)} bytes")
+    return list(RECORD.iter_unpack(payload))
+
+
+def fixed(form: Struct, payload: bytes) -> tuple[int, ...]:
+    if len(payload) != form.size:
+        raise Unreadable(f"a purge of {len(payload)} bytes")
+    return form.unpack(payload)
+
+
+class Reading(Protocol):
+    def __init__(self, journal: Journal) -> None:
+        self.journal, self.stream = journal, Stream()
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.write(NUMBER.pack(self.journal.last))
+
+    def dataReceived(self, data: bytes) -> None:
+        self.journal.read(self, data)
+
+    def connectionLost(self, reason: Failure) -> None:
+        self.journal.lost(self, reason.getErrorMessage())
+
+
+class Journal:
+    """told_list(whole, records) and told_purge(key, group, milliseconds) hear each event once, in order."""
+
+    def __init__(self, reactor: Any, deadlines: Deadlines, address: tuple[str, int], last: int,
+                 connect_within: float, told_list: Callable[..., None], told_purge: Callable[..., None],
+                 log: Callable[..., None]) -> None:
+        self.reactor, self.deadlines, self.last = reactor, deadlines, last
+        self.connect_within = connect_within
+        self.told_list, self.told_purge, self.log = told_list, told_purge, log
+        self.endpoint = TCP4ClientEndpoint(reactor, *address, timeout=None)
+        self.reading: Reading | None = None
+        self.heard = 0.0
+        self.closed = False
+
+    def start(self) -> None:
+        if self.closed:
+            return
+        factory = Factory()
+        factory.noisy = False
+        factory.protocol = lambda: Reading(self)
+        attempt = self.endpoint.connect(factory)
+        attempt.addCallbacks(self.connected, lambda failure: self.again(failure.getErrorMessage()))
+        attempt.addErrback(lambda failure: self.again(failure.getErrorMessage()))
+        # Cancelling what has fired already does nothing.
+        self.deadlines.after(self.connect_within, attempt.cancel)
+
+    def connected(self, reading: Reading) -> None:
+        self.reading, self.heard = reading, self.deadlines.now()
+        self.log("journal_up", last=self.last)
+        self.deadlines.after(QUIET, self.check, reading)
+
+    def again(self, why: str) -> None:
+        self.log("journal_lost", why=why, last=self.last)
+        self.deadlines.after(AGAIN, self.start)
+
+    def check(self, reading: Reading) -> None:
+        if self.reading is not reading:
+            return
+        quiet = self.deadlines.now() - self.heard
+        if quiet >= QUIET - 0.001:
+            self.drop(reading, "nothing heard")
+        else:
+            self.deadlines.after(QUIET - quiet, self.check, reading)
+
+    def drop(self, reading: Reading, why: str) -> None:
+        self.reading = None
+        reading.transport.abortConnection()
+        self.again(why)
+
+    def lost(self, reading: Reading, why: str) -> None:
+        if self.reading is reading:
+            self.reading = None
+            if not self.closed:
+                self.again(why)
+
+    def read(self, reading: Reading, data: bytes) -> None:
+        self.heard = self.deadlines.now()
+        if self.reading not in (None, reading):
+            return
+        try:
+            for number, kind, payload in reading.stream.feed(data):
+                self.frame(number, kind, payload)
+        except Unreadable as problem:
+            self.drop(reading, str(problem))
+
+    def frame(self, number: int, kind: int, payload: bytes) -> None:
+        """No gap or bad frame is guessed over: the connection goes, and the rest is asked for again."""
+        if kind == NOTHING:
+            return
+        if number != self.last + 1:
+            raise Unreadable(f"event {number} after {self.last}")
+        if kind in (WHOLE, CHANGES):
+            self.told_list(kind == WHOLE, records(payload))
+        elif kind == PURGED_OBJECT:
+            key, stamp = fixed(OBJECT, payload)
+            self.told_purge(key, 0, stamp)
+        elif kind == PURGED_GROUP:
+            group, stamp = fixed(GROUP, payload)
+            self.told_purge(None, group, stamp)
+        else:
+            raise Unreadable(f"a frame of kind {kind}")
+        self.last = number
+
+    def close(self) -> None:
+        self.closed = True
+        if self.reading is not None:
+            self.reading.transport.loseConnection()
--- /dev/null
+++ b/wickhinge/net/msgpack.py
@@ -0,0 +1,145 @@
+"""MessagePack-RPC, from the public specification: bytes in at any split, whole messages out."""
+
+from __future__ import annotations
+
+from struct import Struct
+from typing import Any
+
+LIMIT = 65536  # of one message: a body of 48,000 and its fields
+DEPTH = 6
+ITEMS = 64
+
+FORMS = {0xCC: Struct(">B"), 0xCD: Struct(">H"), 0xCE: Struct(">I"), 0xCF: Struct(">Q"),
+         0xD0: Struct(">b"), 0xD1: Struct(">h"), 0xD2: Struct(">i"), 0xD3: Struct(">q"),
+         0xCA: Struct(">f"), 0xCB: Struct(">d")}
+HEADS = {0xC4: ("bin", FORMS[0xCC]), 0xC5: ("bin", FORMS[0xCD]), 0xC6: ("bin", FORMS[0xCE]),
+         0xD9: ("str", FORMS[0xCC]), 0xDA: ("str", FORMS[0xCD]), 0xDB: ("str", FORMS[0xCE]),
+         0xDC: ("array", FORMS[0xCD]), 0xDD: ("array", FORMS[0xCE]),
+         0xDE: ("map", FORMS[0xCD]), 0xDF: ("map", FORMS[0xCE])}
+PLAIN = {0xC0: None, 0xC2: False, 0xC3: True}
+
+
+class Unreadable(Exception):
+    """Not MessagePack, or over a bound; the text names the fault."""
+
+
+class Short(Exception):
+    """The message has not come whole yet."""
+
+
+class Reader:
+    """One value after another from bytes that may end too early."""
+
+    def __init__(self, data: bytes | bytearray, place: int = 0) -> None:
+        self.data, self.place = data, place
+
+    def take(self, size: int) -> int:
+        start = self.place
+        if size > LIMIT:
+            raise Unreadable(f"a value of {size} bytes")
+        if start + size > len(self.data):
+            raise Short
+        self.place = start + size
+        return start
+
+    def unpack(self, form: Struct) -> Any:
+        return form.unpack_from(self.data, self.take(form.size))[0]
+
+    def value(self, depth: int = 0) -> Any:
+        if depth > DEPTH:
+            raise Unreadable("nested too deep")
+        code = self.data[self.take(1)]
+        if code < 0x80:
+            return code
+        if code >= 0xE0:
+            return code - 256
+        if code in PLAIN:
+            return PLAIN[code]
+        if code in FORMS:
+            return self.unpack(FORMS[code])
+        if code < 0x90:
+            return self.many("map", code & 15, depth)
+        if code < 0xA0:
+            return self.many("array", code & 15, depth)
+        if code < 0xC0:
+            return self.many("str", code & 31, depth)
+        if code not in HEADS:
+            raise Unreadable(f"a value of unknown kind {code:#x}")
+        kind, form = HEADS[code]
+        return self.many(kind, self.unpack(form), depth)
+
+    def many(self, kind: str, size: int, depth: int) -> Any:
+        if kind in ("array", "map"):
+            if size > ITEMS:
+                raise Unreadable(f"{kind} of {size} items")
+            if kind == "array":
+                return [self.value(depth + 1) for _ in range(size)]
+            pairs = [(self.value(depth + 1), self.value(depth + 1)) for _ in range(size)]
+            try:
+                return dict(pairs)
+            except TypeError:
+                raise Unreadable("a map's key is no plain value") from None
+        start = self.take(size)
+        data = bytes(self.data[start : self.place])
+        if kind == "bin":
+            return data
+        try:
+            return data.decode()
+        except UnicodeDecodeError:
+            raise Unreadable("a string is not UTF-8") from None
+
+
+class Stream:
+    def __init__(self) -> None:
+        self.rest = bytearray()
+
+    def feed(self, data: bytes) -> list[Any]:
+        """The messages that are whole now. What is short is read again from its start: frames are small."""
+        messages: list[Any] = []
+        if self.rest:
+            self.rest += data
+            data = self.rest
+        reader, whole = Reader(data), 0
+        try:
+            while whole < len(data):
+                messages.append(reader.value())
+                whole = reader.place
+        except Short:
+            if len(data) - whole > LIMIT:
+                raise Unreadable(f"a message of over {LIMIT} bytes") from None
+        self.rest = bytearray(memoryview(data)[whole:])
+        return messages
+
+
+def head(small: int, bits: int, codes: tuple[int, ...], size: int) -> bytes:
+    """The shortest head for a size; codes for one, two and four bytes, 0 where there is none."""
+    if size <= bits:
+        return bytes([small | size])
+    for code, width in zip(codes, (1, 2, 4), strict=True):
+        if code and size < 1 << 8 * width:
+            return bytes([code]) + size.to_bytes(width, "big")
+    raise ValueError(f"a size of {size}")
+
+
+def bin_head(size: int) -> bytes:
+    return head(0, -1, (0xC4, 0xC5, 0xC6), size)
+
+
+def pack(value: Any) -> bytes:
+    if value is None:
+        return b"\xc0"
+    if isinstance(value, bool):
+        return b"\xc3" if value else b"\xc2"
+    if isinstance(value, int):
+        if value < 0:
+            return b"\xd3" + value.to_bytes(8, "big", signed=True)
+        return head(0, 0x7F, (0xCC, 0xCD, 0xCE), value) if value < 1 << 32 else b"\xcf" + value.to_bytes(8)
+    if isinstance(value, str):
+        data = value.encode()
+        return head(0xA0, 31, (0xD9, 0xDA, 0xDB), len(data)) + data
+    if isinstance(value, bytes):
+        return bin_head(len(value)) + value
+    if isinstance(value, dict):
+        return head(0x80, 15, (0, 0xDE, 0xDF), len(value)) + b"".join(
+            pack(key) + pack(held) for key, held in value.items())
+    return head(0x90, 15, (0, 0xDC, 0xDD), len(value)) + b"".join(pack(held) for held in value)
--- /dev/null
+++ b/wickhinge/net/router.py
@@ -0,0 +1,171 @@
+"""The wiring of one router on sockets, and the module's Outside."""
+
+from __future__ import annotations
+
+import gc
+import resource
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from wickhinge import settings
+from wickhinge.interface import Listing
+from wickhinge.net import config
+from wickhinge.net.accept import Clients
+from wickhinge.net.buffers import SIZE, Pool
+from wickhinge.net.caches import Caches
+from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.forwards import Forwards
+from wickhinge.net.journal import Journal
+from wickhinge.net.log import Log
+from wickhinge.net.visits import Visits
+
+STATES = ("ready", "draining", "gone")
+PROBE_WITHIN = 0.25  # where the settings name no time limit of probes
+BASE = 130  # MB for the program itself, transports and half-read requests; the rest is the pool's
+LINGER = 0.75  # seconds after SIGTERM in which clients still come
+LAST = 3.4  # and after which whatever is open is given up on, before SIGKILL
+LAGGED = 0.05  # a deadline this late is worth a line
+REPORT = 5.0
+
+
+class Node:
+    def __init__(self, conf: dict[str, Any], reactor: Any, descriptor: int = 1) -> None:
+        self.reactor = reactor
+        self.log = Log(descriptor, config.name(conf), Deadlines.now)
+        self.deadlines = Deadlines(reactor, self.fault, self.lagged)
+        self.late, self.leaving = 0.0, False
+        memory, sockets = config.limits(conf)
+        connect_within, idle, streams = config.times(conf)
+        self.pool = Pool(max((memory - BASE) * 1_000_000 // SIZE, 64), self.pause, self.resume)
+        self.caches = Caches(reactor, self.deadlines, self.pool, connect_within, idle, streams, sockets // 2,
+                             self.log.event, self.fault)
+        self.forwards = Forwards(self.caches, self.deadlines, PROBE_WITHIN, self.log.event, self.fault)
+        conf_settings = config.settings(conf)
+        self.zones = settings.names(conf_settings, "zones")
+        self.kinds = settings.names(conf_settings, "shapes")
+        self.router, tariffs = settings.build(conf_settings, config.seed(conf), self)
+        self.visits = Visits(self.forwards, self.deadlines, tariffs, self.log.event, self.fault)
+        self.forwards.router = self.visits.router = self.router
+        self.clients = Clients(self.visits, self.deadlines, self.log.event)
+        last, events = config.known(conf)
+        self.journal = Journal(reactor, self.deadlines, config.journal(conf), last, connect_within,
+                               self.told_records, self.told_purge, self.log.event)
+        self.listen = config.listen(conf)
+        for kind, *told in events:
+            (self.told_list if kind == "list" else self.told_purge)(*told)
+
+    def start(self) -> None:
+        host, port = self.listen
+        self.router.start(self.deadlines.now())
+        self.port = self.reactor.listenTCP(port, self.clients, backlog=1024, interface=host)
+        self.reactor.addSystemEventTrigger("before", "shutdown", self.log.flush)
+        self.journal.start()
+        gc.collect()
+        gc.freeze()  # what lives as long as the program need not be walked again and again
+        gc.set_threshold(20000, 20, 50)
+        self.deadlines.after(REPORT, self.report)
+        self.log.event("start", listen=f"{host}:{port}", pool=self.pool.limit)
+
+    # The module's Outside.
+
+    def wake(self, delay: float, call: Callable[[float], None]) -> None:
+        self.deadlines.after(delay, lambda: call(self.deadlines.now()))
+
+    def probe(self, cache: Any) -> None:
+        self.forwards.probe(cache)
+
+    def follow(self) -> None:
+        """The journal follows the list by itself."""
+
+    def read_list(self) -> None:
+        """The journal brings it whole after a gap."""
+
+    def hang_up(self, cache: Any) -> None:
+        self.caches.machines[cache.mark].hang_up()
+
+    def say(self, to: int, content: bytes) -> None:
+        """Routers share nothing."""
+
+    def note(self, text: str) -> None:
+        self.log.event("note", text=text)
+
+    # What the journal tells.
+
+    def told_records(self, whole: bool, records: list[tuple[int, ...]]) -> None:
+        machines = []
+        for mark, address, port, state, zone, kind, cell, weight, started in records:
+            if state >= len(STATES) or zone >= len(self.zones) or kind >= len(self.kinds):
+                self.log.event("bad_record", cache=f"{mark:08x}", state=state, zone=zone, kind=kind)
+                continue
+            host = ".".join(str(octet) for octet in address.to_bytes(4))
+            machines.append((mark, (host, port), STATES[state], self.zones[zone], self.kinds[kind], cell,
+                             weight / 1000.0, started / 1000.0 or None))
+        self.told_list(whole, machines)
+
+    def told_list(self, whole: bool, machines: list[tuple[Any, ...]]) -> None:
+        listings = []
+        for mark, address, state, zone, kind, cell, weight, started in machines:
+            self.caches.listed(mark, f"{mark:08x}", address)
+            listings.append(Listing(mark, zone, kind, cell, state, weight, started))
+        self.router.fleet.listed(listings, whole, self.deadlines.now())
+        self.log.event("list", whole=whole, machines=[
+            [f"{m[0]:08x}", m[2], m[3], m[4], m[7]] for m in machines])
+
+    def told_purge(self, key: int | None, group: int, stamp: float) -> None:
+        self.router.purges.told(key, group, stamp / 1000.0, self.deadlines.now())
+        self.log.event("purge", key=None if key is None else f"{key:016x}", group=group, stamp=stamp)
+
+    # The program.
+
+    def pause(self) -> None:
+        self.log.event("full", buffers=self.pool.out)
+        self.caches.pause()
+        self.clients.pause()
+
+    def resume(self) -> None:
+        self.log.event("room", buffers=self.pool.out)
+        self.caches.resume()
+        self.clients.resume()
+
+    def fault(self, where: str) -> None:
+        self.log.event("fault", where=where, cause=traceback.format_exc(limit=-6))
+
+    def lagged(self, late: float) -> None:
+        if late > self.late:
+            self.late = late
+        if late > LAGGED:
+            self.log.event("lag", ms=round(late * 1000, 1))
+
+    def report(self) -> None:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.log.event(
+            "report", taken=self.visits.taken, open=self.visits.open(), clients=len(self.clients.all),
+            lines=sum(len(machine.lines) for machine in self.caches.machines.values()),
+            buffers=self.pool.peak, late_ms=round(self.late * 1000, 1), late_answers=self.caches.lates,
+            cpu=round(usage.ru_utime + usage.ru_stime, 3), peak_kb=usage.ru_maxrss)
+        self.late = 0.0
+        self.deadlines.after(REPORT, self.report)
+
+    def leave(self) -> None:
+        """On SIGTERM: ping says no, whoever still comes is served, then the program ends by itself."""
+        if self.leaving:
+            return
+        self.leaving = self.clients.leaving = True
+        self.log.event("leaving", open=self.visits.open())
+        now = self.deadlines.now()
+        self.deadlines.at(now + LINGER, self.settle, now + LAST)
+
+    def settle(self, last: float) -> None:
+        now = self.deadlines.now()
+        if now >= last:
+            self.visits.give_up()
+        if now < last + 0.1 and (self.visits.open() or self.clients.unwritten()):
+            self.deadlines.after(0.01, self.settle, last)
+            return
+        self.log.event("stop", open=self.visits.open(), taken=self.visits.taken)
+        self.journal.close()
+        # One turn more, so that what is written last leaves the transports.
+        self.deadlines.after(0.02, self.reactor.stop)
+
+
--- /dev/null
+++ b/wickhinge/net/visits.py
@@ -0,0 +1,187 @@
+"""Visits under way, in numbered slots; a door is the module's Caller for one of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from wickhinge.interface import Effect
+from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.forwards import Forwards
+from wickhinge.net.slots import Slots
+
+HEX = frozenset("0123456789abcdef")
+LEAST, MOST = 1, 600_000  # milliseconds of patience
+BODY = 48_000
+LATEST = 0.01  # past a visit's patience: by then the module has answered, or it never will
+
+
+class Bad(Exception):
+    """A request that can be read but not used: the text names the field."""
+
+
+class Door:
+    __slots__ = ("visits", "client", "call", "rid", "passed", "body", "tariff", "since", "final", "answer",
+                 "visit", "out", "number", "steps")
+
+    def __init__(self, visits: Visits, client: Any, call: int, rid: str, tariff: Any, since: float) -> None:
+        self.visits, self.client, self.call, self.tariff, self.since = visits, client, call, tariff, since
+        self.rid = rid.encode()
+        self.passed: list[str] = []
+        self.body, self.final, self.answer, self.number = b"", False, "", 0
+        self.visit: Any = None
+        self.out: dict[Any, int] = {}
+        self.steps: list[Any] = []
+
+    # The module's Caller.
+
+    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int,
+                oldest: float | None, join: bool, held_only: bool, renew: bool) -> None:
+        self.visit = forward.visit
+        number = self.visits.forwards.send(
+            self, forward, cache, patience, source, rank, oldest, join, held_only, renew)
+        self.out[forward] = number
+
+    def withdraw(self, forward: Any) -> None:
+        number = self.out.get(forward)
+        if number is not None:
+            self.visits.forwards.withdraw(number)
+
+    def deny(self, wait: float) -> None:
+        fields = {"backoff": str(int(wait * 1000))} if wait > 0 else {}
+        self.end("denied", lambda client: client.error(self.call, "Overloaded", fields))
+
+    def abandon(self) -> None:
+        self.end("abandoned", lambda client: client.error(self.call, "Abandoned", {}))
+
+    # What happens to it.
+
+    def serve(self, body: Any, same: bool) -> None:
+        if self.final:
+            if body is not None:
+                body.release()
+            return
+        fields = {"keep": "1"} if same else {}
+        self.end("honoured", lambda client: client.serve(self.call, body, fields))
+
+    def broken(self) -> None:
+        """A fault of ours: nothing is known of what ran, so nothing is promised."""
+        if not self.final:
+            self.end("broken", lambda client: client.error(self.call, "Internal", {}))
+        if self.visit is not None:
+            self.visit.done = True
+        for number in list(self.out.values()):
+            self.visits.forwards.withdraw(number)
+
+    def end(self, answer: str, tell: Callable[[Any], None]) -> None:
+        if self.final:
+            return
+        self.final, self.answer = True, answer
+        client, self.client = self.client, None
+        if client is not None:
+            tell(client)
+        self.settle()
+
+    def trace(self, sent: Any, end: Any, took: float, fields: dict[str, str]) -> None:
+        self.steps.append([f"{sent.cache.mark:08x}", round((sent.since - self.since) * 1000, 1),
+                           round(took * 1000, 1), end.value, fields.get("detail", ""),
+                           fields.get("ttfb", "")])
+
+    def forgotten(self, forward: Any) -> None:
+        self.out.pop(forward, None)
+        self.settle()
+
+    def settle(self) -> None:
+        """The slot is free again once the visit is answered and nothing of it is out."""
+        if self.final and not self.out and self.visits.slots.drop(self.number) is self:
+            self.visits.ended(self)
+
+
+class Visits:
+    def __init__(self, forwards: Forwards, deadlines: Deadlines, tariffs: dict[str, Any],
+                 log: Callable[..., None], fault: Callable[[str], None]) -> None:
+        self.forwards, self.deadlines, self.tariffs = forwards, deadlines, tariffs
+        self.log, self.fault = log, fault
+        self.slots = Slots()
+        self.router: Any = None
+        self.taken = 0
+
+    def take(self, client: Any, call: int, method: str, fields: dict[str, str], body: bytes) -> Door:
+        now = self.deadlines.now()
+        tariff = self.tariffs.get(method)
+        if tariff is None:
+            raise Bad("method names no tariff")
+        rid = digits(fields, "rid")
+        patience = whole(fields, "budget", LEAST, MOST) / 1000.0
+        part = whole(fields, "block", 0, 1 << 31, 0)
+        group = whole(fields, "family", 0, 65535, 0)
+        key = 0 if tariff.passes_on and "obj" not in fields else int(digits(fields, "obj"), 16)
+        if len(body) > BODY:
+            raise Bad(f"the body holds over {BODY} bytes")
+        door = Door(self, client, call, rid, tariff, now)
+        door.body = body
+        door.passed.append(f"queue={method}")
+        door.passed += [f"{name}={fields[field]}" for name, field in (("path", "obj"), ("blk", "block"))
+                        if field in fields]
+        door.number = self.slots.put(door)
+        self.taken += 1
+        self.deadlines.after(patience + LATEST, self.overdue, door.number)
+        try:
+            visit = self.router.take(door, tariff, key, part, group, 0.0, patience, "again" in fields, now)
+            door.visit = visit
+        except Exception:
+            self.fault("visit")
+            door.broken()
+        return door
+
+    def overdue(self, number: int) -> None:
+        door = self.slots.get(number)
+        if door is not None and not door.final:
+            self.log("overdue", rid=door.rid.decode())
+            door.broken()
+
+    def gone(self, door: Door) -> None:
+        """The client has left: nothing is owed."""
+        door.client = None
+        if door.final:
+            return
+        door.final, door.answer = True, "gone"
+        if door.visit is not None:
+            door.visit.finish(self.deadlines.now())
+        door.settle()
+
+    def give_up(self) -> None:
+        """The router ends: what is still open is answered while somebody can hear it."""
+        for door in self.slots:
+            if not door.final and door.visit is not None:
+                door.visit.give_up(self.deadlines.now())
+
+    def open(self) -> int:
+        return sum(not door.final for door in self.slots)
+
+    def ended(self, door: Door) -> None:
+        visit = door.visit
+        self.log("visit", rid=door.rid.decode(), tariff=door.tariff.name, end=door.answer,
+                 ms=round((self.deadlines.now() - door.since) * 1000, 1), steps=door.steps,
+                 part=visit.part if visit else None, work=round(visit.work * 1000) if visit else None,
+                 exclusive=door.tariff.effect is Effect.EXCLUSIVE)
+
+
+def digits(fields: dict[str, str], field: str) -> str:
+    value = fields.get(field)
+    if value is None:
+        raise Bad(f"field {field} is missing")
+    if len(value) != 16 or not HEX.issuperset(value):
+        raise Bad(f"field {field} is not 16 hex digits")
+    return value
+
+
+def whole(fields: dict[str, str], field: str, least: int, most: int, default: int | None = None) -> int:
+    value = fields.get(field)
+    if value is None and default is not None:
+        return default
+    if value is None:
+        raise Bad(f"field {field} is missing")
+    if not value.isascii() or not value.isdigit() or len(value) > 12 or not least <= int(value) <= most:
+        raise Bad(f"field {field} is not a whole number from {least} to {most}")
+    return int(value)
--- a/wickhinge/wirehost/settings.py
+++ b/wickhinge/settings.py
@@ -1,12 +1,11 @@
-"""The wire's settings, turned into the parts of the decision module. Unknown keys are disregarded."""
+"""The settings, turned into the parts of the decision module. Unknown keys are disregarded."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from wickhinge.decide import Chance, Cold, Fleet, Purges, Router, Shelf
-from wickhinge.interface import Effect, Outside, Tariff
-from wickhinge.wirehost.codec import (
+from wickhinge.fields import (
     Malformed,
     flag,
     integer,
@@ -18,6 +17,7 @@
     text,
     word,
 )
+from wickhinge.interface import Effect, Outside, Tariff
 
 EFFECTS = {"pure": Effect.RERUNNABLE, "token": Effect.TICKETED, "side_effect": Effect.EXCLUSIVE}
 
@@ -29,6 +29,13 @@
     return values
 
 
+def names(conf: dict[str, Any], field: str) -> list[str]:
+    values = listing("conf", conf, field)
+    if not all(type(value) is str for value in values):
+        raise Malformed(f"conf: field {field} is not a list of texts")
+    return values
+
+
 def tariffs(conf: dict[str, Any]) -> dict[str, Tariff]:
     family, classes = record("conf", conf, "familyInfo"), records("conf", conf, "classes")
     count = len(classes)
--- a/wickhinge/wirehost/__main__.py
+++ b/wickhinge/wirehost/__main__.py
@@ -2,7 +2,8 @@
 
 import sys
 
-from wickhinge.wirehost.host import Malformed, run
+from wickhinge.fields import Malformed
+from wickhinge.wirehost.host import run
 
 try:
     run(sys.stdin.buffer, sys.stdout.buffer)
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
+from wickhinge import fields as checks
+from wickhinge.fields import Malformed
 from wickhinge.interface import Listing, Note, Outcome
+from wickhinge.settings import build
 from wickhinge.wirehost import codec
-from wickhinge.wirehost.codec import Malformed
-from wickhinge.wirehost.settings import build
 
 OUTCOMES = {
     10: Outcome.HONOURED,
@@ -119,60 +120,60 @@
     # Events.
 
     def power_on(self, name: str, fields: dict[str, Any], now: float) -> None:
-        seed, conf = codec.integer(name, fields, "initSeed"), codec.record(name, fields, "conf")
+        seed, conf = checks.integer(name, fields, "initSeed"), checks.record(name, fields, "conf")
         self.router, self.tariffs = build(conf, seed, self)
         self.router.start(now)
 
     def announce(self, name: str, fields: dict[str, Any], now: float) -> None:
-        kind = codec.word(name, fields, "kind", ("lost", *LISTS))
+        kind = checks.word(name, fields, "kind", ("lost", *LISTS))
         if kind == "lost":
             self.router.list_lost(now)
             return
         listings = []
-        for entry in codec.records(name, fields, "hosts"):
+        for entry in checks.records(name, fields, "hosts"):
             listings.append(
                 Listing(
-                    codec.integer(name, entry, "cache"),
-                    codec.text(name, entry, "campus"),
-                    codec.text(name, entry, "familyType"),
-                    codec.integer(name, entry, "cluster", 0),
-                    STATES[codec.word(name, entry, "availability", STATES)],
-                    codec.number(name, entry, "share", 1.0),
-                    codec.seconds(name, entry, "readyAtMs", 0.0) or None,
+                    checks.integer(name, entry, "cache"),
+                    checks.text(name, entry, "campus"),
+                    checks.text(name, entry, "familyType"),
+                    checks.integer(name, entry, "cluster", 0),
+                    STATES[checks.word(name, entry, "availability", STATES)],
+                    checks.number(name, entry, "share", 1.0),
+                    checks.seconds(name, entry, "readyAtMs", 0.0) or None,
                 )
             )
         self.router.fleet.listed(listings, LISTS[kind], now)
 
     def inbound(self, name: str, fields: dict[str, Any], now: float) -> None:
-        tariff = self.tariffs.get(codec.text(name, fields, "kind"))
+        tariff = self.tariffs.get(checks.text(name, fields, "kind"))
         if tariff is None:
             raise Malformed(f"{name}: field kind names no class of the settings", self.number)
-        door = self.doors[codec.text(name, fields, "ref")] = Door(self, fields["ref"])
+        door = self.doors[checks.text(name, fields, "ref")] = Door(self, fields["ref"])
         content = fields.get("contentId")
         door.visit = self.router.take(
             door,
             tariff,
             0 if content is None else self.key(name, fields),
-            codec.integer(name, fields, "chunk", 0),
-            codec.integer(name, fields, "batchId", 0),
-            codec.number(name, fields, "lengthKb", 0.0),
-            codec.seconds(name, fields, "expiresInMs"),
-            codec.flag(name, fields, "repeat", False),
+            checks.integer(name, fields, "chunk", 0),
+            checks.integer(name, fields, "batchId", 0),
+            checks.number(name, fields, "lengthKb", 0.0),
+            checks.seconds(name, fields, "expiresInMs"),
+            checks.flag(name, fields, "repeat", False),
             now,
         )
 
     def key(self, name: str, fields: dict[str, Any]) -> int:
         try:
-            return int(codec.text(name, fields, "contentId"), 16)
+            return int(checks.text(name, fields, "contentId"), 16)
         except ValueError:
             raise Malformed(f"{name}: field contentId is not hex digits", self.number) from None
 
     def resolved(self, name: str, fields: dict[str, Any], now: float) -> None:
         forward, outcome = self.sent(name, fields), self.outcome(name, fields)
-        took, closed = codec.seconds(name, fields, "timeTakenMs"), codec.flag(name, fields, "doneFlag")
+        took, closed = checks.seconds(name, fields, "timeTakenMs"), checks.flag(name, fields, "doneFlag")
         if forward is None:
             return
-        note = NOTES.get(codec.integer(name, fields, "detail", 0))
+        note = NOTES.get(checks.integer(name, fields, "detail", 0))
         forward.visit.ended(forward, outcome, took, closed, note, now)
         if forward.visit.done:
             forward.visit.caller.close()
@@ -184,41 +185,41 @@
 
     def sent(self, name: str, fields: dict[str, Any]) -> Any:
         """The forward that the message names, None where its visit is long over."""
-        door = self.doors.get(codec.text(name, fields, "ref"))
-        number = codec.integer(name, fields, "sendNo")
+        door = self.doors.get(checks.text(name, fields, "ref"))
+        number = checks.integer(name, fields, "sendNo")
         return door.forwards[number] if door is not None and 0 <= number < len(door.forwards) else None
 
     def outcome(self, name: str, fields: dict[str, Any]) -> Outcome:
-        code = codec.integer(name, fields, "disposition")
+        code = checks.integer(name, fields, "disposition")
         if code not in OUTCOMES:
             raise Malformed(f"{name}: field disposition holds an unknown code", self.number)
         return OUTCOMES[code]
 
     def gone(self, name: str, fields: dict[str, Any], now: float) -> None:
-        door = self.doors.get(codec.text(name, fields, "ref"))
+        door = self.doors.get(checks.text(name, fields, "ref"))
         if door is not None and door.visit is not None:
             door.visit.finish(now)
             door.close()
 
     def check_result(self, name: str, fields: dict[str, Any], now: float) -> None:
-        cache = self.router.fleet.known.get(codec.integer(name, fields, "cache"))
+        cache = self.router.fleet.known.get(checks.integer(name, fields, "cache"))
         outcome = self.outcome(name, fields)
-        load = {} if fields.get("report") is None else codec.record(name, fields, "report")
+        load = {} if fields.get("report") is None else checks.record(name, fields, "report")
         if cache is not None:
             self.router.probed(cache, outcome, load, now)
 
     def expired_now(self, name: str, fields: dict[str, Any], now: float) -> None:
         key = None if fields.get("contentId") is None else self.key(name, fields)
-        made = now - codec.seconds(name, fields, "howOldMs")
-        self.router.purges.told(key, codec.integer(name, fields, "setNo", 0), made, now)
+        made = now - checks.seconds(name, fields, "howOldMs")
+        self.router.purges.told(key, checks.integer(name, fields, "setNo", 0), made, now)
 
     def ring(self, name: str, fields: dict[str, Any], now: float) -> None:
-        call = self.alarms.pop(codec.integer(name, fields, "handle"), None)
+        call = self.alarms.pop(checks.integer(name, fields, "handle"), None)
         if call is not None:
             call(now)
 
     def from_peer(self, name: str, fields: dict[str, Any], now: float) -> None:
-        codec.text(name, fields, "content")  # routers share nothing
+        checks.text(name, fields, "content")  # routers share nothing
 
 
 EVENTS = {
@@ -241,7 +242,7 @@
         self.replies: list[bytes] = []
 
     def event(self, name: str, fields: dict[str, Any], now: float) -> None:
-        number = codec.integer(name, fields, "router")
+        number = checks.integer(name, fields, "router")
         if name == "Kill":
             self.instances.pop(number, None)
             return
@@ -270,7 +271,7 @@
         try:
             name, fields = codec.parse(raw)
             if name == "Batch":
-                now = codec.seconds(name, fields, "timeMs")
+                now = checks.seconds(name, fields, "timeMs")
             elif name == "Go":
                 sink.write(b"".join(host.replies) + b'{"Finished":{}}\n')
                 sink.flush()
