Visits' bodies in the pool, connections hung up at the end, standing on sockets

Bodies of writes were held outside the pool, so its bound did not hold for them: up to 64 open on each of 341 connections. At the end idle connections are closed by us and no longer logged as lost.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -79,6 +79,12 @@
         resp.Stream(pool()[0]).feed(data)
 
 
+def test_body_of_a_visit_is_given_whole_again_for_each_forward():
+    made, _ = pool()
+    body = Body(made, b"ab" * SIZE)
+    assert b"".join(body.views()) == b"".join(body.views()) == b"ab" * SIZE and made.out == 2
+
+
 def test_half_read_answer_of_a_lost_connection_gives_its_buffers_back():
     made, _ = pool()
     stream = resp.Stream(made)
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -48,7 +48,8 @@
         if join or held_only or renew:
             words = (("coalesce", join), ("shallow", held_only), ("freshen", renew))
             fields += ",flags=" + "+".join(word for word, on in words if on)
-        payload = resp.pack(b"REQ", door.rid, fields.encode(), door.body)
+        body = b"".join(door.body.views()) if door.body is not None else b""
+        payload = resp.pack(b"REQ", door.rid, fields.encode(), body)
         return self.put(Sent(door, forward, cache, self.deadlines.now()), door.rid, payload, patience)
 
     def probe(self, cache: Any) -> None:
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -45,7 +45,7 @@
         self.zones = settings.names(conf_settings, "zones")
         self.kinds = settings.names(conf_settings, "shapes")
         self.router, tariffs = settings.build(conf_settings, config.seed(conf), self)
-        self.visits = Visits(self.forwards, self.deadlines, tariffs, self.log.event, self.fault)
+        self.visits = Visits(self.forwards, self.deadlines, self.pool, tariffs, self.log.event, self.fault)
         self.forwards.router = self.visits.router = self.router
         self.clients = Clients(self.visits, self.deadlines, self.log.event)
         last, events = config.known(conf)
@@ -163,6 +163,8 @@
             return
         self.log.event("stop", open=self.visits.open(), taken=self.visits.taken)
         self.journal.close()
+        for machine in self.caches.machines.values():
+            machine.hang_up()
         # One turn more, so that what is written last leaves the transports.
         self.deadlines.after(0.02, self.reactor.stop)
 
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from wickhinge.interface import Effect
+from wickhinge.net.buffers import Body, Pool
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.forwards import Forwards
 from wickhinge.net.slots import Slots
@@ -31,7 +32,7 @@
         self.visits, self.client, self.call, self.tariff, self.since = visits, client, call, tariff, since
         self.rid = rid.encode()
         self.passed = ""  # what goes on unchanged
-        self.body, self.final, self.answer, self.number, self.until = b"", False, "", 0, 0.0
+        self.body, self.final, self.answer, self.number, self.until = None, False, "", 0, 0.0
         self.visit: Any = None
         self.out: dict[Any, int] = {}
         self.steps: list[Any] | None = None if visits.taken % TRACED else []
@@ -101,9 +102,9 @@
 
 
 class Visits:
-    def __init__(self, forwards: Forwards, deadlines: Deadlines, tariffs: dict[str, Any],
+    def __init__(self, forwards: Forwards, deadlines: Deadlines, pool: Pool, tariffs: dict[str, Any],
                  log: Callable[..., None], fault: Callable[[str], None]) -> None:
-        self.forwards, self.deadlines, self.tariffs = forwards, deadlines, tariffs
+        self.forwards, self.deadlines, self.pool, self.tariffs = forwards, deadlines, pool, tariffs
         self.log, self.fault = log, fault
         self.slots = Slots()
         self.router: Any = None
@@ -125,7 +126,7 @@
         if len(body) > BODY:
             raise Bad(f"the body holds over {BODY} bytes")
         door = Door(self, client, call, rid, tariff, now)
-        door.body = body
+        door.body = Body(self.pool, body) if body else None
         door.passed = f"queue={method}"
         if "obj" in fields:
             door.passed += f",path={fields['obj']}"
@@ -174,6 +175,8 @@
         return sum(not door.final for door in self.slots)
 
     def ended(self, door: Door) -> None:
+        if door.body is not None:
+            door.body.release()
         visit, door.visit = door.visit, None
         if visit is not None:
             visit.forwards.clear()  # they name the visit: a circle that only the collector would find
