--- a/wickhinge/__main__.py
+++ b/wickhinge/__main__.py
@@ -15,6 +15,8 @@
 
 
 def main() -> int:
+    # A reload may be asked for before there is anything to reload; unhandled, it would end the program.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     reactor = Reactor()
     installReactor(reactor)
     try:
@@ -29,6 +31,7 @@
     # The handler runs between two turns of the reactor, never inside a call.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(node.leave))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
     reactor.run(installSignalHandlers=False)
     return 0
 
--- a/wickhinge/net/config.py
+++ b/wickhinge/net/config.py
@@ -66,8 +66,8 @@
         raise Malformed(f"{CONF}: field limits is not an object")
     memory = checks.integer("config.limits", entry, "memory_mb", 192)
     sockets = checks.integer("config.limits", entry, "sockets", 1024)
-    if memory < 96:
-        raise Malformed("config.limits: field memory_mb is under 96")
+    if memory < 32:
+        raise Malformed("config.limits: field memory_mb is under 32")
     if sockets < 64:
         raise Malformed("config.limits: field sockets is under 64")
     return memory, sockets
--- a/wickhinge/net/journal.py
+++ b/wickhinge/net/journal.py
@@ -19,8 +19,8 @@
 NUMBER = Struct(">Q")
 LONGEST = 9 + RECORD.size * 8192
 NOTHING, WHOLE, CHANGES, PURGED_OBJECT, PURGED_GROUP = range(5)
-QUIET = 2.5  # seconds without a frame, one of which comes each second: the connection is dead
-AGAIN = 0.25  # seconds before the next try
+QUIET = 1.6  # seconds without a frame, one of which comes each second: the connection is dead
+AGAIN = 0.15  # seconds before the next try
 
 
 class Unreadable(Exception):
@@ -85,31 +85,49 @@
         self.deadlines, self.last = deadlines, last
         self.connect_within = connect_within
         self.told_list, self.told_purge, self.log = told_list, told_purge, log
-        self.endpoint = TCP4ClientEndpoint(reactor, *address, timeout=None)
+        self.reactor, self.address = reactor, address
         self.reading: Reading | None = None
+        self.round = 0  # of tries to connect: one that belongs to an earlier round is over
         self.heard = 0.0
         self.closed = False
 
-    def start(self) -> None:
-        if self.closed:
+    def move(self, address: tuple[str, int]) -> None:
+        """The service is elsewhere now, and the old place tells nothing more: on from the last number had."""
+        if address == self.address or self.closed:
             return
+        self.address = address
+        reading, self.reading = self.reading, None
+        if reading is not None:
+            reading.transport.abortConnection()
+        self.start()
+
+    def start(self, after: int | None = None) -> None:
+        if self.closed or after not in (None, self.round):
+            return
+        self.round += 1
         factory = Factory()
         factory.noisy = False
         factory.protocol = lambda: Reading(self)
-        attempt = self.endpoint.connect(factory)
-        attempt.addCallbacks(self.connected, lambda failure: self.again(failure.getErrorMessage()))
-        attempt.addErrback(lambda failure: self.again(failure.getErrorMessage()))
+        attempt = TCP4ClientEndpoint(self.reactor, *self.address, timeout=None).connect(factory)
+        told = self.round
+        attempt.addCallbacks(lambda reading: self.connected(reading, told),
+                             lambda failure: self.again(failure.getErrorMessage(), told))
+        attempt.addErrback(lambda failure: self.again(failure.getErrorMessage(), told))
         # Cancelling what has fired already does nothing.
         self.deadlines.after(self.connect_within, attempt.cancel)
 
-    def connected(self, reading: Reading) -> None:
+    def connected(self, reading: Reading, told: int) -> None:
+        if told != self.round or self.closed:  # moved meanwhile
+            reading.transport.abortConnection()
+            return
         self.reading, self.heard = reading, self.deadlines.now()
         self.log("journal_up", last=self.last)
         self.deadlines.after(QUIET, self.check, reading)
 
-    def again(self, why: str) -> None:
-        self.log("journal_lost", why=why, last=self.last)
-        self.deadlines.after(AGAIN, self.start)
+    def again(self, why: str, told: int) -> None:
+        if told == self.round and not self.closed:
+            self.log("journal_lost", why=why, last=self.last)
+            self.deadlines.after(AGAIN, self.start, told)
 
     def check(self, reading: Reading) -> None:
         if self.reading is not reading:
@@ -123,18 +141,17 @@
     def drop(self, reading: Reading, why: str) -> None:
         self.reading = None
         reading.transport.abortConnection()
-        self.again(why)
+        self.again(why, self.round)
 
     def lost(self, reading: Reading, why: str) -> None:
         if self.reading is reading:
             self.reading = None
-            if not self.closed:
-                self.again(why)
+            self.again(why, self.round)
 
     def read(self, reading: Reading, data: bytes) -> None:
+        if self.reading is not reading:
+            return  # a place that the service has left
         self.heard = self.deadlines.now()
-        if self.reading not in (None, reading):
-            return
         try:
             for number, kind, payload in reading.stream.feed(data):
                 self.frame(number, kind, payload)
@@ -142,8 +159,9 @@
             self.drop(reading, str(problem))
 
     def frame(self, number: int, kind: int, payload: bytes) -> None:
-        """No gap or bad frame is guessed over: the connection goes, and the rest is asked for again."""
-        if kind == NOTHING:
+        """No gap or bad frame is guessed over: the connection goes, and the rest is asked for again. An event
+        had already is no gap; the service may write one twice."""
+        if kind == NOTHING or number <= self.last:
             return
         if number != self.last + 1:
             raise Unreadable(f"event {number} after {self.last}")
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import gc
+import os
 import resource
 import traceback
 from collections.abc import Callable
 from typing import Any
 
 from wickhinge import settings
+from wickhinge.fields import Malformed
 from wickhinge.interface import Listing
 from wickhinge.net import config
 from wickhinge.net.accept import Clients
@@ -22,9 +24,10 @@
 
 STATES = ("ready", "draining", "gone")
 PROBE_WITHIN = 0.25  # where the settings name no time limit of probes
-BASE = 130  # MB for the program itself, transports and half-read requests; the rest is the pool's
+BASE = 32  # MB for the program itself; of the rest, half is the pool's and half for what is read and written
 LINGER = 0.75  # seconds after SIGTERM in which clients still come
-LAST = 3.4  # and after which whatever is open is given up on, before SIGKILL
+LAST = 0.45  # after the longest patience, whatever is open is given up on: SIGKILL comes 0.25 s later
+LONGEST = 3.0  # and counts no longer patience than this
 REPORT = 5.0
 
 
@@ -37,7 +40,7 @@
         memory, sockets = config.limits(conf)
         self.collect_over = memory * 700  # in KB: 0.7 of the limit
         connect_within, idle, streams = config.times(conf)
-        self.pool = Pool(max((memory - BASE) * 1_000_000 // SIZE, 64), self.pause, self.resume)
+        self.pool = Pool(max((memory - BASE) * 500_000 // SIZE, 256), self.pause, self.resume)
         self.caches = Caches(reactor, self.deadlines, self.pool, connect_within, idle, streams, sockets // 2,
                              self.log.event, self.fault)
         self.forwards = Forwards(self.caches, self.deadlines, PROBE_WITHIN, self.fault)
@@ -45,6 +48,7 @@
         self.zones = settings.names(conf_settings, "zones")
         self.kinds = settings.names(conf_settings, "shapes")
         self.router, tariffs = settings.build(conf_settings, config.seed(conf), self)
+        self.last = min(max(tariff.patience for tariff in tariffs.values()), LONGEST) + LAST
         self.visits = Visits(self.forwards, self.deadlines, self.pool, tariffs, self.log.event, self.fault)
         self.forwards.router = self.visits.router = self.router
         self.clients = Clients(self.visits, self.deadlines, self.log.event)
@@ -145,6 +149,18 @@
         self.deadlines.late = 0.0
         self.deadlines.after(REPORT, self.report)
 
+    def reload(self) -> None:
+        """On SIGHUP. Only the journal's address may change while running; a faulty file changes nothing."""
+        if self.leaving:
+            return
+        try:
+            address = config.journal(config.read(os.environ))
+        except Malformed as problem:
+            self.log.event("reload_failed", why=str(problem))
+            return
+        self.log.event("reload", journal=f"{address[0]}:{address[1]}")
+        self.journal.move(address)
+
     def leave(self) -> None:
         """On SIGTERM: ping says no, whoever still comes is served, then the program ends by itself."""
         if self.leaving:
@@ -152,7 +168,7 @@
         self.leaving = self.clients.leaving = True
         self.log.event("leaving", open=self.visits.open())
         now = self.deadlines.now()
-        self.deadlines.at(now + LINGER, self.settle, now + LAST)
+        self.deadlines.at(now + LINGER, self.settle, now + self.last)
 
     def settle(self, last: float) -> None:
         now = self.deadlines.now()
