Silent, half and idle clients have a way out, room is kept for caches, repeated ids refused

Line.stop doubted a connection whose request its client took back within milliseconds, since 'heard' is older than any request sent on an idle line: 485 half-made connections to one cache thrown away.

Now: three tables in order of time (asked nothing, half a request, nothing open); 2.2 s, 2.2 s and 5 s, sooner past the bound, silent ones first. More than 32 open is refused before anything is sent; an id used before, a group over 255, a patience over twice the tariff's own are bad requests; after one, that connection alone is read later, up to 1 s. Faults are counted, one line a kind and report. A line is doubted only after 0.3 s of silence.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -68,7 +68,8 @@
     def __init__(self, folder):
         base = free(6)
         conf = json.loads((ROOT / "example/config.json").read_text())
-        conf |= {"listen": f"127.0.0.1:{base + 5}", "journal": f"127.0.0.1:{base}"}
+        conf |= {"listen": f"127.0.0.1:{base + 5}", "journal": f"127.0.0.1:{base}",
+                 "limits": {"memory_mb": 64, "sockets": 128}}
         self.address = ("127.0.0.1", base + 5)
         self.path = folder / "config.json"
         self.path.write_text(json.dumps(conf))
@@ -189,9 +190,35 @@
     assert good.answer(good.ask())[2] is None
 
 
+HALF = msgpack.pack([0, 1, "pages", [{"rid": "00000000000000aa"}]])[:-5]
+
+
+@pytest.mark.parametrize("data, asks", [(b"", False), (HALF, False), (HALF, True), (b"", True)])
+def test_who_says_nothing_half_a_thing_or_nothing_more_is_hung_up_on_in_time(deployment, data, asks):
+    client = deployment.client()
+    start = time.monotonic()
+    if asks:
+        assert client.answer(client.ask())[2] is None
+    client.socket.sendall(data)
+    with pytest.raises((AssertionError, ConnectionError)):
+        client.answer(99)
+    assert time.monotonic() - start < (9.0 if asks and not data else 5.0)
+
+
+def test_silent_connections_by_the_hundred_leave_room_for_those_who_ask(deployment):
+    with ExitStack() as stack:
+        silent = [stack.enter_context(socket.create_connection(deployment.address, PATIENT)) for _ in range(150)]
+        silent[0].settimeout(1.0)  # sooner than for its silence alone
+        with pytest.raises((AssertionError, ConnectionResetError)):
+            assert silent[0].recv(1)
+        client = deployment.client()
+        assert client.answer(client.ask())[2] is None
+
+
 @pytest.mark.parametrize("tariff, change, told", [
     ("nothing", {}, "method"), ("pages", {"drop": ("budget",)}, "budget"), ("pages", {"block": "x"}, "block"),
-    ("pages", {"rid": "zz"}, "rid"), ("pages", {"obj": "1"}, "obj"),
+    ("pages", {"rid": "zz"}, "rid"), ("pages", {"family": "256"}, "family"),
+    ("pages", {"budget": "599999"}, "budget"), ("pages", {"obj": "1"}, "obj"),
     ("pages", {"body": b"x" * 48_001}, "body")])
 def test_a_bad_request_gets_an_error_that_names_the_field(deployment, tariff, change, told):
     client = deployment.client()
@@ -200,6 +227,17 @@
     assert client.answer(client.ask())[2] is None
 
 
+def test_an_id_used_before_and_hundreds_at_once_are_turned_away(deployment):
+    client, flood = deployment.client(), deployment.client()
+    assert client.answer(client.ask(rid="00000000000000ab"))[2] is None
+    assert "rid" in client.answer(client.ask(rid="00000000000000ab", block="1"))[2][1]["why"]
+    told = {"budget": "900", "obj": "0" * 16}
+    flood.socket.sendall(b"".join(
+        msgpack.pack([0, call, "pages", [told | {"rid": f"{call:016x}"}]]) for call in range(33)))
+    with pytest.raises((AssertionError, ConnectionError)):
+        flood.answer(99)
+
+
 def test_sigterm_answers_all_that_was_taken_and_ends(deployment):
     client, other = deployment.client(), deployment.client()
     calls = [client.ask(block=str(part)) for part in range(20)]
--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -14,8 +14,13 @@
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.visits import Bad, Visits
 
-OPEN = 64  # requests open on a connection, twice what clients are told: past it nothing more is read
+OPEN = 32  # requests open on a connection, as clients are told
 STUCK = 5.0  # seconds without a byte taken by a client that has answers to read
+FIRST = 2.2  # seconds from connecting to a first request, and from the first byte of any to its last
+IDLE = 5.0  # seconds with nothing open: clients themselves close after 4
+SWEEP = 0.25
+FAULTS = 32  # kinds of faults told apart between two reports
+HOLD, HELD = 0.05, 1.0  # seconds in which nothing is read after a bad request, doubled for each, and the most
 
 
 class Client(Protocol):
@@ -25,23 +30,34 @@
         self.open: dict[int, Any] = {}
         self.out: deque[bytes | Body] = deque()
         self.full = self.held = self.ended = False
-        self.moved = 0.0
+        self.moved = self.since = self.until = 0.0
+        self.bad = 0
         self.socket: Any = None
 
     def connectionMade(self) -> None:
-        self.clients.all.add(self)
+        self.clients.came(self)
         self.transport.setTcpNoDelay(True)
         self.socket = self.transport.getHandle()
         self.throttle()
 
     def dataReceived(self, data: bytes) -> None:
         try:
-            for message in self.stream.feed(data):
+            messages = self.stream.feed(data)
+            if len(messages) > 1:
+                self.count(messages)
+            for message in messages:
                 self.message(message)
         except msgpack.Unreadable as problem:
             self.fail(str(problem))
+        self.clients.read(self, bool(messages) if not self.ended else True)
         self.throttle()
 
+    def count(self, messages: list[Any]) -> None:
+        """Hundreds at once are refused whole, before the first of them costs a cache anything."""
+        kinds = [message[0] for message in messages if type(message) is list and message]
+        if len(self.open) + kinds.count(0) - kinds.count(2) > OPEN:
+            raise msgpack.Unreadable(f"more than {OPEN} requests open")
+
     def message(self, message: Any) -> None:
         if self.ended:
             return
@@ -51,8 +67,8 @@
             raise msgpack.Unreadable("a message that is no request and no abort")
         call, first = message[1], params[0]
         if kind == 0 and len(message) == 4 and type(call) is int and type(first) is dict:
-            if call in self.open or type(message[2]) is not str:
-                raise msgpack.Unreadable("a request with an id in use, or with no method")
+            if call in self.open or type(message[2]) is not str or len(self.open) >= OPEN:
+                raise msgpack.Unreadable("a request with an id in use, one too many, or with no method")
             self.request(call, message[2], first, params)
         elif kind == 2 and call == "abort" and type(first) is int:
             door = self.open.pop(first, None)
@@ -76,8 +92,13 @@
             door = self.clients.visits.take(self, call, method, fields, body)
         except Bad as problem:
             self.open.pop(call, None)
-            self.clients.log("bad_request", method=method[:40], why=str(problem))
+            self.clients.bad(f"{problem}")
             self.error(call, "BadRequest", {"why": str(problem)})
+            # Against one that asks the same again as soon as it is answered: it waits, nobody else does.
+            self.bad += 1
+            hold = min(HOLD * 2 ** min(self.bad, 9), HELD)
+            self.until = self.clients.deadlines.now() + hold
+            self.clients.deadlines.after(hold + 0.001, self.throttle)
             return
         if call in self.open:
             self.open[call] = door
@@ -91,10 +112,12 @@
         if size:
             self.out.append(body)
         self.write(msgpack.pack(fields))
+        self.clients.settle(self)
 
     def error(self, call: int, word: str, fields: dict[str, str]) -> None:
         self.open.pop(call, None)
         self.write(msgpack.pack([1, call, [word, fields], None]))
+        self.clients.settle(self)
 
     def write(self, data: bytes) -> None:
         self.out.append(data)
@@ -136,6 +159,7 @@
         if not self.out:
             self.full = False
             self.transport.unregisterProducer()
+            self.clients.settle(self)
             return
         item = self.out[0]
         piece = item if isinstance(item, bytes) else bytes(item.views()[0])
@@ -160,7 +184,7 @@
     def throttle(self) -> None:
         """Its answers are bounded by what it may have open, so one that reads slowly is still read: held back
         for that, its requests would run out unseen."""
-        hold = len(self.open) >= OPEN or self.clients.paused
+        hold = self.clients.paused or self.until > self.clients.deadlines.now()
         if hold != self.held and not self.ended:
             self.held = hold
             transport = self.transport
@@ -168,8 +192,13 @@
 
     # Ends.
 
+    def close(self) -> None:
+        """Nothing is open here; a request on its way crosses the close and is sent again."""
+        self.leave()
+        self.transport.loseConnection()
+
     def fail(self, why: str) -> None:
-        self.clients.log("client_fault", why=why, open=len(self.open))
+        self.clients.bad(why)
         transport = self.transport
         self.leave()
         transport.abortConnection()
@@ -183,7 +212,7 @@
         if self.ended:
             return
         self.ended = True
-        self.clients.all.discard(self)
+        self.clients.forget(self)
         doors, self.open = self.open, {}
         for door in doors.values():
             if door is not None:
@@ -195,12 +224,85 @@
 
 
 class Clients(Factory):
+    """All connections of clients. Three tables in order of time say which must go: those that have asked
+    nothing, those with half a request, and those with nothing open."""
+
     noisy = False
 
-    def __init__(self, visits: Visits, deadlines: Deadlines, log: Callable[..., None]) -> None:
-        self.visits, self.deadlines, self.log = visits, deadlines, log
+    def __init__(self, visits: Visits, deadlines: Deadlines, most: int, log: Callable[..., None]) -> None:
+        self.visits, self.deadlines, self.most, self.log = visits, deadlines, most, log
         self.all: set[Client] = set()
+        self.silent: dict[Client, float] = {}
+        self.half: dict[Client, float] = {}
+        self.idle: dict[Client, float] = {}
         self.leaving = self.paused = False
+        self.faults: dict[str, int] = {}
+        self.closed, self.swept = 0, 0.0
+
+    def came(self, client: Client) -> None:
+        """Past the bound another goes for it: silent ones first, then who has waited longest for nothing."""
+        if len(self.all) >= self.most:
+            for table in (self.silent, self.half, self.idle):
+                if table:
+                    self.turn_away(next(iter(table)))
+                    break
+        self.all.add(client)
+        if len(self.all) > self.most:
+            client.fail("no room")
+        else:
+            self.silent[client] = self.deadlines.now()
+
+    def read(self, client: Client, whole: bool) -> None:
+        """Something has come from it, and at least one whole message where so said."""
+        if client.ended:
+            return
+        if whole:
+            self.silent.pop(client, None)
+            self.half.pop(client, None)
+            self.idle.pop(client, None)
+        if client.stream.rest:
+            self.half.setdefault(client, self.deadlines.now())
+        self.settle(client)
+
+    def settle(self, client: Client) -> None:
+        if client.open or client.out or client.ended or client in self.silent:
+            self.idle.pop(client, None)
+        elif client not in self.idle:
+            self.idle[client] = self.deadlines.now()
+
+    def sweep(self) -> None:
+        now = self.deadlines.now()
+        # Where this router itself stood still or stopped reading, what was sent to it lies unread.
+        lists = ((self.silent, FIRST), (self.half, FIRST), (self.idle, IDLE))
+        for table, most in () if self.paused or now - self.swept > 2 * SWEEP else lists:
+            while table:
+                client, since = next(iter(table.items()))
+                if now - since < most:
+                    break
+                self.turn_away(client)
+        self.swept = now
+        self.deadlines.after(SWEEP, self.sweep)
+
+    def turn_away(self, client: Client) -> None:
+        self.closed += 1
+        if client in self.idle:
+            client.close()
+        else:
+            client.fail("half a request" if client in self.half else "no request")
+
+    def forget(self, client: Client) -> None:
+        self.all.discard(client)
+        for table in (self.silent, self.half, self.idle):
+            table.pop(client, None)
+
+    def bad(self, why: str) -> None:
+        """The first of a kind is told at once, the others are counted: a flood may not cost a line each."""
+        if why not in self.faults:
+            if len(self.faults) < FAULTS:
+                self.log("client_fault", why=why)
+            else:
+                why = "others"
+        self.faults[why] = self.faults.get(why, 0) + 1
 
     def buildProtocol(self, addr: Any) -> Client:
         return Client(self)
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -18,6 +18,7 @@
 LINES = 4  # connections to one machine
 SHARED = 4  # requests on each before another is opened
 EARLY = 0.8  # of the caches' idle time: a request sent into their close would count as lost
+DOUBT = 0.3  # seconds of silence after a request; given up sooner by its client, it tells nothing
 LEFT = 256  # ids given up on a connection that are remembered
 
 
@@ -109,7 +110,7 @@
         """Give a request up. One that never left is only taken out of the queue."""
         if self.open.pop(tag, None) is None:
             return
-        if self.heard < since:
+        if self.heard < since < self.caches.deadlines.now() - DOUBT:
             self.doubted = True  # silent, maybe vanished: nothing new may pile up here
         if tag in self.unwritten and tag != self.flying:
             self.queue = deque(item for item in self.queue if item[0] != tag)
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -29,6 +29,7 @@
 LAST = 0.45  # after the longest patience, whatever is open is given up on: SIGKILL comes 0.25 s later
 LONGEST = 3.0  # and counts no longer patience than this
 REPORT = 5.0
+SPARE = 24  # descriptors for the journal, the log, the listening socket and connections being closed
 
 
 class Node:
@@ -41,7 +42,7 @@
         self.collect_over = memory * 700  # in KB: 0.7 of the limit
         connect_within, idle, streams = config.times(conf)
         self.pool = Pool(max((memory - BASE) * 500_000 // SIZE, 256), self.pause, self.resume)
-        self.caches = Caches(reactor, self.deadlines, self.pool, connect_within, idle, streams, sockets // 2,
+        self.caches = Caches(reactor, self.deadlines, self.pool, connect_within, idle, streams, sockets // 3,
                              self.log.event, self.fault)
         self.forwards = Forwards(self.caches, self.deadlines, PROBE_WITHIN, self.fault)
         conf_settings = config.settings(conf)
@@ -51,7 +52,7 @@
         self.last = min(max(tariff.patience for tariff in tariffs.values()), LONGEST) + LAST
         self.visits = Visits(self.forwards, self.deadlines, self.pool, tariffs, self.log.event, self.fault)
         self.forwards.router = self.visits.router = self.router
-        self.clients = Clients(self.visits, self.deadlines, self.log.event)
+        self.clients = Clients(self.visits, self.deadlines, sockets - sockets // 3 - SPARE, self.log.event)
         last, events = config.known(conf)
         self.journal = Journal(reactor, self.deadlines, config.journal(conf), last, connect_within,
                                self.told_records, self.told_purge, self.log.event)
@@ -65,6 +66,7 @@
         self.port = self.reactor.listenTCP(port, self.clients, backlog=1024, interface=host)
         self.reactor.addSystemEventTrigger("before", "shutdown", self.log.flush)
         self.journal.start()
+        self.clients.sweep()
         # A full walk takes 70 ms, in which visits run out. Visits leave no circles, so none is needed.
         gc.disable()
         self.deadlines.after(REPORT, self.report)
@@ -145,7 +147,11 @@
             answers=self.visits.answers, user=round(usage.ru_utime, 3), system=round(usage.ru_stime, 3),
             lines=sum(len(machine.lines) for machine in self.caches.machines.values()),
             buffers=self.pool.peak, late_ms=round(self.deadlines.late * 1000, 1),
-            late_answers=self.caches.lates, peak_kb=usage.ru_maxrss)
+            late_answers=self.caches.lates, peak_kb=usage.ru_maxrss, closed=self.clients.closed,
+            faults=self.clients.faults, known=len(self.router.fleet.known),
+            machines=len(self.caches.machines), objects=len(self.router.shelf.items),
+            deadlines=len(self.deadlines.heap))
+        self.clients.faults = {}
         self.deadlines.late = 0.0
         self.deadlines.after(REPORT, self.report)
 
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -13,8 +13,10 @@
 from wickhinge.net.slots import Slots
 
 HEX = re.compile(r"[0-9a-f]{16}\Z").match
-LEAST, MOST = 1, 600_000  # milliseconds of patience
+LEAST, MOST = 1, 2000  # milliseconds of patience, the most for each second of the tariff's own
 BODY = 48_000
+RIDS = 4096
+GROUPS = 255
 TRACED = 32  # one visit of so many leaves its steps in the log
 SLACK = 0.001  # a forward that may run as long as its visit has no deadline of its own
 LATEST = 0.01  # past a visit's patience: by then the module has answered, or it never will
@@ -108,6 +110,7 @@
         self.log, self.fault = log, fault
         self.slots = Slots()
         self.router: Any = None
+        self.rids: dict[str, None] = {}  # the latest: an id is new with every visit, also with a repeat
         self.taken = 0
         self.answers: dict[str, int] = {}
 
@@ -119,19 +122,24 @@
         rid = digits(fields, "rid")
         # It may have waited for its turn as long as deadlines lately did.
         waited = self.deadlines.behind
-        patience = whole(fields, "budget", LEAST, MOST) / 1000.0 - waited
+        patience = whole(fields, "budget", LEAST, int(MOST * tariff.patience)) / 1000.0 - waited
         part = whole(fields, "block", 0, 1 << 31, 0)
-        group = whole(fields, "family", 0, 65535, 0)
+        group = whole(fields, "family", 0, GROUPS, 0)
         key = 0 if tariff.passes_on and "obj" not in fields else int(digits(fields, "obj"), 16)
         if len(body) > BODY:
             raise Bad(f"the body holds over {BODY} bytes")
+        if rid in self.rids:
+            raise Bad("field rid was used before")
         door = Door(self, client, call, rid, tariff, now)
         door.body = Body(self.pool, body) if body else None
         door.passed = f"queue={method}"
         if "obj" in fields:
             door.passed += f",path={fields['obj']}"
         if "block" in fields:
-            door.passed += f",blk={part}"
+            door.passed += f",blk={fields['block']}"
+        self.rids[rid] = None
+        if len(self.rids) > RIDS:
+            del self.rids[next(iter(self.rids))]
         door.number = self.slots.put(door)
         self.taken += 1
         door.until = now + patience - SLACK
