--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -207,7 +207,8 @@
 
 def test_silent_connections_by_the_hundred_leave_room_for_those_who_ask(deployment):
     with ExitStack() as stack:
-        silent = [stack.enter_context(socket.create_connection(deployment.address, PATIENT)) for _ in range(150)]
+        many = [socket.create_connection(deployment.address, PATIENT) for _ in range(150)]
+        silent = [stack.enter_context(one) for one in many]
         silent[0].settimeout(1.0)  # sooner than for its silence alone
         with pytest.raises((AssertionError, ConnectionResetError)):
             assert silent[0].recv(1)
