A broken connection is no machine gone, and nothing is sent on after its final answer

The log shows caches that answered a millisecond before and after each reset left out. At fault: GONE in decide.py held Outcome.BROKEN, and ends.py mapped a connection lost unwritten, reset while new, or for want of our own descriptors to UNREACHED: each reset made a cache lost, rested and cold, so its parts went to parents and the origin, which toppled. Line.put gave what it could not write to Twisted's transport, which sends a turn later and cannot be asked to forget; in the 80 ms pauses of a fifth of a core a visit's last answer overtakes it. A half-written request given up lost its remainder from the queue and left the stream out of step.

Now: UNSENT (never ran, tells nothing of the machine) beside UNREACHED; a broken connection counts a quarter of a failure; the same cache is asked again, the parent is not blamed; requests go straight to the socket, the transport only tells when there is room; a half-written one given up ends its line. An idle line is looked at for a close before it is written to. An answer that stops short ends its line after 0.4 s, a word that does not fit what was asked at once. Six lines a machine, two requests before another is opened, as each spoilt answer takes its neighbours. Visit.ended finishes before it serves those who wait. Caches gone, their machines and objects long unasked are freed.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -17,8 +17,8 @@
 from wickhinge.interface import Caller, Effect, Listing, Note, Outcome, Outside, Tariff
 
 MASK = 2**64 - 1
-NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT, Outcome.MISS)  # all others may have run
-GONE = (Outcome.UNREACHED, Outcome.BROKEN)  # the process, not only this forward
+NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT, Outcome.MOOT, Outcome.MISS)  # others may have
+PASSING = (Outcome.ERROR, Outcome.BROKEN, Outcome.UNSENT)  # the same cache may well answer the next time
 MARGIN = 2.0  # predicted times are stretched by this, for what will come while the visit is under way
 LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
 EMPTY = 15.0  # a cache that started less than this ago has nothing to push out
@@ -46,6 +46,8 @@
 
 
 class Item:
+    __slots__ = ("key", "k", "heat", "last", "work")
+
     def __init__(self, key: int, now: float) -> None:
         self.key, self.k, self.heat, self.last, self.work = key, 0, 0.0, now, 0.0  # work: 0 before the first
 
@@ -61,8 +63,9 @@
     def visit(self, key: int, part: int, now: float) -> Item:
         """k rises by p at the p-th request, gLRU(1), times the routers for which a visit seen here stands."""
         item = self.items[key] = self.items.pop(key, None) or Item(key, now)
-        if len(self.items) > self.size:
-            del self.items[next(iter(self.items))]
+        first = next(iter(self.items.values()))
+        if len(self.items) > self.size or now - first.last > 4 * self.idle:  # k is a sixteenth by then
+            del self.items[first.key]
         rests = min((now - item.last) / self.idle, 60.0)
         item.k *= 0.5 ** int(rests)
         item.heat *= 0.5 ** rests
@@ -141,8 +144,7 @@
     def begin(self, now: float) -> None:  # nothing learned of the last process holds
         self.owe(now)
         self.sent = 0.0  # work, since last weighed
-        self.pending: set[Forward] = set()
-        self.filling: set[Forward] = set()  # fills it is the source of
+        self.pending, self.filling = set(), set()  # forwards to it, and fills it is the source of
         self.heard, self.strikes, self.lost, self.shunned, self.asked = now, 0, False, 0.0, 0.0
         self.fit = self.best = 12.0  # transfers from here that it bears at full pace: hopeful, then learned
         self.lags: dict[str, float] = {}  # as a source: what fills take beyond their own time, over that time
@@ -180,10 +182,11 @@
         return self.state == "ready" and now >= self.shunned and not (
             self.lost and (self.pending or self.filling))
 
-    def failed(self, now: float, unreached: bool = False) -> None:
-        """Two failures in a row are no chance: it rests, then gets what it could do if it started anew."""
-        self.strikes += 1
-        if unreached or self.strikes >= 2:
+    def failed(self, now: float, outcome: Outcome = Outcome.TIMED_OUT) -> None:
+        """Two failures in a row are no chance: it rests, then gets what it could do if it started anew. Of a
+        broken connection, with all that was out on it, only the next one tells if the process went."""
+        self.strikes += 0.25 if outcome is Outcome.BROKEN else 1.0
+        if outcome is Outcome.UNREACHED or self.strikes >= 2:
             self.lost, self.shunned = True, now + min(0.5 * self.strikes, 3.0)
             self.owe(now)
 
@@ -208,9 +211,8 @@
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
         """Heeded at once, as sources too: what drains or is gone leaves the lists that sends choose from."""
         named = {listing.cache for listing in listings}
-        for cache in self.known.values() if whole else ():
-            if cache.mark not in named:
-                cache.state = "gone"
+        for mark in set(self.known) - named if whole else ():
+            self.known[mark].state = "gone"
         for listing in listings:
             cache = self.known.get(listing.cache) or Cache(listing, self.chance, now)
             self.known[cache.mark] = cache
@@ -219,6 +221,8 @@
             if listing.started is not None and listing.started > cache.started:
                 cache.begin(now)
                 cache.started = listing.started
+        # Only what is out there still names it: an id never comes back, and no rule asks for it again.
+        self.known = {cache.mark: cache for cache in self.known.values() if cache.state != "gone"}
         live = [cache for cache in self.known.values() if cache.state == "ready"]
         edge = [cache for cache in live if cache.kind not in (self.parent_kind, self.origin_kind)]
         self.mine = [cache for cache in edge if cache.zone == self.zone]
@@ -302,8 +306,8 @@
         """Ask the cache on the part's hash, and the next where that one fails or would be late."""
         router, fleet = self.router, self.router.fleet
         # An error may pass, and elsewhere the part must be filled anew: the same cache is asked twice more.
-        failed = [f.cache for f in self.forwards if f.outcome not in (Outcome.MISS, Outcome.ERROR)]
-        failed += [f.cache for f in self.forwards if f.outcome is Outcome.ERROR][2:]
+        failed = [f.cache for f in self.forwards if f.outcome not in (Outcome.MISS, *PASSING)]
+        failed += [f.cache for f in self.forwards if f.outcome in PASSING][2:]
         wanted = next((cache for cache in fleet.order(fleet.mine, self.salt, now)
                        if cache not in failed and cache.usable(now) and self.fits(cache, now)
                        and (self.tariff.passes_on or not self.late(cache.crowd(), now))), None)
@@ -315,8 +319,7 @@
             source = hopeful = wanted
             if now - wanted.started < EMPTY:
                 self.at = wanted  # a look would miss, and cost as much of a cold cache's budget as the fill
-                self.fill(now)
-                return
+                return self.fill(now)
         else:  # no cache of the location will do: straight to a parent, past the caches' links
             wanted = router.source(self, now) if router.direct and not self.pending() else None
             hopeful = wanted and not self.late(router.link_crowd(), now + wanted.lag(self))
@@ -397,18 +400,18 @@
         filled, ours = source is not cache, cache in router.fleet.mine and not self.tariff.passes_on
         if outcome in (Outcome.HONOURED, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
             cache.answered(now)
-        elif outcome not in (Outcome.MOOT, Outcome.WITHDRAWN) and cache.heard < forward.sent:
-            cache.failed(now, outcome in GONE)
+        elif outcome not in (Outcome.MOOT, Outcome.WITHDRAWN, Outcome.UNSENT) and cache.heard < forward.sent:
+            cache.failed(now, outcome)
         if outcome is Outcome.HONOURED and ours and not filled:
             router.learn(self, took)
             if self.known:  # a guessed time tells the size of the object, not of the crowd
                 cache.bore(took / max(self.work, 0.005))
             # After a restart k is zero though the cache holds the object; the paper keeps what is held.
             self.item.k = max(self.item.k, self.part + 1)
+        if outcome is Outcome.HONOURED or closed:
+            self.finish(now)  # first: what follows sends for those who wait, and it may be one of them
         if filled:
             router.filled(forward, outcome, took, note, now)
-        if outcome is Outcome.HONOURED or closed:
-            self.finish(now)
         if self.done:
             return
         if outcome is Outcome.MISS and ours and not filled:
@@ -501,8 +504,8 @@
 
     def source(self, visit: Visit, now: float) -> Cache | None:
         """The parent on the object's hash, the next where one fails or is too cold, then the origin."""
-        failed = [f.source for f in visit.forwards
-                  if not f.pending and f.outcome not in (Outcome.MISS, Outcome.FULL)]
+        failed = [f.source for f in visit.forwards if not f.pending and f.outcome not in (
+            Outcome.MISS, Outcome.FULL, Outcome.BROKEN, Outcome.UNSENT)]
         for source in [*self.fleet.order(self.fleet.parents, visit.item.key, now), self.fleet.origin]:
             if source and source.usable(now) and source not in failed and self.fleet.room(source, now):
                 return source
@@ -520,7 +523,7 @@
         if outcome is Outcome.HONOURED:
             source.answered(now)
         elif note is Note.SOURCE_LOST:
-            source.failed(now, True)
+            source.failed(now, Outcome.UNREACHED)
         elif note is None and outcome in (Outcome.ERROR, Outcome.FULL) and now - source.asked > 1.0:
             source.asked = now  # refused or dead? Nothing tells, so it is asked itself
             self.outside.probe(source)
@@ -548,7 +551,7 @@
     def probed(self, cache: Cache, outcome: Outcome, load: dict[str, float], now: float) -> None:
         """One that answers is not therefore well: a hung one may answer probes and nothing else."""
         if outcome is not Outcome.HONOURED:
-            cache.failed(now, outcome in GONE)
+            cache.failed(now, outcome)
         elif cache.lost:
             cache.answered(now)
         elif cache in self.fleet.mine and "x1" in load:
--- a/wickhinge/interface.py
+++ b/wickhinge/interface.py
@@ -28,6 +28,7 @@
     FULL = "full"
     TIMED_OUT = "timed out"
     UNREACHED = "unreached"
+    UNSENT = "unsent"  # it never ran, and that tells nothing of the machine
     BROKEN = "broken"
     WITHDRAWN = "withdrawn"
     MOOT = "moot"
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from socket import MSG_PEEK
 from typing import Any
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -15,9 +16,10 @@
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.ends import End, unconnected
 
-LINES = 4  # connections to one machine
-SHARED = 4  # requests on each before another is opened
+LINES = 6  # connections to one machine
+SHARED = 2  # requests on each before another is opened: one spoilt answer takes all with it
 EARLY = 0.8  # of the caches' idle time: a request sent into their close would count as lost
+STALL = 0.4  # seconds in which more of an answer under way has to come
 DOUBT = 0.3  # seconds of silence after a request; given up sooner by its client, it tells nothing
 LEFT = 256  # ids given up on a connection that are remembered
 
@@ -31,9 +33,10 @@
         self.open: dict[bytes, int] = {}  # what is out here, by its id on the wire
         self.unwritten: set[bytes] = set()
         self.queue: deque[tuple[bytes, bytes]] = deque()
-        self.flying = b""  # the id whose bytes the transport holds
         self.left: dict[bytes, None] = {}  # given up here: a late answer may still come under such an id
         self.up = self.down = self.writing = self.doubted = self.closing = False
+        self.watched = False
+        self.begun = self.cut = self.held = False  # begun: of the queue's first, some has been written
         self.heard = self.used = machine.caches.deadlines.now()
         self.attempt: Any = None
         self.socket: Any = None
@@ -57,7 +60,7 @@
         if self.caches.paused:
             self.transport.pauseProducing()
         self.caches.deadlines.after(self.caches.idle, self.rest)
-        self.pump()
+        self.drain()
 
     def unconnected(self, failure: Failure) -> None:
         self.attempt = None
@@ -73,36 +76,42 @@
         self.put(tag, payload)
 
     def put(self, tag: bytes, payload: bytes) -> None:
-        """Straight into the socket where it takes it: by way of the reactor a write costs two turns more."""
+        if tag:
+            self.unwritten.add(tag)
+        self.queue.append((tag, payload))
         if self.up and not self.writing:
+            self.drain()
+
+    def drain(self) -> None:
+        """Straight into the socket: what the transport held would still go out after its visit's final
+        answer. The transport only tells when the socket takes more."""
+        while self.queue and not self.cut:
+            tag, payload = self.queue[0]
             try:
                 size = self.socket.send(payload)
-            except OSError:  # full for now, or broken: the transport will wait, or tell
+            except OSError:  # full for now, or broken: the transport will tell
                 size = 0
-            if size == len(payload):
+            if size < len(payload):
+                if size:
+                    self.queue[0], self.begun = (tag, payload[size:]), True
+                if not self.writing:
+                    self.writing = True
+                    self.transport.registerProducer(self, False)
                 return
-            payload = payload[size:]
-        if tag:
-            self.unwritten.add(tag)
-        self.queue.append((tag, payload))
-        self.pump()
-
-    def pump(self) -> None:
-        if self.up and not self.writing and self.queue:
-            self.writing = True
-            self.transport.registerProducer(self, False)
-
-    def resumeProducing(self) -> None:
-        """The transport has written all it held: what flew is out, and one more may follow."""
-        self.unwritten.discard(self.flying)
-        self.flying = b""
-        if self.queue:
-            self.flying, payload = self.queue.popleft()
-            self.transport.write(payload)
-        else:
+            self.queue.popleft()
+            self.begun = False
+            self.unwritten.discard(tag)
+        if self.writing:
             self.writing = False
             self.transport.unregisterProducer()
 
+    def resumeProducing(self) -> None:
+        if self.held:  # the socket has room; the first call comes with the registration, before that is known
+            self.drain()
+        self.held = self.writing
+        if self.writing:
+            self.transport.startWriting()
+
     def stopProducing(self) -> None:
         pass  # the connection is lost, which connectionLost tells
 
@@ -112,8 +121,12 @@
             return
         if self.heard < since < self.caches.deadlines.now() - DOUBT:
             self.doubted = True  # silent, maybe vanished: nothing new may pile up here
-        if tag in self.unwritten and tag != self.flying:
-            self.queue = deque(item for item in self.queue if item[0] != tag)
+        if tag in self.unwritten:
+            if self.begun and self.queue[0][0] == tag:  # the rest may not follow, and nothing else can
+                self.cut = self.doubted = True
+                self.caches.deadlines.soon(self.over, End.CUT, "a request given up half written")
+            else:
+                self.queue = deque(item for item in self.queue if item[0] != tag)
             self.unwritten.discard(tag)
         elif not self.down:
             self.left[tag] = None
@@ -141,17 +154,44 @@
             self.unwritten.discard(items[0])
             word = items[1] if len(items) > 1 else b""
             told = items[2] if len(items) > 2 else b"-"
-            self.caches.answered(number, word, told, body)
+            if not self.caches.answered(number, word, told, body):
+                self.over(End.UNREADABLE, f"an answer {word!r:.20} with {told!r:.60}")
+        if self.stream.busy() and not self.watched:
+            self.watched = True
+            self.caches.deadlines.after(STALL, self.watch)
         self.settle()
 
+    def watch(self) -> None:
+        """An answer that stops short would take the bytes of all that follow for its own."""
+        self.watched = False
+        if self.down or not self.stream.busy():
+            return
+        now = self.caches.deadlines.now()
+        # Where this router stood still or stopped reading, the rest may lie unread.
+        if now - self.heard < STALL or self.caches.paused or self.caches.deadlines.waited(now) > 0.1 * STALL:
+            self.watched = True
+            self.caches.deadlines.after(0.5 * STALL, self.watch)
+        else:
+            self.over(End.UNREADABLE, "an answer that stopped short")
+
+    def check(self) -> None:
+        """One that its peer has closed or reset already, unread by us so far, would lose what is written."""
+        try:
+            ended = not self.socket.recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return
+        except OSError:
+            ended = True
+        if ended:
+            self.over(End.CLOSED_IDLE, "found closed")
+
     def settle(self) -> None:
         if self.doubted and not self.open and not self.queue and not self.down:
             self.close()
 
     def close(self) -> None:
         self.closing = True
-        if self in self.machine.lines:
-            self.machine.lines.remove(self)
+        self.machine.dropped(self)
         if self.up:
             self.transport.loseConnection()
         elif self.attempt is not None:
@@ -175,8 +215,7 @@
         if self.down:
             return
         self.down, lost, self.open = True, self.open, {}
-        if self in self.machine.lines:
-            self.machine.lines.remove(self)
+        self.machine.dropped(self)
         self.stream.close()
         if self.up and end is not End.LOST_WRITTEN:
             self.transport.abortConnection()
@@ -185,13 +224,14 @@
         if end is not End.CLOSED_BY_US:
             self.caches.log("line_end", cache=self.machine.name, end=end.value, open=len(lost), why=why)
         for tag, number in lost.items():
-            unwritten = end is End.LOST_WRITTEN and tag in self.unwritten
+            unwritten = self.up and tag in self.unwritten
             self.caches.ended(number, End.LOST_UNWRITTEN if unwritten else end)
 
 
 class Machine:
-    def __init__(self, caches: Caches, name: str, address: tuple[str, int]) -> None:
-        self.caches, self.name, self.address = caches, name, address
+    def __init__(self, caches: Caches, mark: int, name: str, address: tuple[str, int]) -> None:
+        self.mark = mark
+        self.caches, self.name, self.address, self.gone = caches, name, address, False
         self.lines: list[Line] = []
 
     def moved(self, address: tuple[str, int]) -> None:
@@ -203,6 +243,8 @@
 
     def send(self, tag: bytes, number: int, payload: bytes) -> Line | None:
         caches = self.caches
+        for line in [line for line in self.lines if line.up and not line.open]:
+            line.check()
         lines = [line for line in self.lines if not line.doubted and tag not in line.left
                  and tag not in line.open and len(line.open) < caches.streams]
         line = min(lines, key=lambda line: (len(line.open), not line.up), default=None)
@@ -215,6 +257,19 @@
             line.send(tag, number, payload)
         return line
 
+    def leave(self) -> None:
+        """It is gone for good: what is out there may still end, then nothing of it is kept."""
+        self.gone = True
+        for line in list(self.lines):
+            line.doubted = True
+            line.settle()
+        self.caches.forget(self)
+
+    def dropped(self, line: Line) -> None:
+        if line in self.lines:
+            self.lines.remove(line)
+        self.caches.forget(self)
+
     def hang_up(self) -> None:
         for line in list(self.lines):
             if not line.open:
@@ -231,17 +286,21 @@
         self.log, self.fault = log, fault
         self.machines: dict[int, Machine] = {}
         self.paused = False
-        self.answered: Callable[..., None] = lambda *_: None
+        self.answered: Callable[..., bool] = lambda *_: True
         self.ended: Callable[..., None] = lambda *_: None
         self.lates = 0
 
     def listed(self, mark: int, name: str, address: tuple[str, int]) -> None:
         machine = self.machines.get(mark)
         if machine is None:
-            self.machines[mark] = Machine(self, name, address)
+            self.machines[mark] = Machine(self, mark, name, address)
         else:
             machine.moved(address)
 
+    def forget(self, machine: Machine) -> None:
+        if machine.gone and not machine.lines and self.machines.get(machine.mark) is machine:
+            del self.machines[machine.mark]
+
     def pause(self) -> None:
         self.each("pauseProducing", True)
 
--- a/wickhinge/net/ends.py
+++ b/wickhinge/net/ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from errno import ECONNRESET
 
 from twisted.internet import error
 from twisted.python.failure import Failure
@@ -21,13 +22,14 @@
     DOWN = "down"
     REFUSED = "refused"
     NO_CONNECT = "no connection in time"
+    RESET_NEW = "reset before it was up"
     NO_DESCRIPTOR = "no descriptor for a connection"
     LOST_UNWRITTEN = "lost before it was wholly written"
     LOST_WRITTEN = "lost after it was written"
     UNREADABLE = "an answer that could not be read"
     SILENT = "no answer in time"
     STOPPED = "stopped by us"
-    LATE = "answered after its end"
+    CUT = "cut by us within a request that was given up"
     CLOSED_IDLE = "closed while idle"
     CLOSED_BY_US = "closed by us"
 
@@ -43,13 +45,14 @@
     End.DOWN: Outcome.ERROR,
     End.REFUSED: Outcome.UNREACHED,
     End.NO_CONNECT: Outcome.UNREACHED,
-    End.NO_DESCRIPTOR: Outcome.UNREACHED,
-    End.LOST_UNWRITTEN: Outcome.UNREACHED,
+    End.RESET_NEW: Outcome.UNSENT,
+    End.NO_DESCRIPTOR: Outcome.UNSENT,  # our own want, not the machine's
+    End.LOST_UNWRITTEN: Outcome.UNSENT,
     End.LOST_WRITTEN: Outcome.BROKEN,
     End.UNREADABLE: Outcome.BROKEN,
     End.SILENT: Outcome.TIMED_OUT,
     End.STOPPED: Outcome.WITHDRAWN,
-    End.LATE: None,  # told already
+    End.CUT: Outcome.BROKEN,
     End.CLOSED_IDLE: None,  # nothing was open: no failure of the cache at all
     End.CLOSED_BY_US: None,
 }
@@ -63,4 +66,6 @@
         return End.REFUSED
     if reason.check(error.ConnectBindError, error.ConnectingCancelledError) is error.ConnectBindError:
         return End.NO_DESCRIPTOR
+    if getattr(reason.value, "osError", None) == ECONNRESET or reason.check(error.ConnectionLost):
+        return End.RESET_NEW
     return End.NO_CONNECT
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -12,6 +12,7 @@
 from wickhinge.net.ends import OUTCOMES, WORDS, End
 from wickhinge.net.slots import Slots
 
+PROBED = (End.UP, End.DOWN)
 NOTES = {b"hfojsrblnx"[place : place + 1]: note for place, note in enumerate(Note)}
 
 
@@ -59,8 +60,9 @@
     def put(self, sent: Sent, tag: bytes, payload: bytes, patience: float) -> int:
         number = self.slots.put(sent)
         sent.tag = tag or b"p%d" % number
-        machine = self.caches.machines[sent.cache.mark]
-        sent.line = machine.send(sent.tag, number, payload or resp.pack(b"STAT", sent.tag))
+        machine = self.caches.machines.get(sent.cache.mark)  # none: gone meanwhile, and freed
+        if machine is not None:
+            sent.line = machine.send(sent.tag, number, payload or resp.pack(b"STAT", sent.tag))
         if sent.line is None:
             self.deadlines.soon(self.ended, number, End.NO_DESCRIPTOR)
         elif sent.door is None or sent.since + patience < sent.door.until:
@@ -82,11 +84,15 @@
         if sent is not None and sent.line is not None:
             sent.line.stop(sent.tag, sent.since)
 
-    def answered(self, number: int, word: bytes, told: bytes, body: Any) -> None:
-        end = WORDS.get(word)
-        if end is None:
-            end, told = End.UNREADABLE, b"-"
-        self.ended(number, end, told, body)
+    def answered(self, number: int, word: bytes, told: bytes, body: Any) -> bool:
+        """False for a word that does not fit what was asked: nothing on that connection can be trusted."""
+        end, sent = WORDS.get(word, End.UNREADABLE), self.slots.get(number)
+        if sent is not None and (
+                (end in PROBED) != (sent.door is None) or end is End.SAME  # no client's copy is passed on
+                or end is End.SERVED and sent.door is not None and not sent.door.fits(told, body)):
+            end = End.UNREADABLE
+        self.ended(number, end, b"-" if end is End.UNREADABLE else told, body)
+        return end is not End.UNREADABLE
 
     def ended(self, number: int, end: End, told: bytes = b"-", body: Any = None) -> None:
         sent = self.slots.drop(number)
--- a/wickhinge/net/resp.py
+++ b/wickhinge/net/resp.py
@@ -31,6 +31,10 @@
         self.size = -1  # of the item under way; -1: its line comes first
         self.body: Body | None = None
 
+    def busy(self) -> bool:
+        """An array has begun and is not whole."""
+        return bool(self.left or self.rest)
+
     def feed(self, data: bytes) -> list[list[bytes | Body]]:
         if self.rest:
             data, self.rest = self.rest + data, b""
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -87,7 +87,8 @@
         """The journal brings it whole after a gap."""
 
     def hang_up(self, cache: Any) -> None:
-        self.caches.machines[cache.mark].hang_up()
+        if cache.mark in self.caches.machines:
+            self.caches.machines[cache.mark].hang_up()
 
     def say(self, to: int, content: bytes) -> None:
         """Routers share nothing."""
@@ -114,6 +115,9 @@
             self.caches.listed(mark, f"{mark:08x}", address)
             listings.append(Listing(mark, zone, kind, cell, state, weight, started))
         self.router.fleet.listed(listings, whole, self.deadlines.now())
+        for mark, machine in list(self.caches.machines.items()):
+            if mark not in self.router.fleet.known:
+                machine.leave()
         self.log.event("list", whole=whole, machines=[
             [f"{m[0]:08x}", m[2], m[3], m[4], m[7]] for m in machines])
 
@@ -185,7 +189,7 @@
             return
         self.log.event("stop", open=self.visits.open(), taken=self.visits.taken)
         self.journal.close()
-        for machine in self.caches.machines.values():
+        for machine in list(self.caches.machines.values()):
             machine.hang_up()
         # One turn more, so that what is written last leaves the transports.
         self.deadlines.after(0.02, self.reactor.stop)
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -88,6 +88,10 @@
             tell(client)
         self.settle()
 
+    def fits(self, told: bytes, body: Any) -> bool:
+        """Whether this can be the answer: a copy carries its tag and its age."""
+        return body is not None and (self.tariff.passes_on or b"etag=" in told and b"made=" in told)
+
     def trace(self, sent: Any, end: Any, took: float, fields: dict[str, str]) -> None:
         self.steps.append([f"{sent.cache.mark:08x}", round((sent.since - self.since) * 1000, 1),
                            round(took * 1000, 1), end.value, fields.get("detail", ""),
@@ -192,6 +196,7 @@
             return
         self.log("visit", rid=door.rid.decode(), tariff=door.tariff.name, end=door.answer,
                  ms=round((self.deadlines.now() - door.since) * 1000, 1), steps=door.steps,
+                 patience=round((door.until - door.since) * 1000), repeat=visit.repeat if visit else None,
                  part=visit.part if visit else None, work=round(visit.work * 1000) if visit else None,
                  exclusive=door.tariff.effect is Effect.EXCLUSIVE)
 
