What is late anywhere is denied without choosing a cache, and leaves no deadline

Seen in the profile of a flooded router: of a denied visit's time a third went into ordering caches and parents that a visit late alone everywhere cannot use (Visit.look), and each left two deadlines and itself in memory for its whole patience (Router.take, Visits.take). Same decisions: no crowd or lag is under one.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -121,8 +121,7 @@
         warm = [cache.sent / ROUND for cache in caches if self.part(cache, now) >= 1.0]
         self.usual += 0.1 * (sum(warm) / len(warm) - self.usual) if warm else 0.0
         for cache in caches:  # one that gets nothing shows nothing, so what is believed of it drifts back
-            cache.sent = 0.0
-            cache.lags = {name: 0.8 * lag for name, lag in cache.lags.items()}
+            cache.sent, cache.lags = 0.0, {name: 0.8 * lag for name, lag in cache.lags.items()}
             cache.fit += 0.035 * max(cache.best - cache.fit, 0.0)
 
     def room(self, cache: Cache, mine: float, now: float) -> bool:
@@ -305,6 +304,8 @@
     def look(self, now: float) -> None:
         """Ask the cache on the part's hash, and the next where that one fails or would be late."""
         router, fleet = self.router, self.router.fleet
+        if self.late(1.0, now) and not self.pending():  # late anywhere: a flood is denied without a choice
+            return self.give_up(now)
         # An error may pass, and elsewhere the part must be filled anew: the same cache is asked twice more.
         failed = [f.cache for f in self.forwards if f.outcome not in (Outcome.MISS, *PASSING)]
         failed += [f.cache for f in self.forwards if f.outcome in PASSING][2:]
@@ -467,8 +468,7 @@
         self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
         self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
         self.ask_again = ask_within / 8 or 1.0  # a failed call is made up for before the list counts as old
-        self.means: dict[str, float] = {}
-        self.queue: list[Visit] = []
+        self.means, self.queue = {}, []  # by tariffs; visits that wait for a place
         self.fills, self.gain = 0, 0.1 * min(fleet.routers, 3)  # of one sample: larger where few are seen
         self.link_load = self.link_fills = 0.0  # the location's link as told, and these fills meanwhile
 
@@ -485,11 +485,11 @@
         item = self.shelf.visit(key, part, now)
         work = size / self.flow if size else item.work or self.mean(tariff)
         self.fleet.count()
-        known = bool(size or item.work)
-        visit = Visit(self, caller, tariff, item, part, group, work, known, patience, repeat, now)
+        visit = Visit(self, caller, tariff, item, part, group, work, size or item.work, patience, repeat, now)
         visit.due -= waited  # behind with its work, a router takes less instead of answering all too late
-        self.outside.wake(max(patience - GIVE_UP, 0.0), visit.give_up)
         visit.look(now)
+        if not visit.done:
+            self.outside.wake(max(patience - GIVE_UP, 0.0), visit.give_up)
         return visit
 
     def mean(self, tariff: Tariff) -> float:
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -148,7 +148,6 @@
         door.number = self.slots.put(door)
         self.taken += 1
         door.until = now + patience - SLACK
-        self.deadlines.at(now + patience + LATEST, self.overdue, door.number)
         try:
             visit = self.router.take(door, tariff, key, part, group, 0.0, patience, "again" in fields, now,
                                      waited)
@@ -157,6 +156,8 @@
         except Exception:
             self.fault("visit")
             door.broken()
+        if not door.final:
+            self.deadlines.at(now + patience + LATEST, self.overdue, door.number)
         return door
 
     def overdue(self, number: int) -> None:
