A machine silent on one connection is doubted on all that were silent as long

By reading, not proved: Line.stop doubted only the connection on which a visit ran out, and since two requests open the next connection each of up to four had to be found silent by a visit of its own. Now all connections of the machine not heard from since go, the next connect proves it. Test fails without it.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -268,6 +268,22 @@
         assert made.socket.data == resp.pack(b"REQ") and not made.unwritten
 
 
+@pytest.mark.parametrize("heard, doubted", [(0.0, True), (0.2, False)])
+def test_a_machine_silent_on_one_connection_is_not_asked_on_its_others(heard, doubted):
+    """Each would have to be found silent by itself, by visits that run out of time."""
+    made, _, _, now = line()
+    other = Line(made.machine)
+    made.machine.lines.append(other)
+    other.up, other.transport, other.socket = True, Wire(), Wire()
+    other.send(b"b", 2, b"x")
+    now[0] += 0.1
+    made.send(b"a", 1, b"x")
+    other.heard += heard
+    now[0] += 0.5
+    made.stop(b"a", 100.1)
+    assert made.doubted and other.doubted is doubted
+
+
 def test_an_answer_that_stops_short_ends_its_connection():
     made, ends, soon, now = line()
     made.send(b"a", 1, b"x")
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -120,7 +120,7 @@
         if self.open.pop(tag, None) is None:
             return
         if self.heard < since < self.caches.deadlines.now() - DOUBT:
-            self.doubted = True  # silent, maybe vanished: nothing new may pile up here
+            self.machine.doubt(since)
         if tag in self.unwritten:
             if self.begun and self.queue[0][0] == tag:  # the rest may not follow, and nothing else can
                 self.cut = self.doubted = True
@@ -273,6 +273,15 @@
             line.settle()
         self.caches.forget(self)
 
+    def doubt(self, since: float) -> None:
+        """Silent, maybe vanished: nothing new may pile up on what has not been heard from, on any connection;
+        the next one is made anew, and one that does not come up proves that nothing ran."""
+        for line in self.lines:
+            line.doubted = line.doubted or line.heard < since
+        for line in list(self.lines):
+            if not line.open:
+                line.settle()
+
     def dropped(self, line: Line) -> None:
         if line in self.lines:
             self.lines.remove(line)
