An idle client whose next request lies unread is not hung up on

By reading: Clients.turn_away closes an idle client though its next request may lie in the kernel while the router pauses, which loses it. Now the socket is looked at first.

--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from socket import MSG_PEEK
 from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol
@@ -193,6 +194,12 @@
 
     # Ends.
 
+    def unread(self) -> bool:
+        try:
+            return bool(self.socket.recv(1, MSG_PEEK))
+        except OSError:
+            return False
+
     def close(self) -> None:
         """Nothing is open here; a request on its way crosses the close and is sent again."""
         self.leave()
@@ -288,7 +295,11 @@
 
     def turn_away(self, client: Client) -> None:
         self.closed += 1
-        if client in self.idle:
+        if client in self.idle and client.unread():
+            # Asked again while the router stood still: closed now, that request would be lost.
+            del self.idle[client]
+            self.settle(client)
+        elif client in self.idle:
             client.close()
         else:
             client.fail("half a request" if client in self.half else "no request")
