One look at what a socket holds, one way to doubt a machine's connections

Reread: the same peek stood three times (Client.unread, Line.unread, Line.check), now loop.waiting; Machine.moved and leave repeated the loop of doubt; Client.since was never read, and Clients.read was told of clients that had ended, which it passes over. Not played on sockets.

--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from socket import MSG_PEEK
 from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol
@@ -13,6 +12,7 @@
 from wickhinge.net import msgpack
 from wickhinge.net.buffers import Body
 from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.loop import waiting
 from wickhinge.net.visits import Bad, Visits
 
 OPEN = 32  # requests open on a connection, as clients are told
@@ -32,7 +32,7 @@
         self.open: dict[int, Any] = {}
         self.out: deque[bytes | Body] = deque()
         self.full = self.held = self.ended = False
-        self.moved = self.since = self.until = 0.0
+        self.moved = self.until = 0.0
         self.bad = 0
         self.socket: Any = None
 
@@ -49,9 +49,9 @@
                 self.count(messages)
             for message in messages:
                 self.message(message)
+            self.clients.read(self, bool(messages))
         except msgpack.Unreadable as problem:
             self.fail(str(problem))
-        self.clients.read(self, bool(messages) if not self.ended else True)
         self.throttle()
 
     def count(self, messages: list[Any]) -> None:
@@ -94,7 +94,7 @@
             door = self.clients.visits.take(self, call, method, fields, body)
         except Bad as problem:
             self.open.pop(call, None)
-            self.clients.bad(f"{problem}")
+            self.clients.bad(str(problem))
             self.error(call, "BadRequest", {"why": str(problem)})
             # Against one that asks the same again as soon as it is answered: it waits, nobody else does.
             self.bad += 1
@@ -195,10 +195,7 @@
     # Ends.
 
     def unread(self) -> bool:
-        try:
-            return bool(self.socket.recv(1, MSG_PEEK))
-        except OSError:
-            return False
+        return waiting(self.socket) is True
 
     def close(self) -> None:
         """Nothing is open here; a request on its way crosses the close and is sent again."""
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from socket import MSG_PEEK
+from math import inf
 from typing import Any
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -15,6 +15,7 @@
 from wickhinge.net.buffers import Body, Pool
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.ends import End, unconnected
+from wickhinge.net.loop import waiting
 
 LINES = 4  # connections to one machine
 SHARED = 2  # requests on each before another is opened: one spoilt answer takes all with it
@@ -168,29 +169,18 @@
             return
         now = self.caches.deadlines.now()
         # Where this router is behind or has stopped reading, the rest lies unread: that is looked at.
-        if now - self.heard < STALL or self.caches.paused or self.unread():
+        if now - self.heard < STALL or self.caches.paused or waiting(self.socket):
             self.watched = True
             self.caches.deadlines.after(0.5 * STALL, self.watch)
         else:
             self.over(End.UNREADABLE, "an answer that stopped short")
 
-    def unread(self) -> bool:
-        try:
-            return bool(self.socket.recv(1, MSG_PEEK))
-        except OSError:
-            return False
-
     def check(self) -> bool:
         """One that its peer has closed or reset already, unread by us so far, would lose what is written."""
-        try:
-            good = bool(self.socket.recv(1, MSG_PEEK))
-        except BlockingIOError:
+        if waiting(self.socket) is not False:
             return True
-        except OSError:
-            good = False
-        if not good:
-            self.over(End.CLOSED_IDLE, "found closed")
-        return good
+        self.over(End.CLOSED_IDLE, "found closed")
+        return False
 
     def settle(self) -> None:
         if self.doubted and not self.open and not self.queue and not self.down:
@@ -244,9 +234,7 @@
     def moved(self, address: tuple[str, int]) -> None:
         if address != self.address:
             self.address = address
-            for line in list(self.lines):
-                line.doubted = True
-                line.settle()
+            self.doubt(inf)
 
     def send(self, tag: bytes, number: int, payload: bytes) -> Line | None:
         caches = self.caches
@@ -268,19 +256,15 @@
     def leave(self) -> None:
         """It is gone for good: what is out there may still end, then nothing of it is kept."""
         self.gone = True
-        for line in list(self.lines):
-            line.doubted = True
-            line.settle()
+        self.doubt(inf)
         self.caches.forget(self)
 
     def doubt(self, since: float) -> None:
         """Silent, maybe vanished: nothing new may pile up on what has not been heard from, on any connection;
         the next one is made anew, and one that does not come up proves that nothing ran."""
-        for line in self.lines:
-            line.doubted = line.doubted or line.heard < since
         for line in list(self.lines):
-            if not line.open:
-                line.settle()
+            line.doubted = line.doubted or line.heard < since
+            line.settle()
 
     def dropped(self, line: Line) -> None:
         if line in self.lines:
--- a/wickhinge/net/loop.py
+++ b/wickhinge/net/loop.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+from socket import MSG_PEEK
+from typing import Any
+
 from twisted.internet.epollreactor import EPollReactor
 
 AT_ONCE = 8  # descriptors served before the deadlines have their turn again; the kernel goes on in order
 
 
+def waiting(socket: Any) -> bool | None:
+    """Whether something lies unread there; False where the other side has closed it, None for nothing."""
+    try:
+        return bool(socket.recv(1, MSG_PEEK))
+    except BlockingIOError:
+        return None
+    except OSError:
+        return False
+
+
 class Reactor(EPollReactor):
     def doPoll(self, timeout: float | None) -> None:
         try:
