A store of our own copies on disk, typed settings and a command line

Need: clips outgrow memory. A tier of copies of our own, for installations whose disk lasts, needs settings that the platform's JSON does not hold, and tools for its directory.

Nothing of it is imported by a router that is told of no settings of ours.

Measured: every one of the file calls of a fixed workload failed with EIO and ENOSPC, torn, and made the last one, with and without loss of what was not synced: no wrong byte, no purged copy.

--- a/setup.py
+++ b/setup.py
@@ -5,7 +5,8 @@
 from Cython.Build import cythonize
 from setuptools import Extension, setup
 
-HOT = ["wickhinge/decide.py", *sorted(set(glob("wickhinge/net/*.py")) - {"wickhinge/net/__init__.py"})]
+COLD = {"wickhinge/net/__init__.py", "wickhinge/net/copies.py"}
+HOT = ["wickhinge/decide.py", *sorted(set(glob("wickhinge/net/*.py")) - COLD)]
 
 setup(
     ext_modules=cythonize(
--- /dev/null
+++ b/tests/test_options.py
@@ -0,0 +1,112 @@
+"""Our own settings: what is taken, what is not, and what is said of it."""
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from wickhinge.cli import main
+from wickhinge.options import Fault, load
+from wickhinge.options.load import check
+from wickhinge.store.keep import Copy
+from wickhinge.store.tools import opened
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_file_of_this_repository_keeps_everything_off():
+    assert load(str(ROOT / "deploy/wickhinge.cue")).store.mode == "off"
+    assert check("", "x") == check("// nothing\n", "x")
+
+
+@pytest.mark.parametrize("text", [
+    'store: {mode: "on", dir: "/d"}', 'store: mode: "on"\nstore: dir: "/d"',
+    'store: {\n\tmode: "on", // on\n\tdir: "/d"\n}',
+    '"store": {"mode": "on", "dir": "/d"}', 'store: {mode: "on"}\nstore: {dir: "/d", mode: "on"}'])
+def test_the_same_said_in_several_ways(text):
+    told = check(text, "x")
+    assert (told.store.mode, told.store.dir, told.store.size_mb) == ("on", "/d", 4096)
+
+
+@pytest.mark.parametrize("text, told", [
+    ('store: mode: "on"', "x: store.dir: is missing"), ("\nstor: 3", "x:2: stor: is no setting"),
+    ("store: {\n\tsize_mb: 4\n}", "x:2: store.size_mb: 4 is not >= 8"),
+    ("store: size_mb: 9.5", "x:1: store.size_mb: 9.5 is not a whole number"),
+    ('store: size_mb: "9"', "'9' is not a whole number"),
+    ('store: mode: "maybe"', "store.mode: is none of 'off', 'on'"),
+    ("store: 3", "store: is not a record"),
+    ("store: size_mb: 16\nstore: size_mb: 17", "x:2: store.size_mb: is told twice"),
+    ("store: size_mb: int", "is no value"), ("journal: continues: 1", "1 is not of type bool"),
+    ("store: {\n\tmode \"on\"\n}", "x:2: cannot be read"), ("store: {", "cannot be read"),
+    ("store: {#x: 3}", "#x: is no setting"), ("store: waiting_mb: true", "is not a number"),
+    ("store: {size_mb: 16, segment_mb: 8}", "store.segment_mb: is over a quarter"),
+    ("journal: quiet_s: 7", "7 is not <= 6"), ("store: dir: [1]", "store.dir: is not a plain value")])
+def test_a_fault_names_file_line_and_key(text, told):
+    with pytest.raises(Fault) as caught:
+        check(text, "x")
+    assert told in str(caught.value)
+
+
+def test_a_file_that_is_not_there_or_not_text(tmp_path):
+    with pytest.raises(Fault, match="cannot be read"):
+        load(str(tmp_path / "none.cue"))
+    (tmp_path / "bytes.cue").write_bytes(b"\xff\xfe")
+    with pytest.raises(Fault, match="UTF-8"):
+        load(str(tmp_path / "bytes.cue"))
+
+
+def command(*words):
+    result = CliRunner().invoke(main, [str(word) for word in words])
+    return result.exit_code, result.output
+
+
+@pytest.fixture
+def tier(tmp_path):
+    volume = opened(str(tmp_path / "tier"), write=True)
+    for key in range(6):
+        for part in range(2):
+            one = Copy(key, part, key % 3, b"t%d" % key, 1000.0 + key, 700, key)
+            one.place = volume.append(one, bytes([key, part]) * 350)
+    volume.close()
+    return tmp_path / "tier"
+
+
+def test_a_tier_is_looked_at_purged_and_compacted(tier):
+    code, out = command("store", "stat", tier, "--json")
+    assert code == 0 and '"copies":12' in out and '"objects":6' in out
+    assert command("store", "ls", tier, "--object", "0000000000000003")[1].count("\n") == 2
+    assert command("store", "verify", tier)[0] == 0
+    assert "4" in command("store", "purge", tier, "--group", "1", "--json")[1]
+    assert '"purged":2' in command("store", "purge", tier, "--object", f"{2:016x}", "--json")[1]
+    code, out = command("store", "compact", tier, "--json")
+    assert code == 0 and '"copies":6' in out
+    assert '"copies":6' in command("store", "stat", tier, "--json")[1]
+    assert command("store", "verify", tier)[0] == 0
+    assert '"purged":6' in command("store", "purge", tier, "--all", "--json")[1]
+
+
+def test_damage_is_told_by_verify(tier):
+    path = tier / "segment-0000000001.wh"
+    data = bytearray(path.read_bytes())
+    data[200] ^= 1
+    path.write_bytes(data)
+    code, out = command("store", "verify", tier, "--json")
+    assert (code, '"copies":11' in out) == (0, True)  # never believed, so nothing that counts is damaged
+    (tier / "purges-b.wh").write_bytes(b"x")
+    assert command("store", "verify", tier)[0] == 1
+
+
+@pytest.mark.parametrize("words, told", [
+    (("store", "stat", "nowhere"), "does not exist"), (("store", "purge", "."), "give one of"),
+    (("store", "purge", ".", "--object", "xyz"), "hex"), (("store", "stat", "."), "is no store"),
+    (("check-config",), "give --options"), (("check-config", "--options", "nowhere"), "cannot be read")])
+def test_wrong_words_end_with_2_and_a_reason(tmp_path, monkeypatch, words, told):
+    monkeypatch.chdir(tmp_path)
+    code, out = command(*words)
+    assert code == 2 and told in out
+
+
+def test_settings_in_force_can_be_read_back():
+    code, out = command("check-config", "--options", ROOT / "deploy/wickhinge.cue", "--config",
+                        ROOT / "example/config.json")
+    assert code == 0 and "store.mode = off" in out and "tariffs = ['pages', 'results']" in out
--- /dev/null
+++ b/tests/test_store_faults.py
@@ -0,0 +1,314 @@
+"""The disk tier on a disk that fails, tears, loses and lies, at every call; and killed, at every call."""
+
+import errno
+import random
+
+import pytest
+from disk import Crash, Disk, Lanes
+from hypothesis import settings as bounds
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from wickhinge.store import format
+from wickhinge.store.store import Store
+from wickhinge.store.volume import Unusable, Volume
+
+SEGMENT = 16384
+
+
+class World:
+    """A store on a disk, with what it was given and told; `check` holds every answer against that."""
+
+    def __init__(self, disk=None, continues=False, memory=0, chance=None):
+        self.disk, self.clock = disk or Disk(), 1000.0
+        self.bodies, self.stamps, self.acknowledged, self.log = {}, [], [], []
+        self.continues, self.memory, self.chance = continues, memory, chance
+
+    def now(self):
+        return self.clock
+
+    def start(self):
+        self.lanes = Lanes(self.chance)
+        volume = Volume(self.disk, "d", SEGMENT, self.continues)
+        volume.fresh = lambda: b"0123456789abcdef"
+        self.store = Store(volume, self.lanes, self.now, lambda *_: None, lambda e, **f: self.log.append((e, f)),
+                           8 * SEGMENT, SEGMENT, self.memory, 1024, 1 << 20, 1e9, 0.1, 16, 1e9, 3.0, self.continues)
+        self.store.start()
+
+    def restart(self, seed, lost):
+        self.disk = self.disk.restarted(seed, lost)
+        self.clock += 100.0
+        self.start()
+        self.lanes.go()
+
+    def offer(self, key, part, size, group=0):
+        self.clock = round(self.clock + 0.01, 3)
+        store = self.store
+        for _ in range(3):
+            store.visit(key, 0)
+        body = random.Random(key * 1000 + part + self.clock).randbytes(size)
+        tag = f"{key}-{part}-{self.clock:.3f}".encode()
+        if store.wants(key, part, group, tag, self.clock, size, self.clock):
+            self.bodies[key, part, round(self.clock, 3)] = body
+            store.take(key, part, group, tag, self.clock, body)
+
+    def purge(self, key, group=0, number=0):
+        self.clock = round(self.clock + 0.01, 3)
+        self.stamps.append((key, group, self.clock))
+        self.store.purge(key, group, self.clock, number)
+
+    def noted(self):
+        """What of the purges counts as taken."""
+        left = len(self.store.unlogged)
+        self.acknowledged = self.stamps[: len(self.stamps) - left] if left else list(self.stamps)
+
+    def read(self, copy):
+        got = []
+        self.store.read(copy, lambda data, memory: got.append(data))
+        while not got and self.lanes.step():
+            pass
+        return got[0]
+
+    def check(self, purges):
+        """Every copy found: its bytes are those given under its age, and no purge covers it. How many were read."""
+        served = 0
+        for key, parts in list(self.store.keep.objects.items()):
+            for part in list(parts):
+                copy = self.store.find(key, part, self.clock)
+                data = self.read(copy) if copy is not None else None
+                if data is None:
+                    continue
+                served += 1
+                assert data == self.bodies[key, part, round(copy.made, 3)]
+                for name, group, stamp in purges:
+                    assert copy.made > stamp or (copy.key != name if name is not None else copy.group != group)
+        return served
+
+
+def workload(world):
+    """Writes, purges, overwrites, snapshots, evictions and the recycling of segments, a few hundred calls."""
+    world.start()
+    world.lanes.go()
+    for turn in range(60):
+        key = turn * 7 % 13
+        world.offer(key, turn % 3, 900 + turn * 37, group=key % 4)
+        if turn % 9 == 4:
+            world.purge(key)
+        if turn % 20 == 13:
+            world.purge(None, turn % 4)
+        if turn % 3 == 0:
+            world.lanes.go()
+            world.noted()
+        if turn % 12 == 11:
+            world.store.snapshot(world.clock)
+        world.store.turn()
+    world.lanes.go()
+    world.noted()
+
+
+def calls():
+    world = World()
+    workload(world)
+    assert world.store.counted["recycled"] and world.store.counted["moved"] and world.check(world.stamps) > 5
+    return world.disk.calls
+
+
+CALLS = calls()
+
+
+@pytest.mark.parametrize("how", ["crash", "tear", errno.ENOSPC, errno.EIO])
+@pytest.mark.parametrize("lost", [False, True])
+def test_whatever_call_fails_or_is_the_last_no_wrong_byte_and_no_purged_copy_is_served(how, lost):
+    served = 0
+    for call in range(1, CALLS + 1):
+        world = World(Disk((call, how)))
+        try:
+            workload(world)
+            world.check(world.stamps)
+        except (Crash, Unusable):
+            pass
+        world.restart(call, lost)
+        served += world.check(world.acknowledged)
+    assert served > 5 * CALLS
+
+
+@pytest.mark.parametrize("planted", ["checksums", "purges"])
+def test_the_sweep_finds_a_planted_fault(monkeypatch, planted):
+    if planted == "checksums":
+        monkeypatch.setattr(format, "intact", lambda head, body, seed: True)
+    else:
+        monkeypatch.setattr(Volume, "purge", lambda self, purges: None)
+    with pytest.raises(AssertionError):
+        for call in range(1, CALLS + 1):
+            world = World(Disk((call, "crash")))
+            try:
+                workload(world)
+            except Crash:
+                pass
+            world.restart(call, True)
+            world.check(world.acknowledged)
+
+
+def test_what_was_written_before_a_kill_is_there_after_it():
+    world = World()
+    workload(world)
+    held = {(copy.key, copy.part, copy.made) for parts in world.store.keep.objects.values()
+            for copy in parts.values() if copy.place}
+    world.restart(1, lost=False)
+    found = {(copy.key, copy.part, copy.made) for parts in world.store.keep.objects.values()
+             for copy in parts.values()}
+    assert held <= found and world.check(world.stamps) >= len(held)
+
+
+def test_what_a_snapshot_names_is_there_after_the_power_went():
+    world = World()
+    workload(world)
+    world.store.snapshot(world.clock)
+    world.lanes.go()
+    held = {(copy.key, copy.part): copy.made for parts in world.store.keep.objects.values()
+            for copy in parts.values()}
+    world.restart(3, lost=True)
+    assert {name: world.store.find(*name, 0.0).made for name in held} == held
+
+
+@pytest.mark.parametrize("kind", ["segment", "index", "purges-a", "purges-b", "store.wh"])
+@pytest.mark.parametrize("damage", ["flip", "sector", "cut", "gone"])
+def test_damage_anywhere_in_one_file_costs_copies_at_worst(kind, damage):
+    made = World()
+    workload(made)
+    made.store.snapshot(made.clock)
+    made.lanes.go()
+    files = {path: bytes(node.data) for path, node in made.disk.nodes.items()}
+    chance = random.Random(5)
+    for path in [path for path in files if kind in path]:
+        for _ in range(40 if damage != "gone" else 1):
+            world = World(Disk())
+            world.bodies, world.clock = made.bodies, made.clock
+            for name, data in files.items():
+                world.disk.open(name, create=True)
+                world.disk.nodes[name].data[:] = data
+            data = world.disk.nodes[path].data
+            at = chance.randrange(max(len(data), 1))
+            if damage == "gone":
+                del world.disk.nodes[path]
+            elif damage == "cut":
+                del data[at:]
+            elif damage == "flip" and data:
+                data[at] ^= 1 << chance.randrange(8)
+            else:
+                data[at // 512 * 512 : at // 512 * 512 + 512] = bytes(min(512, len(data) - at // 512 * 512))
+            world.start()
+            world.lanes.go()
+            world.check(made.stamps)
+
+
+@pytest.mark.parametrize("halves", [("purges-a.wh",), ("purges-a.wh", "purges-b.wh")])
+def test_a_purge_log_that_may_lack_a_line_costs_all_copies_and_only_then(halves):
+    world = World()
+    workload(world)
+    for name in halves:
+        data = world.disk.nodes[f"d/{name}"].data
+        data[format.LINE_SIZE * 2 + 20] ^= 1
+    world.restart(0, lost=False)
+    assert bool(world.store.keep.count) == (len(halves) == 1)
+    assert ("store_distrusted" in dict(world.log)) == (len(halves) == 2)
+    world.restart(0, lost=False)  # what was not believed is gone for good, not believed the next time
+    assert bool(world.store.keep.count) == (len(halves) == 1)
+
+
+def test_a_purge_told_and_then_nothing_but_a_kill():
+    for seed in range(30):
+        world = World()
+        world.start()
+        world.lanes.go()
+        world.offer(1, 0, 2000)
+        world.lanes.go()
+        world.purge(1)
+        world.lanes.go()
+        world.restart(seed, lost=True)
+        assert world.store.find(1, 0, world.clock) is None
+
+
+def test_a_newer_format_a_second_router_and_a_disk_that_can_only_be_read(tmp_path):
+    world = World()
+    world.start()
+    with pytest.raises(Unusable, match="in use"):
+        Volume(world.disk, "d", SEGMENT).open()
+    data = format.IDENTITY.pack(format.IDENTITY_MAGIC, format.VERSION + 1, bytes(16))
+    newer = Disk()
+    newer.open("d/store.wh", create=True)
+    newer.nodes["d/store.wh"].data[:] = data + format.SUM.pack(format.xxh3_64_intdigest(data))
+    newer.open("d/segment-0000000001.wh", create=True)
+    with pytest.raises(Unusable, match="format 2"):
+        Volume(newer, "d", SEGMENT).open()
+    assert "d/segment-0000000001.wh" in newer.nodes
+    readable = Disk()
+    readable.stuck = errno.EROFS
+    with pytest.raises(Unusable, match="can't be used"):
+        Volume(readable, "d", SEGMENT).open()
+
+
+class Machine(RuleBasedStateMachine):
+    """Any order of visits, copies, purges, snapshots, kills and power cuts, against what was given and told."""
+
+    @initialize(seed=st.integers(0, 999), continues=st.booleans(), memory=st.sampled_from([0, 20000]))
+    def begin(self, seed, continues, memory):
+        self.world = World(continues=continues, memory=memory, chance=random.Random(seed))
+        self.world.start()
+        self.number = 0
+
+    @rule(key=st.integers(0, 6), part=st.integers(0, 3), size=st.integers(1, 3 * format.CHUNK // 16))
+    def offer(self, key, part, size):
+        self.world.offer(key, part, size, key % 2)
+
+    @rule(key=st.integers(0, 6))
+    def purge(self, key):
+        self.number += 1
+        self.world.purge(key, key % 2, self.number)
+
+    @rule(group=st.integers(0, 1))
+    def purge_group(self, group):
+        self.number += 1
+        self.world.purge(None, group, self.number)
+
+    @rule(steps=st.integers(1, 12))
+    def work(self, steps):
+        for _ in range(steps):
+            self.world.lanes.step()
+
+    @rule()
+    def turn(self):
+        self.world.store.turn()
+
+    @rule()
+    def snapshot(self):
+        self.world.store.snapshot(self.world.clock)
+
+    @rule(key=st.integers(0, 6), part=st.integers(0, 3))
+    def renew(self, key, part):
+        copy = self.world.store.find(key, part, self.world.clock)
+        if copy is not None and not copy.proven:
+            self.world.store.renewed(copy, copy.made)
+
+    @rule(seed=st.integers(0, 99), lost=st.booleans())
+    def die(self, seed, lost):
+        self.world.noted()
+        self.world.stamps = list(self.world.acknowledged)
+        self.world.restart(seed, lost)
+
+    @invariant()
+    def nothing_wrong_is_served(self):
+        if hasattr(self, "world"):
+            self.world.check(self.world.stamps)
+            store = self.world.store
+            assert store.keep.used <= store.keep.room and store.memory.used <= max(store.memory.room, 0)
+            assert store.keep.used == sum(c.size for p in store.keep.objects.values() for c in p.values())
+            assert set(store.bodies) == {c for p in store.memory.objects.values() for c in p.values()}
+            assert set(store.keep.ks) == set(store.keep.objects)
+            for one in store.space.segments.values():
+                assert 0 <= one.live <= one.size and one.pins >= 0
+
+
+Machine.TestCase.settings = bounds(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True,
+                                   database=None)
+TestStore = Machine.TestCase
--- /dev/null
+++ b/wickhinge/cli/__init__.py
@@ -0,0 +1,8 @@
+"""One command line over all of it. Entered by `main`, the console script and `python -m wickhinge WORD`.
+
+Exit codes: 0 done, 1 something is wrong with what was looked at, 2 wrong arguments, settings or directory.
+"""
+
+from wickhinge.cli.commands import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/wickhinge/cli/commands.py
@@ -0,0 +1,194 @@
+"""The commands: arguments in, one answer out, in words or as one JSON object."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import click
+import orjson
+
+from wickhinge import __version__
+
+WRONG, UNUSABLE = 1, 2
+
+
+def fail(text: str, code: int = UNUSABLE) -> Any:
+    click.echo(f"wickhinge: {text}", err=True)
+    raise SystemExit(code)
+
+
+def tell(answer: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        click.echo(orjson.dumps(answer).decode())
+        return
+    for name, value in answer.items():
+        for line in value if isinstance(value, list) else [value]:
+            click.echo(f"{name:<16} {line}")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="wickhinge", message="%(prog)s %(version)s")
+def main() -> None:
+    """A visit router for caches that fill from parents and an origin."""
+
+
+OPTIONS = click.Path(dir_okay=False)
+
+
+@main.command()
+@click.option("--options", type=OPTIONS, envvar="WICKHINGE_OPTIONS",
+              help="Our own settings, as deploy/wickhinge.cue; none: all of them off.")
+def run(options: str | None) -> None:
+    """Start one router, told what it is by RELAY_CONFIG."""
+    from wickhinge.__main__ import main as start
+
+    sys.exit(start(options))
+
+
+@main.command("check-config")
+@click.option("--options", type=OPTIONS, help="A file of our own settings.")
+@click.option("--config", type=OPTIONS, help="A platform's configuration, as RELAY_CONFIG names it.")
+@click.option("--json", "as_json", is_flag=True, help="The settings in force, as one JSON object.")
+def check_config(options: str | None, config: str | None, as_json: bool) -> None:
+    """Check settings without starting anything; 2 and the faulty key if they can't be used."""
+    import msgspec
+
+    from wickhinge import settings
+    from wickhinge.fields import Malformed
+    from wickhinge.net import config as platform
+    from wickhinge.options import Fault, load
+
+    if not options and not config:
+        fail("check-config: give --options, --config or both")
+    answer: dict[str, Any] = {}
+    try:
+        if options:
+            answer["options"] = msgspec.to_builtins(load(options))
+        if config:
+            conf = platform.read({"RELAY_CONFIG": config})
+            router, tariffs = settings.build(platform.settings(conf), platform.seed(conf), None)
+            platform.limits(conf), platform.times(conf), platform.known(conf), platform.link(conf)
+            answer["config"] = {"name": platform.name(conf), "listen": ":".join(map(str, platform.listen(conf))),
+                                "journal": ":".join(map(str, platform.journal(conf))), "location": router.fleet.zone,
+                                "tariffs": list(tariffs)}
+    except (Fault, Malformed) as problem:
+        fail(str(problem))
+    if as_json:
+        click.echo(orjson.dumps(answer).decode())
+        return
+    for part in answer.values():
+        for name, value in part.items():
+            for inner, more in value.items() if isinstance(value, dict) else [("", value)]:
+                click.echo(f"{name}{'.' * bool(inner)}{inner} = {more}")
+
+
+@main.group()
+def store() -> None:
+    """Look at, and mend, a directory of copies of our own."""
+
+
+def directory(command: Callable[..., Any]) -> Callable[..., Any]:
+    command = click.option("--json", "as_json", is_flag=True, help="One JSON object.")(command)
+    return click.argument("dir", type=click.Path(file_okay=False, exists=True))(command)
+
+
+def opened(path: str, write: bool = False) -> Any:
+    from wickhinge.store import tools
+    from wickhinge.store.volume import Unusable
+
+    try:
+        return tools.opened(path, write)
+    except Unusable as problem:
+        fail(str(problem))
+
+
+@store.command()
+@directory
+def stat(dir: str, as_json: bool) -> None:
+    """Sizes and counts, as a start would find them."""
+    from wickhinge.store import tools
+
+    tell(tools.stat(opened(dir)), as_json)
+
+
+@store.command("ls")
+@directory
+@click.option("--object", "key", help="Only this object, 16 hex digits.")
+@click.option("--limit", type=click.IntRange(0), default=1000, show_default=True)
+def ls(dir: str, as_json: bool, key: str | None, limit: int) -> None:
+    """The copies, the latest used first; with --json one object a line."""
+    from itertools import islice
+
+    from wickhinge.store import tools
+
+    for row in islice(tools.listed(opened(dir), hexadecimal(key)), limit):
+        if as_json:
+            click.echo(orjson.dumps(row).decode())
+        else:
+            click.echo("{object} {part:>3} group {group:<5} {bytes:>7} bytes made {made} tag {tag}".format(**row))
+
+
+def hexadecimal(key: str | None) -> int | None:
+    if key is None:
+        return None
+    try:
+        if len(key) != 16:
+            raise ValueError
+        return int(key, 16)
+    except ValueError:
+        raise click.BadParameter(f"{key!r} is not 16 hex digits", param_hint="--object") from None
+
+
+@store.command()
+@directory
+def verify(dir: str, as_json: bool) -> None:
+    """Read everything and hold it against its checksums; 1 if anything is damaged."""
+    from wickhinge.store import tools
+
+    answer = tools.verify(opened(dir))
+    tell(answer, as_json)
+    sys.exit(WRONG if answer["damaged"] else 0)
+
+
+@store.command()
+@directory
+@click.option("--object", "key", help="This object, 16 hex digits.")
+@click.option("--group", type=click.IntRange(0, 65534), help="All objects of this group.")
+@click.option("--all", "every", is_flag=True, help="Everything.")
+def purge(dir: str, as_json: bool, key: str | None, group: int | None, every: bool) -> None:
+    """Purge copies while no router uses the directory."""
+    from wickhinge.store import tools
+
+    if (key is not None) + (group is not None) + every != 1:
+        raise click.UsageError("give one of --object, --group and --all")
+    volume = opened(dir, write=True)
+    try:
+        gone = tools.purge(volume, hexadecimal(key), group if group is not None else -1 if every else 0)
+    except OSError as problem:
+        fail(f"{dir}: {problem.strerror}")
+    finally:
+        volume.close()
+    tell({"purged": gone}, as_json)
+
+
+@store.command()
+@directory
+def compact(dir: str, as_json: bool) -> None:
+    """Write what counts anew and recycle the rest, while no router uses the directory."""
+    from wickhinge.store import tools
+
+    volume = opened(dir, write=True)
+    try:
+        shown = not as_json and sys.stderr.isatty()
+        tell(tools.compact(volume, progress if shown else None), as_json)
+    except OSError as problem:
+        fail(f"{dir}: {problem.strerror}")
+    finally:
+        volume.close()
+
+
+def progress(done: int, total: int) -> None:
+    if done % 256 == 0 or done == total:
+        click.echo(f"\r{done} of {total} copies", nl=done == total, err=True)
--- a/wickhinge/net/config.py
+++ b/wickhinge/net/config.py
@@ -123,3 +123,8 @@
         checks.number(where, entry, "share", 1.0),
         checks.seconds(where, entry, "born_ms", 0.0) or None,
     )
+
+
+def link(conf: dict[str, Any]) -> tuple[float, float]:
+    """Bytes a second of one transfer, and of all, on this router's own link; no bound where they are not told."""
+    return (checks.number(CONF, conf, "flow_bytes_per_s", 1e12), checks.number(CONF, conf, "link_bytes_per_s", 1e12))
