Visits are answered from copies of our own, and clients' tags go on as have

Need: decide says what may answer out of the store; an unproven copy must be offered upstream first.

Change: decide.Visit.own and Visit.read: a fresh copy answers at once, one in its grace only in place of a denial, none while purges may be untold; Outcome.CURRENT for an answer SAME, which teaches no sizes. net/copies is the glue, with a deadline a read.

--- a/example/toy.py
+++ b/example/toy.py
@@ -145,6 +145,9 @@
         made = made or int(time.time() * 1000)
         if fields.get("keep", "0") != "0":
             kept[name] = made
+        if name[0] and fields.get("have") == name[0]:
+            self.answer(tag, b"SAME", f"etag={name[0]},made={made},detail={note},ttfb=1".encode(), b"")
+            return
         text = ("".join(name).encode() or b"?") * SIZE
         self.answer(tag, b"OK", f"etag={name[0]},made={made},detail={note},ttfb=1".encode(),
                     text[:SIZE] if not body else body)
--- a/wickhinge/__main__.py
+++ b/wickhinge/__main__.py
@@ -14,13 +14,24 @@
 from wickhinge.net.router import Node
 
 
-def main() -> int:
+def main(path: str | None = None) -> int:
+    """path: of our own settings, if the installation has any; else what WICKHINGE_OPTIONS names, if anything."""
     # A reload may be asked for before there is anything to reload; unhandled, it would end the program.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     reactor = Reactor()
     installReactor(reactor)
+    path = path or os.environ.get("WICKHINGE_OPTIONS")
+    options = None
+    if path:
+        from wickhinge.options import Fault, load
+
+        try:
+            options = load(path)
+        except Fault as problem:
+            sys.stderr.write(f"{problem}\n")
+            return 2
     try:
-        node = Node(config.read(os.environ), reactor)
+        node = Node(config.read(os.environ), reactor, options=options)
         node.start()
     except Malformed as problem:
         sys.stderr.write(f"{problem}\n")
@@ -37,4 +48,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        from wickhinge.cli import main as command
+
+        command(prog_name="wickhinge")
     sys.exit(main())
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -1,10 +1,9 @@
 """Every decision of wickhinge: tables, tuned values and all.
 
-A front builds one Router for each instance from its settings, tells it the list with Fleet.listed and purges
-with Purges.told, and hands it each visit with Router.take, which gives a Visit; its later life is calls on
-that: Visit.ended for the outcome of a forward, Visit.finish when the client has gone. Probe answers go to
-Router.probed. The module calls out through Caller (one a visit) and Outside (one a router); both, and the
-plain types, live in wickhinge/interface.py. Every call carries the time, in seconds.
+A front builds one Router for each instance from its settings, tells it the list by Fleet.listed, purges by
+Purges.told, and hands it each visit by Router.take, which gives a Visit; then come Visit.ended for a forward,
+Visit.finish when the client has gone, Router.probed for probes. It calls out through Caller (one a visit) and
+Outside (one a router), of wickhinge/interface.py. Every call carries the time, in seconds.
 
 Ordinary path, from gLRU: Router.take raises the object's k at part 0, Visit.look asks the cache on the part's
 hash, a miss is filled from the parent on the object's hash, parts below k are kept. The rest is guards.
@@ -15,11 +14,12 @@
 from collections import OrderedDict
 from math import log
 
-from wickhinge.interface import Caller, Effect, Listing, Note, Outcome, Outside, Tariff
+from wickhinge.interface import Caller, Copy, Effect, Listing, Note, Outcome, Outside, Tariff
 
 MASK = 2**64 - 1
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT, Outcome.MOOT, Outcome.MISS)  # others may have
 PASSING = (Outcome.ERROR, Outcome.BROKEN, Outcome.UNSENT)  # the same cache may well answer the next time
+FINE = (Outcome.MISS, Outcome.CURRENT, *PASSING)
 MARGIN = 2.0  # predicted times are stretched by this, for what will come while the visit is under way
 LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
 EMPTY = 15.0  # a cache that started less than this ago has nothing to push out
@@ -157,8 +157,7 @@
         self.sent += work
 
     def out(self) -> float:
-        """Transfers here with one more: own ones, and other routers' taken to be like this one's usual."""
-        return len(self.pending) + 1 + self.others
+        return len(self.pending) + 1 + self.others  # own ones and one more; others' as this one's usual
 
     def crowd(self) -> float:
         """How many times longer than alone a transfer takes, if one more comes."""
@@ -182,8 +181,7 @@
             self.lost and (self.pending or self.filling))
 
     def failed(self, now: float, outcome: Outcome = Outcome.TIMED_OUT) -> None:
-        """Two failures in a row are no chance: it rests, then gets what it could do if it started anew. Of a
-        broken connection, with all that was out on it, only the next one tells if the process went."""
+        """Two failures in a row are no chance: it rests, then is as new. A broken connection tells little."""
         self.strikes += 0.25 if outcome is Outcome.BROKEN else 1.0
         if outcome is Outcome.UNREACHED or self.strikes >= 2:
             self.lost, self.shunned = True, now + min(0.5 * self.strikes, 3.0)
@@ -271,7 +269,7 @@
         self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
         self.forwards: list[Forward] = []
         self.done, self.held, self.rest = False, False, 0.0  # held: waits here, until rest at least
-        self.at: Cache | None = None  # whose miss is to be filled
+        self.at = self.copy = None  # whose miss is to be filled; of our own, its tag offered by forwards
 
     def pending(self) -> list[Forward]:
         return [f for f in self.forwards if f.pending]
@@ -301,13 +299,33 @@
     def fits(self, cache: Cache, now: float) -> bool:
         return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(cache, now)
 
+    def own(self, now: float, last: bool = False) -> bool:
+        """Whether a copy of ours answers: a fresh one, or in place of a denial one in its grace."""
+        copy, tariff, copies = self.copy, self.tariff, self.router.copies
+        answers = copy is not None and copies.proven(copy, now) and (
+            not tariff.fresh or now - copy.made <= tariff.fresh + last * tariff.grace) and (
+            copies.ends(copy, now) <= (self.expires if last else self.due))
+        self.copy = None if answers or last else copy
+        if answers:
+            self.caller.read(copy)
+        return answers
+
+    def read(self, copy: Copy, whole: bool, now: float) -> bool:
+        """What came of Caller.read. True: it is the answer; else purged meanwhile, damaged or slow."""
+        answers = whole and not self.done and self.router.copies.held(copy, now)
+        if answers:
+            self.finish(now)
+        elif not self.done:
+            (self.look if now + 2 * GIVE_UP < self.expires else self.give_up)(now)
+        return answers
+
     def look(self, now: float) -> None:
         """Ask the cache on the part's hash, and the next where that one fails or would be late."""
         router, fleet = self.router, self.router.fleet
         if self.late(1.0, now) and not self.pending():  # late anywhere: a flood is denied without a choice
             return self.give_up(now)
         # An error may pass, and elsewhere the part must be filled anew: the same cache is asked twice more.
-        failed = [f.cache for f in self.forwards if f.outcome not in (Outcome.MISS, *PASSING)]
+        failed = [f.cache for f in self.forwards if f.outcome not in FINE]
         failed += [f.cache for f in self.forwards if f.outcome in PASSING][2:]
         source, wanted = fleet.origin, None
         for cache in fleet.order(fleet.mine, self.salt, now):
@@ -399,7 +417,7 @@
         source.filling.discard(forward)
         router.fills -= forward.far
         filled, ours = source is not cache, cache in router.fleet.mine and not self.tariff.passes_on
-        if outcome in (Outcome.HONOURED, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
+        if outcome in (Outcome.HONOURED, Outcome.CURRENT, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
             cache.answered(now)
         elif outcome not in (Outcome.MOOT, Outcome.WITHDRAWN, Outcome.UNSENT) and cache.heard < forward.sent:
             cache.failed(now, outcome)
@@ -413,7 +431,7 @@
             self.finish(now)  # first: what follows sends for those who wait, and it may be one of them
         if filled:
             router.filled(forward, outcome, took, note, now)
-        if self.done:
+        if self.done or outcome is Outcome.CURRENT and self.own(now, True):
             return
         if outcome is Outcome.MISS and ours and not filled:
             # Pushed out, so its tail will be too; not so at an empty cache or after a purge.
@@ -448,15 +466,14 @@
 
     def give_up(self, now: float) -> None:
         """Given up on: answered at once, with a time to come back where a new try is harmless."""
-        if self.done:
+        if self.done or self.own(now, True):
             return
         harmless = self.tariff.effect is Effect.RERUNNABLE or not self.risky() or (
             self.tariff.effect is Effect.TICKETED and self.tariff.group == "all")
         self.finish(now)
         if harmless:
-            self.caller.deny(self.router.longest_wait)
-        else:
-            self.caller.abandon()
+            return self.caller.deny(self.router.longest_wait)
+        self.caller.abandon()
 
 
 class Router:
@@ -468,7 +485,7 @@
         self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
         self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
         self.ask_again = ask_within / 8 or 1.0  # a failed call is made up for before the list counts as old
-        self.means, self.queue = {}, []  # by tariffs; visits that wait for a place
+        self.means, self.queue, self.copies = {}, [], None  # by tariffs; visits that wait; of our own, if any
         self.fills, self.gain = 0, 0.1 * min(fleet.routers, 3)  # of one sample: larger where few are seen
         self.link_load = self.link_fills = 0.0  # the location's link as told, and these fills meanwhile
 
@@ -487,7 +504,11 @@
         self.fleet.count()
         visit = Visit(self, caller, tariff, item, part, group, work, size or item.work, patience, repeat, now)
         visit.due -= waited  # behind with its work, a router takes less instead of answering all too late
-        visit.look(now)
+        if self.copies and tariff.effect is Effect.RERUNNABLE and not tariff.passes_on:
+            self.copies.visit(key, part)
+            visit.copy = self.copies.find(key, part, now)
+        if not visit.own(now):
+            visit.look(now)
         if not visit.done:
             self.outside.wake(max(patience - GIVE_UP, 0.0), visit.give_up)
         return visit
--- a/wickhinge/interface.py
+++ b/wickhinge/interface.py
@@ -24,6 +24,7 @@
     """How a forward, or a probe, ended."""
 
     HONOURED = "honoured"
+    CURRENT = "current"  # honoured without bytes: the copy that was offered is the one
     ERROR = "error"
     FULL = "full"
     TIMED_OUT = "timed out"
@@ -103,6 +104,9 @@
     def withdraw(self, forward: Any) -> None:
         """Stop waiting for a forward."""
 
+    def read(self, copy: Copy) -> None:
+        """Answer with a copy of our own; what came of it is a call of Visit.read."""
+
     def deny(self, wait: float) -> None:
         """Final: trying again is harmless, and best not before wait."""
 
@@ -110,6 +114,33 @@
         """Final: promises nothing."""
 
 
+class Copy(Protocol):
+    """One part that this router holds itself: when the origin gave it out (seconds), its bytes and tag."""
+
+    made: float
+    size: int
+    tag: bytes
+
+
+class Copies(Protocol):
+    """Copies of our own, one table for each router, where it has any."""
+
+    def visit(self, key: int, part: int) -> None:
+        """A visit that could be answered by a copy: what is kept goes by these."""
+
+    def find(self, key: int, part: int, now: float) -> Copy | None:
+        """The copy there is, or None."""
+
+    def proven(self, copy: Copy, now: float) -> bool:
+        """Whether its age is known, and no purge of it told or, maybe, untold."""
+
+    def held(self, copy: Copy, now: float) -> bool:
+        """Whether it is still there and not purged meanwhile."""
+
+    def ends(self, copy: Copy, now: float) -> float:
+        """When its last byte would have passed this router's own link."""
+
+
 class Outside(Protocol):
     """The rest of the world, one for each router."""
 
--- /dev/null
+++ b/wickhinge/net/copies.py
@@ -0,0 +1,91 @@
+"""Copies of our own, between the visits and the store: imported only where the settings switch the store on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from wickhinge.interface import Effect
+from wickhinge.net.buffers import Body, Pool
+from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.slots import Slots
+from wickhinge.store.link import Link
+from wickhinge.store.store import Store
+from wickhinge.store.store import make as make_store
+
+TOLD = 0.05  # of a copy's bytes: what telling a client that its own is the one costs
+
+
+class Copies:
+    """The module's Copies; reads under way are in numbered slots, each with a deadline."""
+
+    def __init__(self, store: Store, deadlines: Deadlines, pool: Pool, link: Link, within: float,
+                 fault: Callable[[str], None]) -> None:
+        self.store, self.deadlines, self.pool, self.link, self.within = store, deadlines, pool, link, within
+        self.fault = fault
+        self.visit, self.find, self.proven, self.held = store.visit, store.find, store.proven, store.held
+        self.slots = Slots()
+        self.served = {"memory": 0, "disk": 0, "told": 0, "late": 0}
+
+    def ends(self, copy: Any, now: float) -> float:
+        return self.link.ends(copy.size, now)
+
+    # Answers out of copies.
+
+    def read(self, door: Any, copy: Any) -> None:
+        number = self.slots.put((door, copy))
+        if door.cached and door.cached.encode() == copy.tag:
+            self.deadlines.soon(self.ended, number, True, "told")
+            return
+        self.deadlines.after(self.within, self.ended, number, None, "late")
+        self.store.read(copy, lambda data, memory: self.deadlines.soon(
+            self.ended, number, data, "memory" if memory else "disk"))
+
+    def ended(self, number: int, data: Any, how: str) -> None:
+        """data: the bytes, True where the client has them, None where they could not be had in time."""
+        entry = self.slots.drop(number)
+        if entry is None:
+            return
+        door, copy = entry
+        if door.final:
+            return
+        self.served["late"] += how == "late"
+        now = self.deadlines.now()
+        try:
+            if door.visit.read(copy, data is not None, now):
+                self.served[how] += 1
+                self.link.send(int(copy.size * TOLD) if data is True else copy.size, now)
+                door.serve(None if data is True else Body(self.pool, data), data is True)
+        except Exception:
+            self.fault("copies")
+            door.broken()
+
+    # Copies out of answers.
+
+    def passed(self, visit: Any, told: dict[str, str], body: Any) -> None:
+        """A cache's answer is about to go to its client; kept if the tier wants it."""
+        tariff = visit.tariff
+        made = told.get("made", "")
+        if tariff.passes_on or tariff.effect is not Effect.RERUNNABLE or not made.isdigit() or len(made) > 16:
+            return
+        tag = told.get("etag", "").encode()
+        key, part, now = visit.item.key, visit.part, self.deadlines.now()
+        if self.store.wants(key, part, visit.group, tag, int(made) / 1000.0, body.length, now):
+            self.store.take(key, part, visit.group, tag, int(made) / 1000.0, b"".join(body.views()))
+
+    def renewed(self, copy: Any, told: dict[str, str]) -> None:
+        """A cache answered that ours is the one."""
+        made = told.get("made", "")
+        if made.isdigit() and len(made) <= 16:
+            self.store.renewed(copy, int(made) / 1000.0)
+
+    def figures(self) -> dict[str, Any]:
+        return {**self.store.figures(), "served": self.served}
+
+
+def make(options: Any, reactor: Any, deadlines: Deadlines, pool: Pool, link: tuple[float, float],
+         log: Callable[..., None], fault: Callable[[str], None]) -> Copies | None:
+    store = make_store(options.store, options.journal, reactor, deadlines.now, deadlines.after, log, fault)
+    if store is None:
+        return None
+    return Copies(store, deadlines, pool, Link(*link), options.store.read_within_s, fault)
--- a/wickhinge/net/ends.py
+++ b/wickhinge/net/ends.py
@@ -36,7 +36,7 @@
 
 OUTCOMES: dict[End, Outcome | None] = {
     End.SERVED: Outcome.HONOURED,
-    End.SAME: Outcome.HONOURED,
+    End.SAME: Outcome.CURRENT,
     End.MISS: Outcome.MISS,
     End.BUSY: Outcome.FULL,
     End.ERR: Outcome.ERROR,
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -19,10 +19,11 @@
 class Sent:
     """One forward on its way; for a probe there is no door and no forward, only the cache."""
 
-    __slots__ = ("door", "forward", "cache", "line", "tag", "since")
+    __slots__ = ("door", "forward", "cache", "line", "tag", "since", "offered")
 
     def __init__(self, door: Any, forward: Any, cache: Any, since: float) -> None:
         self.door, self.forward, self.cache, self.since = door, forward, cache, since
+        self.offered: Any = None  # the copy whose tag goes with it: the client's (its tag), or one of our own
         self.line: Any = None
         self.tag = b""
 
@@ -34,6 +35,7 @@
         self.fault = fault
         self.slots = Slots()
         self.router: Any = None
+        self.copies: Any = None  # of our own, where there are any
         caches.answered, caches.ended = self.answered, self.ended
 
     def send(self, door: Any, forward: Any, cache: Any, patience: float, source: Any, rank: int,
@@ -49,9 +51,16 @@
         if join or held_only or renew:
             words = (("coalesce", join), ("shallow", held_only), ("freshen", renew))
             fields += ",flags=" + "+".join(word for word, on in words if on)
+        sent = Sent(door, forward, cache, self.deadlines.now())
+        if door.cached:
+            sent.offered = door.cached
+            fields += f",have={door.cached}"
+        elif forward.visit.copy is not None:
+            sent.offered = forward.visit.copy
+            fields += f",have={sent.offered.tag.decode()}"
         body = b"".join(door.body.views()) if door.body is not None else b""
         payload = resp.pack(b"REQ", door.rid, fields.encode(), body)
-        return self.put(Sent(door, forward, cache, self.deadlines.now()), door.rid, payload, patience)
+        return self.put(sent, door.rid, payload, patience)
 
     def probe(self, cache: Any) -> None:
         sent = Sent(None, None, cache, self.deadlines.now())
@@ -88,7 +97,8 @@
         """False for a word that does not fit what was asked: nothing on that connection can be trusted."""
         end, sent = WORDS.get(word, End.UNREADABLE), self.slots.get(number)
         if sent is not None and (
-                (end in PROBED) != (sent.door is None) or end is End.SAME  # no client's copy is passed on
+                (end in PROBED) != (sent.door is None)
+                or end is End.SAME and (sent.offered is None or b"made=" not in told)
                 or end is End.SERVED and sent.door is not None and not sent.door.fits(told, body)):
             end = End.UNREADABLE
         self.ended(number, end, b"-" if end is End.UNREADABLE else told, body)
@@ -111,9 +121,16 @@
         if door.steps is not None:
             door.trace(sent, end, took, resp.fields(told))
         if outcome is Outcome.HONOURED:
-            door.serve(body, end is End.SAME)
+            if self.copies is not None and not door.final:
+                self.copies.passed(sent.forward.visit, resp.fields(told), body)
+            door.serve(body, False)
         elif body is not None:
             body.release()
+        if end is End.SAME:
+            if type(sent.offered) is str:
+                door.serve(None, True)
+            else:
+                self.copies.renewed(sent.offered, resp.fields(told))
         try:
             place = told.find(b"detail=")
             note = NOTES.get(told[place + 7 : place + 8]) if place >= 0 else None
--- a/wickhinge/net/journal.py
+++ b/wickhinge/net/journal.py
@@ -81,8 +81,11 @@
 
     def __init__(self, reactor: Any, deadlines: Deadlines, address: tuple[str, int], last: int,
                  connect_within: float, told_list: Callable[..., None], told_purge: Callable[..., None],
-                 log: Callable[..., None]) -> None:
+                 log: Callable[..., None], caught_up: Callable[[], None] = lambda: None) -> None:
         self.deadlines, self.last = deadlines, last
+        self.listed = last  # lists up to here are known: where purges are told again, those are not
+        self.unbroken = False  # all since a number of an earlier start has been told, in one count
+        self.caught_up = caught_up
         self.connect_within = connect_within
         self.told_list, self.told_purge, self.log = told_list, told_purge, log
         self.reactor, self.address = reactor, address
@@ -101,6 +104,11 @@
             reading.transport.abortConnection()
         self.start()
 
+    def remembered(self, number: int) -> None:
+        """Before the start: purges after this number are told again. From a service that keeps its numbers."""
+        if 0 < number <= self.last:
+            self.last, self.unbroken = number, True
+
     def start(self, after: int | None = None) -> None:
         if self.closed or after not in (None, self.round):
             return
@@ -161,11 +169,20 @@
     def frame(self, number: int, kind: int, payload: bytes) -> None:
         """No gap or bad frame is guessed over: the connection goes, and the rest is asked for again. An event
         had already is no gap; the service may write one twice."""
+        if kind == NOTHING and number <= self.last:
+            # Below what we have, it is another count than the one that was remembered.
+            self.unbroken = self.unbroken and number == self.last
+            if number == self.last:
+                self.caught_up()
         if kind == NOTHING or number <= self.last:
             return
         if number != self.last + 1:
+            if self.last < self.listed:  # it does not keep events for so long
+                self.last, self.unbroken = self.listed, False
             raise Unreadable(f"event {number} after {self.last}")
-        if kind in (WHOLE, CHANGES):
+        if kind in (WHOLE, CHANGES) and number <= self.listed:
+            records(payload)
+        elif kind in (WHOLE, CHANGES):
             self.told_list(kind == WHOLE, records(payload))
         elif kind == PURGED_OBJECT:
             key, stamp = fixed(OBJECT, payload)
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -33,11 +33,11 @@
 
 
 class Node:
-    def __init__(self, conf: dict[str, Any], reactor: Any, descriptor: int = 1) -> None:
+    def __init__(self, conf: dict[str, Any], reactor: Any, descriptor: int = 1, options: Any = None) -> None:
         self.reactor = reactor
         self.log = Log(descriptor, config.name(conf), Deadlines.now)
         self.deadlines = Deadlines(reactor, self.fault)
-        self.leaving = False
+        self.leaving = self.started = False
         memory, sockets = config.limits(conf)
         self.collect_over = memory * 700  # in KB: 0.7 of the limit
         connect_within, idle, streams = config.times(conf)
@@ -53,15 +53,25 @@
         self.visits = Visits(self.forwards, self.deadlines, self.pool, tariffs, self.log.event, self.fault)
         self.forwards.router = self.visits.router = self.router
         self.clients = Clients(self.visits, self.deadlines, sockets - sockets // 3 - SPARE, self.log.event)
+        self.copies: Any = None
+        if options is not None and options.store.mode == "on":
+            from wickhinge.net import copies  # what is off costs nothing
+
+            self.copies = copies.make(options, reactor, self.deadlines, self.pool, config.link(conf),
+                                      self.log.event, self.fault)
+        self.router.copies = self.visits.copies = self.forwards.copies = self.copies
         last, events = config.known(conf)
         self.journal = Journal(reactor, self.deadlines, config.journal(conf), last, connect_within,
-                               self.told_records, self.told_purge, self.log.event)
+                               self.told_records, self.told_purge, self.log.event, self.caught_up)
+        if self.copies is not None and options.journal.continues:
+            self.journal.remembered(self.copies.store.purged.number)
         self.listen = config.listen(conf)
         for kind, *told in events:
             (self.told_list if kind == "list" else self.told_purge)(*told)
 
     def start(self) -> None:
         host, port = self.listen
+        self.started = True
         self.router.start(self.deadlines.now())
         self.port = self.reactor.listenTCP(port, self.clients, backlog=1024, interface=host)
         self.reactor.addSystemEventTrigger("before", "shutdown", self.log.flush)
@@ -123,8 +133,14 @@
 
     def told_purge(self, key: int | None, group: int, stamp: float) -> None:
         self.router.purges.told(key, group, stamp / 1000.0, self.deadlines.now())
+        if self.copies is not None:  # of those known at the start the numbers are not told
+            self.copies.store.purge(key, group, stamp / 1000.0, self.journal.last + 1 if self.started else 0)
         self.log.event("purge", key=None if key is None else f"{key:016x}", group=group, stamp=stamp)
 
+    def caught_up(self) -> None:
+        if self.copies is not None:
+            self.copies.store.caught_up(self.deadlines.now(), self.journal.unbroken)
+
     # The program.
 
     def pause(self) -> None:
@@ -154,7 +170,8 @@
             late_answers=self.caches.lates, peak_kb=usage.ru_maxrss, closed=self.clients.closed,
             faults=self.clients.faults, known=len(self.router.fleet.known),
             machines=len(self.caches.machines), objects=len(self.router.shelf.items),
-            deadlines=len(self.deadlines.heap))
+            deadlines=len(self.deadlines.heap),
+            **({} if self.copies is None else {"store": self.copies.figures()}))
         self.clients.faults = {}
         self.deadlines.late = 0.0
         self.deadlines.after(REPORT, self.report)
@@ -177,6 +194,8 @@
             return
         self.leaving = self.clients.leaving = True
         self.log.event("leaving", open=self.visits.open())
+        if self.copies is not None:
+            self.copies.store.snapshot(self.deadlines.now())
         now = self.deadlines.now()
         self.deadlines.at(now + LINGER, self.settle, now + self.last)
 
@@ -189,6 +208,8 @@
             return
         self.log.event("stop", open=self.visits.open(), taken=self.visits.taken)
         self.journal.close()
+        if self.copies is not None:
+            self.copies.store.close()
         for machine in list(self.caches.machines.values()):
             machine.hang_up()
         # One turn more, so that what is written last leaves the transports.
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -28,12 +28,13 @@
 
 class Door:
     __slots__ = ("visits", "client", "call", "rid", "passed", "body", "tariff", "since", "final", "answer",
-                 "visit", "out", "number", "steps", "until")
+                 "visit", "out", "number", "steps", "until", "cached")
 
     def __init__(self, visits: Visits, client: Any, call: int, rid: str, tariff: Any, since: float) -> None:
         self.visits, self.client, self.call, self.tariff, self.since = visits, client, call, tariff, since
         self.rid = rid.encode()
         self.passed = ""  # what goes on unchanged
+        self.cached = ""  # the tag of the client's own copy
         self.body, self.final, self.answer, self.number, self.until = None, False, "", 0, 0.0
         self.visit: Any = None
         self.out: dict[Any, int] = {}
@@ -53,6 +54,9 @@
         if number is not None:
             self.visits.forwards.withdraw(number)
 
+    def read(self, copy: Any) -> None:
+        self.visits.copies.read(self, copy)
+
     def deny(self, wait: float) -> None:
         fields = {"backoff": str(int(wait * 1000))} if wait > 0 else {}
         self.end("denied", lambda client: client.error(self.call, "Overloaded", fields))
@@ -114,6 +118,7 @@
         self.log, self.fault = log, fault
         self.slots = Slots()
         self.router: Any = None
+        self.copies: Any = None  # of our own, where there are any
         self.rids: set[str] = set()  # the latest: an id is new with every visit, also with a repeat
         self.before: set[str] = set()
         self.taken = 0
@@ -142,6 +147,8 @@
             door.passed += f",path={fields['obj']}"
         if "block" in fields:
             door.passed += f",blk={fields['block']}"
+        if not tariff.passes_on and HEX(fields.get("cached", "")):
+            door.cached = fields["cached"]
         self.rids.add(rid)
         if len(self.rids) >= RIDS:
             self.before, self.rids = self.rids, set()
