Tests of the tier: purges at every moment, bounds, breaker, what may answer, the wire

Need: the hard cases of the disk tier, each caused by a test. Change: the store driven by hand on a disk in memory, the glue and the wire without sockets, decide's rules for own copies.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,11 +11,15 @@
 
     def __init__(self):
         self.forwards, self.withdrawn, self.answers, self.alarms, self.probes = [], [], [], [], []
+        self.reads = []
 
     def forward(self, forward, cache, patience, source, rank, oldest, join, held_only, renew):
         sent = SimpleNamespace(it=forward, cache=cache, source=source, rank=rank, oldest=oldest)
         self.forwards.append(sent)
 
+    def read(self, copy):
+        self.reads.append(copy)
+
     def withdraw(self, forward):
         self.withdrawn.append(forward)
 
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,503 @@
+"""The tier as the router uses it: purges at every moment, bounds, the breaker, the glue to visits and the wire."""
+
+import errno
+import random
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+from disk import Disk
+from helpers import end, router, take, tariff
+from test_net import pool, reading
+from test_store_faults import World
+
+from wickhinge.interface import Effect, Outcome
+from wickhinge.net import resp
+from wickhinge.net.buffers import Body
+from wickhinge.net.copies import Copies
+from wickhinge.net.forwards import Forwards
+from wickhinge.net.visits import Visits
+from wickhinge.store.keep import Copy
+from wickhinge.store.link import Link
+
+
+def begun(**more):
+    world = World(**more)
+    world.start()
+    world.lanes.go()
+    return world
+
+
+def held(world, key=1, part=0, size=500):
+    world.offer(key, part, size)
+    world.lanes.go()
+    copy = world.store.find(key, part, world.clock)
+    world.store.caught_up(world.clock, False)
+    return copy
+
+
+def reads(world, copy):
+    got = []
+    world.store.read(copy, lambda data, memory: got.append(data))
+    return got
+
+
+# A purge strikes while ...
+
+def test_parts_are_being_written():
+    world = begun()
+    world.offer(1, 0, 500)
+    world.purge(1)
+    world.lanes.go()
+    assert world.store.find(1, 0, world.clock) is None
+    world.restart(1, lost=False)
+    assert world.store.find(1, 0, world.clock) is None
+
+
+def test_a_copy_from_before_it_comes_in():
+    world = begun()
+    made = world.clock
+    world.purge(1)
+    world.store.visit(1, 0), world.store.visit(1, 0)
+    assert not world.store.wants(1, 0, 0, b"t", made, 500, world.clock)
+    assert world.store.wants(1, 0, 0, b"t", world.clock + 0.01, 500, world.clock)
+
+
+def test_a_part_is_being_read():
+    world = begun()
+    copy = held(world)
+    got = reads(world, copy)
+    world.purge(1)
+    world.lanes.go()
+    assert got != [None] and not world.store.held(copy, world.clock)
+
+
+def test_a_copy_is_being_renewed():
+    world = begun()
+    copy = held(world)
+    before = copy.made
+    world.purge(1)
+    world.store.renewed(copy, before)  # SAME, but of a copy from before the purge
+    assert not world.store.proven(copy, world.clock) and copy.made == before
+
+
+def test_a_snapshot_is_being_made():
+    world = begun()
+    held(world)
+    world.store.snapshot(world.clock)
+    world.purge(1)
+    world.lanes.go()
+    for lost in (False, True):
+        world.restart(7, lost)
+        assert world.store.find(1, 0, world.clock) is None
+
+
+def test_a_start_still_recovers():
+    world = begun()
+    held(world)
+    world.disk = world.disk.restarted(1, False)
+    world.start()
+    world.purge(1)
+    world.lanes.go()
+    assert world.store.find(1, 0, world.clock) is None and not world.store.recovering
+
+
+def test_segments_are_being_recycled():
+    world = begun()
+    for key in range(20):
+        world.offer(key, 0, 3000, group=int(key < 10))
+        world.lanes.go()
+    world.store.turn()
+    world.purge(None, 1)
+    for _ in range(5):
+        world.lanes.go()
+        world.store.turn()
+    world.lanes.go()
+    assert {copy.group for parts in world.store.keep.objects.values() for copy in parts.values()} == {0}
+    assert world.store.counted["recycled"] and world.check(world.stamps)
+
+
+# Readers, bounds, faults.
+
+def test_a_copy_being_read_is_not_recycled_under_the_reader():
+    world = begun()
+    copy = held(world, size=3000)
+    for key in range(2, 9):
+        held(world, key, size=3900)
+    number, got = copy.place[0], reads(world, copy)
+    world.lanes.stalled = {"read"}
+    for parts in list(world.store.keep.objects.values()):
+        for one in list(parts.values()):
+            world.store.lose(one)
+    world.store.turn()
+    world.lanes.go()
+    assert number in world.store.space.segments and world.store.space.segments[number].sealed
+    world.lanes.stalled = set()
+    world.lanes.go()
+    assert got == [world.bodies[1, 0, round(copy.made, 3)]]
+    world.store.turn()
+    assert number not in world.store.space.segments
+
+
+def test_what_is_over_the_bounds_of_writing_is_not_kept_and_nobody_waits():
+    world = begun()
+    world.store.pace.most = 2000
+    for key in range(4):
+        world.offer(key, 0, 900)
+    assert world.store.counted["kept"] == 2 and world.store.counted["refused"] == 2
+    assert world.store.find(0, 0, world.clock) and reads(world, world.store.find(0, 0, world.clock))[0]
+    world.lanes.go()
+    world.offer(9, 0, 900)
+    assert world.store.counted["kept"] == 3
+
+
+@pytest.mark.parametrize("fault", [errno.EIO, errno.ENOSPC])
+def test_a_disk_that_fails_is_bypassed_and_tried_again(fault):
+    world = begun(disk=Disk())
+    world.disk.stuck = fault
+    for key in range(8):
+        world.offer(key, 0, 500)
+        world.lanes.go()
+    assert world.store.breaker.open and world.store.keep.count == 0 and "store_bypassed" in dict(world.log)
+    assert world.store.counted["refused"] >= 4 and world.store.pace.waiting == 0
+    world.disk.stuck = None
+    world.clock += 5.0
+    world.offer(20, 0, 500)
+    world.lanes.go()
+    assert not world.store.breaker.open and world.store.find(20, 0, world.clock)
+    assert world.check(world.stamps) == 1
+
+
+def test_purges_that_could_not_be_put_down_are_put_down_in_order_later():
+    world = begun(continues=True)
+    held(world)
+    world.disk.stuck = errno.EIO
+    world.purge(1, 0, 5)
+    world.lanes.go()
+    world.purge(2, 0, 6)
+    world.lanes.go()
+    assert len(world.store.unlogged) == 2 and world.store.find(1, 0, world.clock) is None
+    world.disk.stuck = None
+    world.store.turn()
+    world.lanes.go()
+    assert not world.store.unlogged
+    world.restart(1, lost=True)
+    assert world.store.purged.number == 6 and world.store.find(1, 0, world.clock) is None
+
+
+def test_a_slow_disk_is_bypassed():
+    world = begun()
+    copy = held(world)
+    for _ in range(4):
+        got = reads(world, copy)
+        world.clock += 2.0
+        world.lanes.go()
+        world.store.caught_up(world.clock, False)
+    assert got[0] is not None and reads(world, copy) == [None]
+
+
+def test_more_reads_than_may_be_out_go_the_ordinary_path():
+    world = begun()
+    copy = held(world)
+    got = [reads(world, copy) for _ in range(17)]
+    assert got[16] == [None] and got[:16] == [[]] * 16
+
+
+def test_the_memory_tier_answers_without_the_disk_and_stays_in_its_room():
+    world = begun(memory=4000)
+    for key in range(8):
+        held(world, key, size=900)
+    world.lanes.stalled = {"read"}
+    assert sum(bool(reads(world, world.store.find(key, 0, world.clock))) for key in range(8)) == 4
+    assert world.store.memory.used <= 4000
+
+
+# Age across a start, and while the journal is away.
+
+def test_copies_of_an_earlier_start_are_unproven_until_they_are_the_same_or_all_is_caught_up():
+    for continues, whole, proven in ((False, True, False), (True, False, False), (True, True, True)):
+        world = begun(continues=continues)
+        assert world.store.proven(held(world), world.clock)
+        world.restart(1, lost=False)
+        copy = world.store.find(1, 0, world.clock)
+        assert copy is not None and not world.store.proven(copy, world.clock)
+        world.store.caught_up(world.clock, whole)
+        assert world.store.proven(copy, world.clock) is proven
+        world.store.renewed(copy, world.clock)
+        assert world.store.proven(copy, world.clock)
+
+
+@pytest.mark.parametrize("later, answers", [(0.0, True), (2.9, True), (3.1, False), (-2.0, False)])
+def test_nothing_is_proven_while_purges_may_be_untold_or_the_clock_went_back(later, answers):
+    world = begun()
+    assert world.store.proven(held(world), world.clock + later) is answers
+
+
+# The journal: taken up again at a number of an earlier start.
+
+def test_purges_are_told_again_and_lists_are_not():
+    made, told = reading(5)
+    made.remembered(2)
+    up = []
+    made.caught_up = lambda: up.append(made.unbroken)
+    for number in (3, 4, 5, 6):
+        made.frame(number, 1, b"") if number in (3, 6) else made.frame(number, 4, b"\x00\x07" + bytes(8))
+    made.frame(6, 0, b"")
+    assert told == [(None, 7, 0), (None, 7, 0), (True, [])] and up == [True]
+
+
+@pytest.mark.parametrize("remembered, first", [(9, None), (0, None), (2, 4)])
+def test_a_count_that_was_begun_anew_or_has_a_gap_proves_nothing(remembered, first):
+    made, _ = reading(5)
+    up = []
+    made.caught_up = lambda: up.append(made.unbroken)
+    made.remembered(remembered)
+    if first:
+        with pytest.raises(Exception, match="after"):
+            made.frame(first, 4, b"\x00\x07" + bytes(8))
+    made.frame(5, 0, b"")
+    made.frame(3, 0, b"")  # a service that lost its count: nothing is caught up with
+    assert up == [False] and made.last == 5
+
+
+# What decide says may answer.
+
+class Shelf:
+    """Copies by hand."""
+
+    def __init__(self, copy, proven=True, held=True, ends=0.0):
+        self.copy, self.is_proven, self.is_held, self.late = copy, proven, held, ends
+
+    def visit(self, key, part):
+        self.visited = key, part
+
+    def find(self, key, part, now):
+        return self.copy
+
+    def proven(self, copy, now):
+        return self.is_proven
+
+    def held(self, copy, now):
+        return self.is_held
+
+    def ends(self, copy, now):
+        return now + self.late
+
+
+def asked(kind, age, now=100.0, **more):
+    made = router()
+    made.copies = Shelf(Copy(5, 0, 3, b"t", now - age, 100, 1), **more)
+    visit, caller = take(made, kind, now=now)
+    return made, visit, caller
+
+
+@pytest.mark.parametrize("fresh, age, more, answers", [
+    (0.0, 1e6, {}, True), (10.0, 9.0, {}, True), (10.0, 11.0, {}, False), (0.0, 1.0, {"proven": False}, False),
+    (0.0, 1.0, {"ends": 0.7}, True), (0.0, 1.0, {"ends": 0.8}, False)])
+def test_a_fresh_and_proven_copy_answers_if_its_bytes_pass_in_time(fresh, age, more, answers):
+    made, visit, caller = asked(tariff(fresh=fresh), age, **more)
+    assert bool(caller.reads) is answers and bool(caller.forwards) is not answers
+    assert made.shelf.items[5].k == 1  # a visit raises k, however it is answered
+    if answers:
+        assert visit.read(caller.reads[0], True, 100.01) and visit.done and caller.answers == []
+
+
+@pytest.mark.parametrize("whole, gone", [(False, False), (True, True)])
+def test_a_copy_that_cannot_be_read_or_was_purged_meanwhile_goes_the_ordinary_path_once(whole, gone):
+    made, visit, caller = asked(tariff(), 1.0)
+    made.copies.is_held = not gone
+    assert not visit.read(caller.reads[0], whole, 100.05)
+    assert len(caller.forwards) == 1 and visit.copy is None and len(caller.reads) == 1
+
+
+@pytest.mark.parametrize("kind", [tariff(Effect.EXCLUSIVE), tariff(Effect.TICKETED), tariff(passes_on=True)])
+def test_what_runs_somewhere_is_never_answered_by_a_copy(kind):
+    _, visit, caller = asked(kind, 1.0)
+    assert not caller.reads and visit.copy is None
+
+
+@pytest.mark.parametrize("age, reads", [(7.0, True), (11.0, False)])
+def test_a_copy_in_its_grace_answers_only_in_place_of_a_denial(age, reads):
+    _, visit, caller = asked(replace(tariff(fresh=5.0), grace=5.0), age)
+    assert len(caller.forwards) == 1 and not caller.reads
+    visit.give_up(100.1)
+    assert bool(caller.reads) is reads and bool(caller.answers) is not reads
+    if reads:
+        assert not visit.read(caller.reads[0], False, 104.99)
+        assert caller.answers == [("denied", 0.5)]
+
+
+def test_an_unproven_copy_is_offered_and_answers_once_it_is_the_same():
+    made, visit, caller = asked(tariff(), 1.0, proven=False)
+    assert visit.copy is made.copies.copy and caller.forwards
+    before = dict(made.means), visit.item.work
+    made.copies.is_proven = True
+    end(caller, Outcome.CURRENT, 100.02)
+    assert caller.reads and not visit.done and (dict(made.means), visit.item.work) == before
+    assert visit.read(caller.reads[0], True, 100.03) and visit.done
+
+
+def test_the_same_that_cannot_be_read_is_asked_for_whole_at_the_same_cache():
+    made, visit, caller = asked(tariff(), 1.0, proven=False)
+    made.copies.is_proven = True
+    end(caller, Outcome.CURRENT, 100.02)
+    assert not visit.read(caller.reads[0], False, 100.03)
+    assert len(caller.forwards) == 2 and caller.forwards[1].cache is caller.forwards[0].cache
+    end(caller, Outcome.HONOURED, 100.04, closed=True)
+    assert visit.done
+
+
+# The glue, and the wire.
+
+class Heap:
+    """Deadlines by hand."""
+
+    def __init__(self):
+        self.calls, self.clock = [], 100.0
+
+    def now(self):
+        return self.clock
+
+    def at(self, when, call, *args):
+        self.calls.append((when, call, args))
+
+    def after(self, delay, call, *args):
+        self.at(self.clock + delay, call, *args)
+
+    def soon(self, call, *args):
+        self.at(0.0, call, *args)
+
+    def waited(self, now):
+        return 0.0
+
+    def run(self, until):
+        self.clock = until
+        while due := [entry for entry in self.calls if entry[0] <= until]:
+            self.calls.remove(due[0])
+            due[0][1](*due[0][2])
+
+
+class Answers:
+    def __init__(self):
+        self.had = []
+
+    def serve(self, call, body, fields):
+        self.had.append((call, b"".join(body.views()) if body is not None else b"", fields))
+
+    def error(self, call, word, fields):
+        self.had.append((call, word, fields))
+
+
+def wired(with_store=True):
+    world = begun()
+    heap, (buffers, _) = Heap(), pool(100)
+    faults, sent = [], []
+    machine = SimpleNamespace(send=lambda tag, number, payload: sent.append((tag, number, payload)) or object())
+    caches = SimpleNamespace(machines={mark: machine for mark in [1, 2, 3, 4, 100, 101, 200]})
+    forwards = Forwards(caches, heap, 0.25, faults.append)
+    made = router()
+    visits = Visits(forwards, heap, buffers, {"t": tariff()}, lambda *a, **k: None, faults.append)
+    forwards.router = visits.router = made
+    world.clock = heap.clock
+    if with_store:
+        world.store.now = lambda: heap.clock
+        copies = Copies(world.store, heap, buffers, Link(1e6, 1e6), 0.1, faults.append)
+        made.copies = visits.copies = forwards.copies = copies
+        world.store.caught_up(heap.clock, False)
+    return SimpleNamespace(world=world, heap=heap, forwards=forwards, visits=visits, sent=sent, faults=faults,
+                           pool=buffers, client=Answers(), router=made)
+
+
+ASKED = random.Random(4)
+
+
+def ask(net, **more):
+    fields = {"rid": f"{ASKED.getrandbits(64):016x}", "budget": "3000", "obj": f"{5:016x}", "block": "0", **more}
+    return net.visits.take(net.client, len(net.client.had), "t", fields, b"")
+
+
+def told(net):
+    """The fields of what was sent last."""
+    (items,) = resp.Stream(pool()[0]).feed(net.sent[-1][2])
+    return resp.fields(items[2])
+
+
+def served(net, word=b"OK", body=b"x" * 700, made=99_000):
+    number = net.sent[-1][1]
+    net.forwards.answered(number, word, b"etag=00000000000000e1,made=%d" % made, Body(net.pool, body))
+
+
+@pytest.mark.parametrize("cached, have", [("00000000000000e1", "00000000000000e1"), ("zz,src=s-1", None), ("", None)])
+def test_a_clients_tag_goes_on_only_if_it_is_one_and_its_copy_answers_without_bytes(cached, have):
+    net = wired(with_store=False)
+    ask(net, cached=cached)
+    assert told(net).get("have") == have
+    assert net.forwards.answered(net.sent[-1][1], b"SAME", b"etag=e,made=9", None) is (have is not None)
+    if have:
+        assert net.client.had == [(0, b"", {"keep": "1"})] and net.visits.slots.free
+
+
+def visited(net, word=b"OK", **more):
+    ask(net, **more)
+    served(net, word)
+    net.world.lanes.go()
+    net.heap.run(net.heap.clock)
+
+
+def test_the_second_wish_is_kept_and_the_third_is_answered_by_the_copy():
+    net = wired()
+    visited(net), visited(net)
+    assert len(net.sent) == 2 and net.world.store.counted["kept"] == 1
+    ask(net)
+    net.heap.run(net.heap.clock)
+    net.world.lanes.go()
+    net.heap.run(net.heap.clock)
+    assert len(net.sent) == 2 and net.client.had[2] == (2, b"x" * 700, {}) and not net.faults
+    assert not list(net.visits.slots) and not list(net.visits.copies.slots)
+    ask(net, cached="00000000000000e1")
+    net.heap.run(net.heap.clock)
+    assert net.client.had[3] == (3, b"", {"keep": "1"}) and net.visits.copies.served["told"] == 1
+
+
+def test_a_read_that_does_not_come_in_time_goes_on_to_a_cache_and_answers_once():
+    net = wired()
+    visited(net), visited(net)
+    net.world.lanes.stalled = {"read"}
+    ask(net)
+    net.heap.run(net.heap.clock + 0.05)
+    assert len(net.sent) == 2
+    net.heap.run(net.heap.clock + 0.06)
+    assert len(net.sent) == 3
+    served(net)
+    net.world.lanes.stalled = set()
+    net.world.lanes.go()
+    net.heap.run(net.heap.clock + 1.0)
+    assert len(net.client.had) == 3 and not net.faults and net.visits.copies.served["late"] == 1
+
+
+def test_a_client_that_left_while_its_copy_was_read_gets_nothing():
+    net = wired()
+    visited(net), visited(net)
+    door = ask(net)
+    net.visits.gone(door)
+    net.world.lanes.go()
+    net.heap.run(net.heap.clock + 5.0)
+    assert len(net.client.had) == 2 and not list(net.visits.slots)
+
+
+def test_after_a_start_the_copy_is_offered_and_serves_once_the_cache_says_it_is_the_same():
+    net = wired()
+    visited(net), visited(net)
+    net.world.restart(1, lost=False)
+    net.world.store.now = lambda: net.heap.clock
+    copies = Copies(net.world.store, net.heap, net.pool, Link(1e6, 1e6), 0.1, net.faults.append)
+    net.router.copies = net.visits.copies = net.forwards.copies = copies
+    net.world.store.caught_up(net.heap.clock, False)
+    ask(net)
+    assert told(net)["have"] == "00000000000000e1"
+    served(net, b"SAME", b"", made=99_900)
+    net.heap.run(net.heap.clock)
+    net.world.lanes.go()
+    net.heap.run(net.heap.clock)
+    assert net.client.had[2] == (2, b"x" * 700, {}) and not net.faults
+    assert net.world.store.find(5, 0, net.heap.clock).made == 99.9
