--- a/bench/store.py
+++ b/bench/store.py
@@ -3,7 +3,7 @@
     kill    the program on a real directory under load, killed again and again; every byte served is judged
     scan    the tier's choice beside LRU and admit-all, on the same traces, and beside hindsight
     counts  the compact table of k beside a dict
-    speed   segments beside one file a part and SQLite: reads, writes, recovery, memory, bytes written
+    speed   segments beside one file a part, SQLite and LMDB: reads, writes, recovery, memory, bytes written
     stall   the reactor's delay while the disk stands still
 
 The last line is one JSON object. Seeds and sizes are options; everything is on loopback or in a directory given.
@@ -552,6 +552,39 @@
         self.base.close()
 
 
+class Lmdb:
+    """Plain: one map, a commit every 64 parts, without a sync of each."""
+
+    def __init__(self, folder: str) -> None:
+        import lmdb
+
+        self.base = lmdb.open(folder, map_size=16 << 30, sync=False, writemap=False)
+        self.writing: Any = None
+        self.count = 0
+
+    def name(self, key: int, part: int) -> bytes:
+        return key.to_bytes(8) + part.to_bytes(4)
+
+    def write(self, key: int, part: int, data: bytes) -> None:
+        self.writing = self.writing or self.base.begin(write=True)
+        self.writing.put(self.name(key, part), data)
+        self.count += 1
+        if self.count % 64 == 0:
+            self.sync()
+
+    def read(self, key: int, part: int) -> bytes:
+        with self.base.begin() as reading:
+            return reading.get(self.name(key, part))
+
+    def sync(self) -> None:
+        if self.writing is not None:
+            self.writing.commit()
+            self.writing = None
+
+    def close(self) -> None:
+        self.base.close()
+
+
 def timed(histogram: HdrHistogram, call: Any, *args: Any) -> Any:
     began = time.perf_counter_ns()
     result = call(*args)
@@ -570,8 +603,8 @@
 @click.option("--dir", "base", default=None, help="Where; default the system's temporary directory.")
 @click.option("--json", "_", is_flag=True)
 def speed(rounds: int, mb: int, recover_mb: str, base: str | None, _: bool) -> None:
-    """Writes, reads, recovery, memory and bytes written, beside one file a part and SQLite in the same rounds."""
-    kinds = {"segments": Segments, "file": OneFile, "sqlite": Sqlite}
+    """Writes, reads, recovery, memory, bytes written, beside one file a part, SQLite and LMDB in the same rounds."""
+    kinds = {"segments": Segments, "file": OneFile, "sqlite": Sqlite, "lmdb": Lmdb}
     rates: dict[str, list[float]] = defaultdict(list)
     tails = {f"{kind}_{what}": HdrHistogram(1, 60_000_000, 3) for kind in kinds for what in ("write", "read")}
     for turn in range(rounds):
@@ -596,7 +629,7 @@
                 rates[f"{name}_disk_ratio"].append(disk_bytes(Path(folder)) / sum(sizes))
                 made.close()
     answer: dict[str, Any] = {name: round(statistics.median(values), 3) for name, values in rates.items()}
-    for other in ("file", "sqlite"):
+    for other in ("file", "sqlite", "lmdb"):
         for what in ("writes", "reads"):
             pairs = [ours / theirs for ours, theirs in zip(rates[f"segments_{what}_s"], rates[f"{other}_{what}_s"],
                                                            strict=True)]
