--- a/tests/disk.py
+++ b/tests/disk.py
@@ -55,6 +55,9 @@
             if not create:
                 raise FileNotFoundError(errno.ENOENT, "no such file", path)
             self.nodes[path] = Node()
+        elif create:
+            self.nodes[path].data[:] = b""
+            self.nodes[path].pending = []
         self.next += 1
         self.handles[self.next] = self.nodes[path]
         return self.next
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -134,16 +134,14 @@
 
 class Cache:
     def __init__(self, listing: Listing, chance: Chance, now: float) -> None:
-        self.chance = chance
+        self.chance, self.others = chance, 0.0  # others: transfers of the location's other routers here, guessed
         self.mark, self.zone, self.kind, self.cell = listing.cache, listing.zone, listing.kind, listing.cell
         self.salt, self.weight, self.state, self.started = mix(mix(listing.cache)), 1.0, "ready", -1e9
-        self.others = 0.0  # transfers that the location's other routers have here, guessed
         self.begin(now)
 
     def begin(self, now: float) -> None:  # nothing learned of the last process holds
         self.owe(now)
-        self.sent = 0.0  # work, since last weighed
-        self.pending, self.filling = set(), set()  # forwards to it, and fills it is the source of
+        self.pending, self.filling, self.sent = set(), set(), 0.0  # forwards to it, fills from it; work
         self.heard, self.strikes, self.lost, self.shunned, self.asked = now, 0, False, 0.0, 0.0
         self.fit = self.best = 12.0  # transfers from here that it bears at full pace: hopeful, then learned
         self.lags: dict[str, float] = {}  # as a source: what fills take beyond their own time, over that time
@@ -201,8 +199,7 @@
         self.chance, self.zone, self.routers, self.weighed = chance, zone, max(routers, 1), weighed
         self.parent_kind, self.origin_kind, self.edge, self.upper = parent_kind, origin_kind, edge, upper
         self.known, self.mine, self.parents, self.origin = {}, [], [], None  # known: by the list's ids
-        self.weight, self.share = 0.0, 1.0  # of this location's caches, and their part of all traffic
-        self.pending = 0.0  # this router's transfers out at once, lately
+        self.weight, self.share, self.pending = 0.0, 1.0, 0.0  # of caches here; of all traffic; out at once
 
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
         """Heeded at once, as sources too: what drains or is gone leaves the lists that sends choose from."""
@@ -212,7 +209,8 @@
         for listing in listings:
             cache = self.known.get(listing.cache) or Cache(listing, self.chance, now)
             self.known[cache.mark] = cache
-            cache.state, cache.weight = listing.state, listing.weight or 1.0
+            cache.state, cache.weight, cache.trusted = listing.state, listing.weight or 1.0, listing.trusted
+            cache.lost |= not listing.trusted and cache.heard == now  # one visit at a time, until it answers
             cache.best = max(cache.weight, 0.5) if self.weighed else cache.best
             if listing.started is not None and listing.started > cache.started:
                 cache.begin(now)
@@ -267,8 +265,7 @@
         self.work, self.known = work, known  # its sending time, or a guess by the tariff's mean
         self.expires = now + patience
         self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
-        self.forwards: list[Forward] = []
-        self.done, self.held, self.rest = False, False, 0.0  # held: waits here, until rest at least
+        self.forwards, self.done, self.held, self.rest = [], False, False, 0.0  # held: waits here, until rest at least
         self.at = self.copy = None  # whose miss is to be filled; of our own, its tag offered by forwards
 
     def pending(self) -> list[Forward]:
@@ -281,7 +278,7 @@
         """Against a second effect: what may have run is repeated only where a repeat is dropped."""
         risky = self.risky()
         if len(self.forwards) >= self.router.most_forwards or (
-                not self.router.second_copies and self.pending()):
+                not self.router.second_copies and self.pending()) or not self.trusts(cache):
             return False
         if not risky or self.tariff.effect is Effect.RERUNNABLE:
             return True
@@ -291,6 +288,9 @@
         return group == "all" or all(
             f.cache.zone == cache.zone and (group == "zone" or f.cache.cell == cache.cell) for f in risky)
 
+    def trusts(self, cache: Cache) -> bool:  # what has effects goes to no machine that only an old list names
+        return cache.trusted or self.tariff.effect is Effect.RERUNNABLE
+
     def late(self, crowd: float, now: float) -> bool:
         # A repeat's promise mostly ran out with its first try: in a crowd it takes pace from first tries.
         return not self.tariff.passes_on and (
@@ -334,7 +334,7 @@
                 break
         if self.tariff.passes_on:  # runs at the origin: straight there, or through a cache that names it
             wanted = source if router.direct else wanted
-            hopeful = source and now + self.work < self.expires
+            hopeful = source and self.trusts(source) and now + self.work < self.expires
         elif wanted:
             source = hopeful = wanted
             if now - wanted.started < EMPTY:
--- a/wickhinge/interface.py
+++ b/wickhinge/interface.py
@@ -82,6 +82,7 @@
     state: str  # "ready", "draining" or "gone"
     weight: float
     started: float | None
+    trusted: bool = True  # False: nobody vouches for it now, and it has yet to prove itself
 
 
 class Caller(Protocol):
--- /dev/null
+++ b/wickhinge/membership/keeper.py
@@ -0,0 +1,75 @@
+"""The two files of the remembered list: written on a worker's thread, read once at the start."""
+
+from __future__ import annotations
+
+from wickhinge.membership import remembered
+from wickhinge.store.files import Files
+
+
+class Unusable(Exception):
+    """The directory can't hold a list; the text says why."""
+
+
+class Keeper:
+    """Of two generations one is always whole: the older is replaced, by a rename. All calls may block."""
+
+    def __init__(self, files: Files, path: str) -> None:
+        self.files, self.path, self.sequence = files, path, 0
+        self.locked: int | None = None
+
+    def at(self, name: str) -> str:
+        return f"{self.path}/{name}"
+
+    def open(self) -> None:
+        """Raises Unusable."""
+        try:
+            self.files.make(self.path)
+            self.locked = self.files.lock(self.at("lock"))
+        except OSError as problem:
+            raise Unusable(f"{self.path} can't be used: {problem.strerror or problem}") from None
+        if self.locked is None:
+            raise Unusable(f"{self.path} is in use by another process")
+
+    def read(self) -> tuple[remembered.Memory | None, list[str]]:
+        """The newest whole list, and what was wrong with others."""
+        best, wrong = None, []
+        for name in remembered.NAMES:
+            try:
+                handle = self.files.open(self.at(name))
+            except FileNotFoundError:
+                continue
+            except OSError as problem:
+                wrong.append(f"{name} can't be read: {problem.strerror or problem}")
+                continue
+            try:
+                data = self.files.read(handle, remembered.LONGEST + remembered.HEAD.size + 1, 0)
+                sequence, memory = remembered.unpack(data)
+            except (OSError, remembered.Unreadable) as problem:
+                wrong.append(f"{name} {problem}")
+                continue
+            finally:
+                self.files.close(handle)
+            self.sequence = max(self.sequence, sequence)
+            if best is None or sequence > best[0]:
+                best = sequence, memory
+        return best[1] if best else None, wrong
+
+    def write(self, memory: remembered.Memory) -> None:
+        """Whole and lasting when it returns; the other generation stays as it is."""
+        sequence = self.sequence + 1
+        name = remembered.NAMES[sequence % 2]
+        handle = self.files.open(self.at(name + ".new"), write=True, create=True)
+        try:
+            data = remembered.pack(memory, sequence)
+            self.files.write(handle, data, 0)
+            self.files.sync(handle)
+        finally:
+            self.files.close(handle)
+        self.files.rename(self.at(name + ".new"), self.at(name))
+        self.files.sync_names(self.path)
+        self.sequence = sequence
+
+    def close(self) -> None:
+        if self.locked is not None:
+            self.files.close(self.locked)
+            self.locked = None
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -36,6 +36,7 @@
         self.slots = Slots()
         self.router: Any = None
         self.copies: Any = None  # of our own, where there are any
+        self.members: Any = None  # who says what is there while nobody vouches for it, where that is on
         caches.answered, caches.ended = self.answered, self.ended
 
     def send(self, door: Any, forward: Any, cache: Any, patience: float, source: Any, rank: int,
@@ -45,6 +46,8 @@
             fields += f",src=s-{source.mark:08x}"
         if rank:
             fields += f",keep={rank}"
+        if self.members is not None and not door.tariff.passes_on:
+            oldest = self.members.oldest(oldest)
         if oldest is not None:
             # 0 would lift the limit, and rounding up would widen it.
             fields += f",maxage={max(int(oldest * 1000), 1)}"
@@ -62,8 +65,9 @@
         payload = resp.pack(b"REQ", door.rid, fields.encode(), body)
         return self.put(sent, door.rid, payload, patience)
 
-    def probe(self, cache: Any) -> None:
-        sent = Sent(None, None, cache, self.deadlines.now())
+    def probe(self, cache: Any, then: Any = None) -> None:
+        """then: who hears of it in the module's place."""
+        sent = Sent(None, then, cache, self.deadlines.now())
         self.put(sent, b"", b"", self.probe_within)
 
     def put(self, sent: Sent, tag: bytes, payload: bytes, patience: float) -> int:
@@ -116,8 +120,13 @@
             if body is not None:
                 body.release()
             load = resp.loads(resp.fields(told).get("use", ""))
+            if sent.forward is not None:
+                sent.forward(sent.cache, outcome is Outcome.HONOURED)
+                return
             self.router.probed(sent.cache, outcome, load, now)
             return
+        if self.members is not None:
+            self.members.ended(sent, outcome)
         if door.steps is not None:
             door.trace(sent, end, took, resp.fields(told))
         if outcome is Outcome.HONOURED:
--- a/wickhinge/net/journal.py
+++ b/wickhinge/net/journal.py
@@ -85,7 +85,9 @@
         self.deadlines, self.last = deadlines, last
         self.listed = last  # lists up to here are known: where purges are told again, those are not
         self.unbroken = False  # all since a number of an earlier start has been told, in one count
+        self.resumed = False  # the list, too, is of an earlier start
         self.caught_up = caught_up
+        self.turn: Callable[[], tuple[tuple[str, int], float]] | None = None  # where and when to try next
         self.connect_within = connect_within
         self.told_list, self.told_purge, self.log = told_list, told_purge, log
         self.reactor, self.address = reactor, address
@@ -109,6 +111,18 @@
         if 0 < number <= self.last:
             self.last, self.unbroken = number, True
 
+    def resume(self, number: int) -> None:
+        """Before the start, where no list is known but a remembered one, of this number: on from there."""
+        if number > 0 and self.last == 0:
+            self.last = self.listed = number
+            self.resumed = self.unbroken = True
+
+    def anew(self, why: str) -> None:
+        """What was remembered is of another count, or too old: everything is told from the first event on."""
+        self.last = self.listed = 0
+        self.resumed = self.unbroken = False
+        raise Unreadable(why)
+
     def start(self, after: int | None = None) -> None:
         if self.closed or after not in (None, self.round):
             return
@@ -135,7 +149,10 @@
     def again(self, why: str, told: int) -> None:
         if told == self.round and not self.closed:
             self.log("journal_lost", why=why, last=self.last)
-            self.deadlines.after(AGAIN, self.start, told)
+            delay = AGAIN
+            if self.turn is not None:
+                self.address, delay = self.turn()
+            self.deadlines.after(delay, self.start, told)
 
     def check(self, reading: Reading) -> None:
         if self.reading is not reading:
@@ -174,9 +191,13 @@
             self.unbroken = self.unbroken and number == self.last
             if number == self.last:
                 self.caught_up()
+            elif self.resumed:
+                self.anew(f"event {number} is the last, and {self.last} was remembered")
         if kind == NOTHING or number <= self.last:
             return
         if number != self.last + 1:
+            if self.resumed:
+                self.anew(f"event {number} after {self.last}, which was remembered")
             if self.last < self.listed:  # it does not keep events for so long
                 self.last, self.unbroken = self.listed, False
             raise Unreadable(f"event {number} after {self.last}")
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -48,7 +48,8 @@
         conf_settings = config.settings(conf)
         self.zones = settings.names(conf_settings, "zones")
         self.kinds = settings.names(conf_settings, "shapes")
-        self.router, tariffs = settings.build(conf_settings, config.seed(conf), self)
+        self.seed = config.seed(conf)
+        self.router, tariffs = settings.build(conf_settings, self.seed, self)
         self.last = min(max(tariff.patience for tariff in tariffs.values()), LONGEST) + LAST
         self.visits = Visits(self.forwards, self.deadlines, self.pool, tariffs, self.log.event, self.fault)
         self.forwards.router = self.visits.router = self.router
@@ -60,11 +61,22 @@
             self.copies = copies.make(options, reactor, self.deadlines, self.pool, config.link(conf),
                                       self.log.event, self.fault)
         self.router.copies = self.visits.copies = self.forwards.copies = self.copies
+        self.members: Any = None
+        if options is not None and options.discovery.mode == "on":
+            from wickhinge.net import members
+
+            self.members = members.make(options, conf_settings, self)
+        self.forwards.members = self.members
         last, events = config.known(conf)
         self.journal = Journal(reactor, self.deadlines, config.journal(conf), last, connect_within,
                                self.told_records, self.told_purge, self.log.event, self.caught_up)
+        if self.members is not None:
+            self.members.follow(self.journal, options)
+        self.purges_resumed = False  # all since the number of the store's purge log is told
         if self.copies is not None and options.journal.continues:
-            self.journal.remembered(self.copies.store.purged.number)
+            number = self.copies.store.purged.number
+            self.journal.remembered(number)
+            self.purges_resumed = 0 < self.journal.last <= number
         self.listen = config.listen(conf)
         for kind, *told in events:
             (self.told_list if kind == "list" else self.told_purge)(*told)
@@ -76,6 +88,8 @@
         self.port = self.reactor.listenTCP(port, self.clients, backlog=1024, interface=host)
         self.reactor.addSystemEventTrigger("before", "shutdown", self.log.flush)
         self.journal.start()
+        if self.members is not None:
+            self.members.start()
         self.clients.sweep()
         # A full walk takes 70 ms, in which visits run out. Visits leave no circles, so none is needed.
         gc.disable()
@@ -125,8 +139,10 @@
             self.caches.listed(mark, f"{mark:08x}", address)
             listings.append(Listing(mark, zone, kind, cell, state, weight, started))
         self.router.fleet.listed(listings, whole, self.deadlines.now())
+        if self.members is not None:
+            self.members.live(whole, machines)
         for mark, machine in list(self.caches.machines.items()):
-            if mark not in self.router.fleet.known:
+            if mark not in self.router.fleet.known and not (self.members is not None and self.members.knows(mark)):
                 machine.leave()
         self.log.event("list", whole=whole, machines=[
             [f"{m[0]:08x}", m[2], m[3], m[4], m[7]] for m in machines])
@@ -135,11 +151,15 @@
         self.router.purges.told(key, group, stamp / 1000.0, self.deadlines.now())
         if self.copies is not None:  # of those known at the start the numbers are not told
             self.copies.store.purge(key, group, stamp / 1000.0, self.journal.last + 1 if self.started else 0)
+        if self.members is not None:
+            self.members.purge(key, group, stamp / 1000.0)
         self.log.event("purge", key=None if key is None else f"{key:016x}", group=group, stamp=stamp)
 
     def caught_up(self) -> None:
         if self.copies is not None:
-            self.copies.store.caught_up(self.deadlines.now(), self.journal.unbroken)
+            self.copies.store.caught_up(self.deadlines.now(), self.journal.unbroken and self.purges_resumed)
+        if self.members is not None:
+            self.members.caught_up(self.journal)
 
     # The program.
 
@@ -171,6 +191,7 @@
             faults=self.clients.faults, known=len(self.router.fleet.known),
             machines=len(self.caches.machines), objects=len(self.router.shelf.items),
             deadlines=len(self.deadlines.heap),
+            **({} if self.members is None else {"list": self.members.figures()}),
             **({} if self.copies is None else {"store": self.copies.figures()}))
         self.clients.faults = {}
         self.deadlines.late = 0.0
@@ -208,6 +229,8 @@
             return
         self.log.event("stop", open=self.visits.open(), taken=self.visits.taken)
         self.journal.close()
+        if self.members is not None:
+            self.members.close()
         if self.copies is not None:
             self.copies.store.close()
         for machine in list(self.caches.machines.values()):
--- a/wickhinge/options/__init__.py
+++ b/wickhinge/options/__init__.py
@@ -5,6 +5,6 @@
 """
 
 from wickhinge.options.load import Fault, load, parse
-from wickhinge.options.records import Journal, Options, Store
+from wickhinge.options.records import Discovery, Journal, Machine, Options, Store
 
-__all__ = ["Fault", "Journal", "Options", "Store", "load", "parse"]
+__all__ = ["Discovery", "Fault", "Journal", "Machine", "Options", "Store", "load", "parse"]
--- a/wickhinge/options/load.py
+++ b/wickhinge/options/load.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from functools import cache
 from importlib import resources
@@ -49,6 +50,8 @@
 %ignore /\s+/
 """
 MOST = 1 << 20  # bytes of a file
+ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}\Z").match
+MACHINE = re.compile(r"s-[0-9a-f]{8}\Z").match
 ESCAPES = {"n": "\n", "t": "\t"}
 
 
@@ -219,7 +222,7 @@
         wanted = self.resolve(wanted)
         if wanted.kind == "record":
             return self.record(wanted.value, Record(), f"{key}.", line)
-        if wanted.kind == "literal":
+        if wanted.kind in ("literal", "list"):
             return wanted.value
         for node in wanted.value if wanted.kind == "either" else ():
             if node.default:
@@ -294,6 +297,21 @@
     options = msgspec.convert(told, Options)
     if options.store.mode == "on" and not options.store.dir:
         raise Fault(f"{name}: store.dir: is missing while store.mode is on")
+    found = options.discovery
+    if found.mode == "on" and not (found.dir or found.static or found.siblings):
+        raise Fault(f"{name}: discovery.dir: is missing while discovery.mode is on, as are static and siblings")
+    if (found.listen or found.siblings) and not found.key_file:
+        raise Fault(f"{name}: discovery.key_file: is missing; siblings are not talked to without a key")
+    if found.dir and found.dir == options.store.dir:
+        raise Fault(f"{name}: discovery.dir: is the store's own")
+    for key, values in (("listen", [found.listen] * bool(found.listen)), ("siblings", found.siblings),
+                        ("addresses", found.addresses), ("static", [one.dial for one in found.static])):
+        for place, value in enumerate(values):
+            if not ADDRESS(value):
+                raise Fault(f"{name}: discovery.{key}[{place}]: {value!r} is not an address as 127.0.0.1:10080")
+    for place, one in enumerate(found.static):
+        if not MACHINE(one.id):
+            raise Fault(f"{name}: discovery.static[{place}].id: {one.id!r} is not an id as s-00c41f7a")
     if options.store.size_mb < 4 * options.store.segment_mb:
         raise Fault(f"{name}: store.segment_mb: is over a quarter of store.size_mb")
     return options
--- a/wickhinge/options/records.py
+++ b/wickhinge/options/records.py
@@ -24,6 +24,33 @@
     quiet_s: float  # so long after its last word copies of our own still answer
 
 
+class Machine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    id: str
+    dial: str
+    zone: str
+    kind: str
+    cell: int
+    weight: float
+
+
+class Discovery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    mode: str
+    dir: str
+    after_s: float  # so long the live list is waited for
+    hint_after_s: float  # past this age a list says only whom to ask
+    untold_s: float  # 0, or the oldest copy asked for while the service is not heard
+    writes_a_minute: float
+    addresses: list[str]  # further ones of the journal service
+    backoff_s: float
+    longest_backoff_s: float
+    static: list[Machine]
+    listen: str  # where siblings are answered; "": nowhere
+    siblings: list[str]
+    key_file: str
+    routers: int  # that may start at the same moment; 0: as the settings say
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     store: Store
     journal: Journal
+    discovery: Discovery
--- a/wickhinge/options/schema.cue
+++ b/wickhinge/options/schema.cue
@@ -20,5 +20,34 @@
 	quiet_s:   number & >=1 & <=6 | *3
 }
 
-store:   #Store
-journal: #Journal
+#Machine: {
+	id:     string & !=""
+	dial:   string & !=""
+	zone:   string & !=""
+	kind:   string & !=""
+	cell:   int & >=0 & <=65535 | *0
+	weight: number & >0 | *1
+}
+
+#Discovery: {
+	mode: *"off" | "on"
+	// where the list is remembered; may be the store's directory's neighbour, never the store's own
+	dir:               string | *""
+	after_s:           number & >=0 & <=60 | *0.5
+	hint_after_s:      number & >=60 | *86400
+	untold_s:          number & >=0 & <=3600 | *0
+	writes_a_minute:   number & >0 & <=600 | *6
+	addresses:         [...string] | *[]
+	backoff_s:         number & >=0.01 & <=60 | *0.15
+	longest_backoff_s: number & >=0.01 & <=600 | *5
+	static:            [...#Machine] | *[]
+	// talk between instances: only where the installation allows it, and only with a key
+	listen:   string | *""
+	siblings: [...string] | *[]
+	key_file: string | *""
+	routers:  int & >=0 & <=100000 | *0
+}
+
+store:     #Store
+journal:   #Journal
+discovery: #Discovery
--- a/wickhinge/store/files.py
+++ b/wickhinge/store/files.py
@@ -16,7 +16,8 @@
         return os.listdir(path)
 
     def open(self, path: str, write: bool = False, create: bool = False) -> int:
-        flags = (os.O_RDWR if write else os.O_RDONLY) | (os.O_CREAT if create else 0)
+        """create: empty, whatever an earlier try may have left there."""
+        flags = (os.O_RDWR if write else os.O_RDONLY) | (os.O_CREAT | os.O_TRUNC if create else 0)
         return os.open(path, flags | os.O_CLOEXEC, 0o640)
 
     def close(self, handle: int) -> None:
