--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -54,7 +54,10 @@
 class World:
     """What is true: versions of objects, and what the machines gave out."""
 
-    def __init__(self, size: Callable[[int, int], int], seed: int = 7) -> None:
+    def __init__(self, size: Callable[[int, int], int], seed: int = 7, kinds: tuple[str, ...] = KINDS) -> None:
+        self.kinds, self.states = kinds, [0] * len(kinds)
+        self.marks = [0xA0 + place for place in range(1, len(kinds) + 1)]
+        self.heard: Callable[[int, dict[str, str], bytes], None] = lambda place, fields, data: None
         self.size, self.random = size, np.random.default_rng(seed)
         self.versions: dict[int, int] = {}
         self.serial = self.given = self.same = 0
@@ -65,6 +68,7 @@
         self.readers: set[Feed] = set()
         self.purges: list[tuple[int | None, int, float, dict[int, int]]] = []
         self.ports: list[Any] = []
+        self.followed: Callable[[], None] = lambda: None  # a router has begun to read the journal
         self.mute = False  # the journal accepts and tells nothing
 
     def version(self, key: int) -> int:
@@ -105,30 +109,42 @@
                 sockets = [stack.enter_context(socket.create_server((HOST, 0)))]
                 start = sockets[0].getsockname()[1]
                 try:
-                    for port in range(start + 1, start + len(KINDS) + 2):
+                    for port in range(start + 1, start + len(self.kinds) + 2):
                         stack.enter_context(socket.create_server((HOST, port)))
                     base = start
                 except (OSError, OverflowError):
                     continue
         self.base = base
-        self.ports.append(reactor.listenTCP(base, Listener(lambda: Feed(self)), interface=HOST))
-        for place, kind in enumerate(KINDS, 1):
-            self.ports.append(reactor.listenTCP(
-                base + place, Listener(lambda place=place, kind=kind: Machine(self, place, kind)), interface=HOST))
+        self.serve_journal()
+        for place, kind in enumerate(self.kinds, 1):
+            if kind:
+                self.ports.append(reactor.listenTCP(
+                    base + place, Listener(lambda place=place, kind=kind: Machine(self, place, kind)), interface=HOST))
         return base
 
+    def serve_journal(self) -> None:
+        self.journal = reactor.listenTCP(self.base, Listener(lambda: Feed(self)), interface=HOST)
+
+    def hide_journal(self) -> None:
+        self.journal.stopListening()
+        for reader in list(self.readers):
+            reader.transport.abortConnection()
+
+    def record(self, place: int) -> bytes:
+        kind = self.kinds[place - 1]
+        return RECORD.pack(self.marks[place - 1], int.from_bytes(socket.inet_aton(HOST)), self.base + place,
+                           self.states[place - 1], min(SHAPES.index(kind), 1), SHAPES.index(kind), 0, 40000, 0)
+
     def records(self) -> bytes:
-        return b"".join(RECORD.pack(0xA0 + place, int.from_bytes(socket.inet_aton(HOST)), self.base + place, 0,
-                                    min(SHAPES.index(kind), 1), SHAPES.index(kind), 0, 40000, 0)
-                        for place, kind in enumerate(KINDS, 1))
+        return b"".join(self.record(place) for place, kind in enumerate(self.kinds, 1) if kind)
 
     def known(self) -> list[dict[str, Any]]:
-        return [{"host": f"s-{0xA0 + place:08x}", "dial": f"{HOST}:{self.base + place}", "site":
+        return [{"host": f"s-{self.marks[place - 1]:08x}", "dial": f"{HOST}:{self.base + place}", "site":
                  ("here", "hub")[min(SHAPES.index(kind), 1)], "class": kind, "block": 0, "health": "ready",
-                 "share": 40, "born_ms": 0} for place, kind in enumerate(KINDS, 1)]
+                 "share": 40, "born_ms": 0} for place, kind in enumerate(self.kinds, 1) if kind]
 
     def close(self) -> None:
-        for port in self.ports:
+        for port in [self.journal, *self.ports]:
             port.stopListening()
 
 
@@ -152,6 +168,7 @@
             last = int.from_bytes(self.data[:8])
             self.transport.write(b"".join(self.world.frames[max(last - self.world.first, 0):]))
             self.world.readers.add(self)
+            self.world.followed()
             self.beat = task.LoopingCall(self.nothing)
             self.beat.start(1.0)
 
@@ -168,7 +185,7 @@
     """Holds what it was asked to keep, always in the newest version: purges reach it at once."""
 
     def __init__(self, world: World, place: int, kind: str) -> None:
-        self.world, self.kind = world, kind
+        self.world, self.kind, self.place = world, kind, place
         self.kept = world.kept.setdefault(f"{place}", set())
         self.stream = resp.Stream(Pool(1 << 20, lambda: None, lambda: None))
 
@@ -178,10 +195,12 @@
             if items[0] == b"REQ":
                 self.asked(*items[1:])
             elif items[0] != b"STOP":
+                self.world.heard(self.place, {}, b"")
                 self.transport.write(resp.pack(items[1], b"UP", b"use=util:0.1;x1:0.2", b""))
 
     def asked(self, tag: bytes, told: bytes, body_in: bytes) -> None:
         fields, world = resp.fields(told), self.world
+        world.heard(self.place, fields, body_in)
         key, part = int(fields.get("path", "0"), 16), int(fields.get("blk", "0"))
         held = self.kind == "origin" or (key, part) in self.kept
         if not held and "src" not in fields:
@@ -228,7 +247,7 @@
     def __init__(self, folder: Path, world: World, options: str | None, start: list[str] | None = None) -> None:
         self.folder, self.world, self.options = folder, world, options
         self.start_with = start or ["-m", "wickhinge"]
-        self.address = (HOST, world.base + len(KINDS) + 1)
+        self.address = (HOST, world.base + len(world.kinds) + 1)
         self.child: subprocess.Popen[bytes] | None = None
         self.log = folder / "router.log"
 
--- a/bench/planted.py
+++ b/bench/planted.py
@@ -16,6 +16,23 @@
         put_down = Volume.purge
         Volume.purge = lambda self, purges: put_down(self, [
             purge._replace(key=0, group=0) for purge in purges])
+    elif fault in ("trust", "blind"):  # whatever a list names is as good as vouched for
+        from wickhinge.membership.members import Members
+
+        adopt = Members.adopt
+
+        def all_of_it(self, statements, source, age, now):
+            adopt(self, statements, source, age, now)
+            self.proving.machines.clear()
+            self.tell([(one, one.state, True) for one in self.book.machines.values()])
+
+        Members.adopt = all_of_it
+    elif fault == "drains":
+        from wickhinge.decide import Fleet
+
+        listed = Fleet.listed
+        Fleet.listed = lambda self, listings, whole, now: listed(
+            self, [one for one in listings if one.state != "draining"], whole, now)
     else:
         raise SystemExit(f"no fault {fault}")
 
--- a/wickhinge/membership/members.py
+++ b/wickhinge/membership/members.py
@@ -33,6 +33,7 @@
         self.answered: dict[int, float] = {}  # when a machine last answered this router
         self.purges: dict[tuple[int | None, int], float] = {}
         self.usual = (0.0, 0.0)
+        self.tried: set[int] = set()  # what the fleet was told of without the live list
         self.told_purge: Callable[[int | None, int, float], None] = lambda *_: None
 
     # At the start.
@@ -47,7 +48,8 @@
         if self.memory is not None:
             self.gap.remembered(self.memory.heard)
             for mark, when in self.memory.gone:
-                self.book.gone[mark] = when
+                if mark not in self.book.machines:
+                    self.book.gone[mark] = when
             for key, group, stamp in self.memory.purges:
                 self.purges[key, group] = stamp
                 self.told_purge(key, group, stamp)
@@ -102,6 +104,7 @@
             for mark in self.book.whole(statements, now):
                 self.answered.pop(mark, None)
             self.proving.machines.clear()
+            self.tried.clear()
             self.whole = True
             if self.source != LIVE:
                 self.force(LIVE, now, "told whole")
@@ -190,6 +193,9 @@
         if one is None:
             return
         state, trusted = self.proving.listed(mark)
+        if trusted and mark not in self.tried:
+            self.tell([(one, state, False)])  # however soon it was proven, it begins as one that may be cold
+        self.tried.add(mark)
         self.tell([(one, state, trusted)])
         stage = self.proving.machines[mark].stage
         if stage in (Stage.PROVEN, Stage.DROPPED):
--- a/wickhinge/options/schema.cue
+++ b/wickhinge/options/schema.cue
@@ -39,7 +39,7 @@
 	writes_a_minute:   number & >0 & <=600 | *6
 	addresses:         [...string] | *[]
 	backoff_s:         number & >=0.01 & <=60 | *0.15
-	longest_backoff_s: number & >=0.01 & <=600 | *5
+	longest_backoff_s: number & >=0.01 & <=600 | *2
 	static:            [...#Machine] | *[]
 	// talk between instances: only where the installation allows it, and only with a key
 	listen:   string | *""
