--- a/bench/discovery.py
+++ b/bench/discovery.py
@@ -30,7 +30,7 @@
 from wickhinge.membership.statements import REMEMBERED, Statement
 from wickhinge.store.files import Files
 
-AGES = {"1 s": 1.0, "1 min": 60.0, "1 h": 3600.0, "3 days": 259_200.0}
+AGES = {"1s": 1.0, "1min": 60.0, "1h": 3600.0, "3d": 259_200.0}
 PLACES = ("box", "box", "box", "box", "box", "box", "parent", "parent", "origin")
 AWAY, AFTER = 5.0, 6.0  # seconds without the service, and with it
 GRACE = 0.5  # seconds after a drain was told
@@ -57,16 +57,16 @@
         self.random = np.random.default_rng(seed)
         kinds = list(PLACES) + [""] * 3
         old = list(range(0xA1, 0xA1 + len(kinds)))
-        if age == "1 min":  # one has gone, its port is closed
+        if age == "1min":  # one has gone, its port is closed
             kinds[0] = ""
-        elif age in ("1 h", "3 days"):  # half have: some gone, a parent at a box's old address, new ones elsewhere
+        elif age in ("1h", "3d"):  # half have: some gone, a parent at a box's old address, new ones elsewhere
             kinds = ["", "parent", "", "box", "box", "box", "parent", "", "origin", "box", "box", "parent"]
         self.world = fleet.World(lambda key, part: 4000, seed, tuple(kinds))
         self.world.listen()
-        if age == "1 h":
+        if age == "1h":
             for place in (1, 9, 10, 11):
                 self.world.marks[place] += 0x100
-        if age == "3 days":  # all have: other ids, also at the old addresses
+        if age == "3d":  # all have: other ids, also at the old addresses
             self.world.marks = [mark + 0x100 for mark in self.world.marks]
         self.world.tell(1, self.world.records())
         self.world.heard = self.heard
@@ -232,7 +232,7 @@
         for repeat in range(repeats):
             for age in ages.split(","):
                 for how in ways:
-                    place = Path(folder) / f"{repeat}-{age.replace(' ', '')}-{how}"
+                    place = Path(folder) / f"{repeat}-{age}-{how}"
                     runs.append((repeat, age, how, Start(place, age, how, 11 + repeat, plant if how == "ours" else "")))
         step = AWAY + AFTER + 5.0
         for repeat, _age, _how, run in runs:  # a repeat's routers run side by side, the repeats one after another
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -106,15 +106,17 @@
         with ExitStack() as stack:
             base = 0
             while not base:
-                sockets = [stack.enter_context(socket.create_server((HOST, 0)))]
-                start = sockets[0].getsockname()[1]
+                # Below the ports that the system gives to connections: one of those would take the router's.
+                start = 10_000 + int.from_bytes(os.urandom(4)) % 20_000
                 try:
-                    for port in range(start + 1, start + len(self.kinds) + 2):
+                    for port in range(start, start + len(self.kinds) + 2):
                         stack.enter_context(socket.create_server((HOST, port)))
                     base = start
                 except (OSError, OverflowError):
                     continue
         self.base = base
+        self.held: dict[int, socket.socket] = {}
+        self.hold(base + len(self.kinds) + 1)  # the router's, until it is started
         self.serve_journal()
         for place, kind in enumerate(self.kinds, 1):
             if kind:
@@ -122,11 +124,23 @@
                     base + place, Listener(lambda place=place, kind=kind: Machine(self, place, kind)), interface=HOST))
         return base
 
+    def hold(self, port: int) -> None:
+        """Bound and not listening: who connects is refused, and nobody else gets it meanwhile."""
+        self.held[port] = socket.socket()
+        self.held[port].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.held[port].bind((HOST, port))
+
+    def release(self, port: int) -> None:
+        if port in self.held:
+            self.held.pop(port).close()
+
     def serve_journal(self) -> None:
+        self.release(self.base)
         self.journal = reactor.listenTCP(self.base, Listener(lambda: Feed(self)), interface=HOST)
 
     def hide_journal(self) -> None:
         self.journal.stopListening()
+        reactor.callLater(0, self.hold, self.base)  # a turn later the port is free
         for reader in list(self.readers):
             reader.transport.abortConnection()
 
@@ -263,6 +277,7 @@
         if self.options:
             (self.folder / "options.cue").write_text(self.options)
             told["WICKHINGE_OPTIONS"] = str(self.folder / "options.cue")
+        self.world.release(self.address[1])
         with open(self.log, "ab") as log:
             self.child = subprocess.Popen([sys.executable, *self.start_with], cwd=ROOT, env=told, stdout=log,
                                           stderr=log)
--- a/bench/store.py
+++ b/bench/store.py
@@ -138,7 +138,7 @@
         path = paths[int(self.random.integers(len(paths)))]
         with open(path, "r+b") as file:
             size = path.stat().st_size
-            for _ in range(20):
+            for _ in range(20 + size // 20_000):
                 at = int(self.random.integers(max(size, 1)))
                 file.seek(at)
                 was = file.read(1)
--- a/example/toy.py
+++ b/example/toy.py
@@ -1,6 +1,7 @@
 """A toy deployment for one router: two caches, a parent, an origin and a journal service.
 
-    python example/toy.py [PORT]      the journal service on PORT (7070), the machines on the ports after it
+    python example/toy.py [PORT [hidden]]   the journal service on PORT (7070), the machines on the ports after it;
+                                            hidden: the machines alone, as if the service were away
 
 Machines keep what passes with a rank and forget it on a purge. Whoever types a line here changes the world:
 `drain N`, `silent N`, `kill N` (its connections), `purge OBJECT`, `drop` (the journal's connections) or
@@ -176,7 +177,8 @@
 def main() -> None:
     base = int(sys.argv[1]) if len(sys.argv) > 1 else 7070
     world = World(base)
-    reactor.listenTCP(base, Listener(lambda: Feed(world)), interface=HOST)
+    if "hidden" not in sys.argv[2:]:
+        reactor.listenTCP(base, Listener(lambda: Feed(world)), interface=HOST)
     for place in world.lines:
         reactor.listenTCP(base + place, Listener(lambda place=place: Machine(world, place)), interface=HOST)
     stdio.StandardIO(Typed(world))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,36 +2,35 @@
 
 import json
 import os
-import subprocess
-import sys
 import time
 
-import orjson
 import pytest
-from test_sockets import PATIENT, ROOT, Client, Deployment, Process, free
+from measured import together
+from test_sockets import PATIENT, Client, Deployment, Process, free
 
 
-def measured(*words):
-    run = subprocess.run([sys.executable, "-m", "bench.discovery", *words, "--json"], cwd=ROOT, capture_output=True,
-                         timeout=120)
-    assert run.returncode == 0, run.stderr.decode()
-    return orjson.loads(run.stdout.splitlines()[-1])
+@pytest.fixture(scope="module")
+def told():
+    return together(
+        start="bench.discovery start --repeats 1 --alone", herd="bench.discovery herd --routers 1,100 --seeds 1",
+        trust="bench.discovery start --repeats 1 --alone --ages 3d --plant trust",
+        drains="bench.discovery start --repeats 1 --alone --ages 3d --plant drains")
 
 
-def test_lists_of_all_ages_serve_and_send_nothing_wrong():
-    told = measured("start", "--repeats", "1", "--alone")
+def test_lists_of_all_ages_serve_and_send_nothing_wrong(told):
+    told = told["start"]
     assert (told["wrong_sends"], told["faults"], told["unanswered"]) == (0, 0, 0)
     assert told["takeovers"] == 4 and told["takeover_p99_ms"] < 500
     assert min(share for shares in told["served_share"].values() for share in shares) > 0.5
 
 
 @pytest.mark.parametrize("plant", ["trust", "drains"])
-def test_a_planted_fault_is_found(plant):
-    assert measured("start", "--repeats", "1", "--alone", "--ages", "3 days", "--plant", plant)["wrong_sends"] > 0
+def test_a_planted_fault_is_found(told, plant):
+    assert told[plant]["wrong_sends"] > 0
 
 
-def test_a_hundred_routers_topple_no_machine_that_restarted_with_them():
-    told = measured("herd", "--routers", "1,100", "--seeds", "1")
+def test_a_hundred_routers_topple_no_machine_that_restarted_with_them(told):
+    told = told["herd"]
     assert told["peak_over_limit"] < 1.0 < told["peak_over_limit_blind"]
     assert min(told["served_share"].values()) > 0.3
 
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -110,3 +110,28 @@
     code, out = command("check-config", "--options", ROOT / "deploy/wickhinge.cue", "--config",
                         ROOT / "example/config.json")
     assert code == 0 and "store.mode = off" in out and "tariffs = ['pages', 'results']" in out
+
+
+def test_a_remembered_list_is_shown_compared_and_exported(tmp_path):
+    from wickhinge.membership.keeper import Keeper
+    from wickhinge.membership.remembered import Memory, Row
+    from wickhinge.store.files import Files
+
+    machines = [Row(one, "127.0.0.1", 9000 + one, "ready", "here", "box", 0, 1.0, None, 5.0, "live")
+                for one in range(4)]
+    for name, kept in (("a", machines), ("b", machines[:1])):
+        keeper = Keeper(Files(), str(tmp_path / name))
+        keeper.open()
+        keeper.write(Memory("d", 5.0, 5.0, 3, kept, [(9, 1.0)], [(7, 0, 2.0)]))
+        keeper.close()
+    code, out = command("list", "show", tmp_path / "a")
+    assert code == 0 and "s-00000003 127.0.0.1:9003" in out and "1 purges" in out
+    assert command("list", "age", tmp_path / "a")[0] == 1
+    code, out = command("list", "diff", tmp_path / "a", tmp_path / "b", "--json")
+    assert code == 1 and '"gone":["s-00000001","s-00000002","s-00000003"]' in out and "1 machines where 4" in out
+    assert command("list", "diff", tmp_path / "a", tmp_path / "a")[0] == 0
+    assert command("list", "export", tmp_path / "a", tmp_path / "out.json")[0] == 0
+    assert '"0000000000000007"' in (tmp_path / "out.json").read_text()
+    (tmp_path / "a/list-b.wh").write_bytes(b"x")
+    assert command("list", "show", tmp_path / "a")[0] == 2
+    assert command("list", "show", tmp_path / "a/list-b.wh")[0] == 2
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -55,9 +55,10 @@
     """A port with so many free ones after it."""
     while True:
         with ExitStack() as stack:
-            base = stack.enter_context(socket.create_server(("127.0.0.1", 0))).getsockname()[1]
+            # Below the ports that the system gives to connections, which would take one that is free for now.
+            base = 10_000 + int.from_bytes(os.urandom(4)) % 20_000
             try:
-                for port in range(base + 1, base + count):
+                for port in range(base, base + count):
                     stack.enter_context(socket.create_server(("127.0.0.1", port)))
                 return base
             except (OSError, OverflowError):
--- a/wickhinge/cli/commands.py
+++ b/wickhinge/cli/commands.py
@@ -189,6 +189,112 @@
         volume.close()
 
 
+@main.group("list")
+def lists() -> None:
+    """Look at remembered lists of machines."""
+
+
+def remembered(path: str) -> Any:
+    """The newest whole list of a directory, or that of one file."""
+    import os
+
+    from wickhinge.membership import remembered as form
+    from wickhinge.membership.keeper import Keeper
+    from wickhinge.store.files import Files
+
+    try:
+        if os.path.isdir(path):
+            memory, wrong = Keeper(Files(), path).read()
+            for why in wrong:
+                click.echo(f"wickhinge: {path}: {why}", err=True)
+            if memory is None:
+                fail(f"{path}: holds no list")
+            return memory
+        with open(path, "rb") as file:
+            return form.unpack(file.read(form.LONGEST + form.HEAD.size + 1))[1]
+    except form.Unreadable as problem:
+        fail(f"{path}: {problem}")
+    except OSError as problem:
+        fail(f"{path}: cannot be read: {problem.strerror}")
+
+
+def rows(memory: Any) -> list[dict[str, Any]]:
+    import msgspec
+
+    return [{**{name: getattr(one, name) for name in msgspec.structs.asdict(one)}, "mark": f"s-{one.mark:08x}"}
+            for one in memory.machines]
+
+
+def whole(memory: Any) -> dict[str, Any]:
+    return {"deployment": memory.deployment, "written": memory.written, "heard": memory.heard,
+            "number": memory.number, "machines": rows(memory),
+            "gone": [[f"s-{mark:08x}", when] for mark, when in memory.gone],
+            "purges": [[None if key is None else f"{key:016x}", group, stamp] for key, group, stamp in memory.purges],
+            "usual": memory.usual}
+
+
+LIST = click.argument("file", type=click.Path(exists=True))
+JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+
+
+@lists.command()
+@LIST
+@JSON
+def show(file: str, as_json: bool) -> None:
+    """The machines of a list, with their states, sources and trust when it was written."""
+    memory = remembered(file)
+    if as_json:
+        click.echo(orjson.dumps(whole(memory)).decode())
+        return
+    click.echo(f"event {memory.number}, heard {memory.heard:.0f}, {len(memory.machines)} machines, "
+               f"{len(memory.gone)} gone, {len(memory.purges)} purges")
+    for one in rows(memory):
+        click.echo("{mark} {host}:{port:<5} {state:<8} {zone} {kind} cell {cell} weight {weight:g} "
+                   "by {source} {stage}".format(**one))
+
+
+@lists.command()
+@LIST
+@JSON
+def age(file: str, as_json: bool) -> None:
+    """Seconds since the service last vouched for a list; 1 if that is over a day, or not known."""
+    import time
+
+    memory = remembered(file)
+    seconds = time.time() - memory.heard if 0 < memory.heard <= time.time() + 5 else None
+    tell({"age_s": None if seconds is None else round(seconds, 1), "number": memory.number}, as_json)
+    sys.exit(WRONG if seconds is None or seconds > 86400 else 0)
+
+
+@lists.command()
+@LIST
+@click.argument("other", type=click.Path(exists=True))
+@JSON
+def diff(file: str, other: str, as_json: bool) -> None:
+    """What changed from one list to another, and what looks like a mistake; 1 if anything did."""
+    from wickhinge.membership.compare import compare
+    from wickhinge.membership.remembered import statement
+
+    answer = compare(*([statement(one) for one in remembered(path).machines] for path in (file, other)))
+    answer = {name: [one if isinstance(one, str) else f"s-{one:08x}" for one in found]
+              for name, found in answer.items()}
+    tell(answer, as_json)
+    sys.exit(WRONG if any(answer.values()) else 0)
+
+
+@lists.command()
+@LIST
+@click.argument("to", type=click.Path(dir_okay=False))
+def export(file: str, to: str) -> None:
+    """A list as one JSON object in a file; - for standard output."""
+    data = orjson.dumps(whole(remembered(file)), option=orjson.OPT_INDENT_2) + b"\n"
+    try:
+        with click.open_file(to, "wb") as out:
+            out.write(data)
+    except OSError as problem:
+        fail(f"{to}: cannot be written: {problem.strerror}")
+
+
 def progress(done: int, total: int) -> None:
     if done % 256 == 0 or done == total:
         click.echo(f"\r{done} of {total} copies", nl=done == total, err=True)
