--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import socket
 import time
 
 import pytest
@@ -71,6 +72,23 @@
         deployment.close()
 
 
+def test_a_sibling_that_never_finishes_is_given_up_and_asked_again(tmp_path, monkeypatch):
+    deployment = Deployment(tmp_path)
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        silent.settimeout(PATIENT)
+        other, _ = second(deployment, tmp_path / "b", f"127.0.0.1:{silent.getsockname()[1]}")
+        try:
+            with silent.accept()[0] as first:
+                first.settimeout(PATIENT)
+                assert first.recv(100)[:4] == b"WHL1"
+                first.sendall(b"\x00\x00\x10\x00half")
+                assert "did not finish" in other.wait('"event":"sibling_lost"')
+                silent.accept()[0].close()
+        finally:
+            other.close()
+            deployment.close()
+
+
 def test_a_router_starts_from_the_list_it_kept_and_says_so(tmp_path, monkeypatch):
     (tmp_path / "o.cue").write_text(f'discovery: {{mode: "on", dir: "{tmp_path}/list", writes_a_minute: 600}}')
     monkeypatch.setenv("WICKHINGE_OPTIONS", str(tmp_path / "o.cue"))
--- a/wickhinge/membership/keeper.py
+++ b/wickhinge/membership/keeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from wickhinge.membership import remembered
-from wickhinge.store.files import Files
+from wickhinge.store.files import Files, replace
 
 
 class Unusable(Exception):
@@ -57,16 +57,7 @@
     def write(self, memory: remembered.Memory) -> None:
         """Whole and lasting when it returns; the other generation stays as it is."""
         sequence = self.sequence + 1
-        name = remembered.NAMES[sequence % 2]
-        handle = self.files.open(self.at(name + ".new"), write=True, create=True)
-        try:
-            data = remembered.pack(memory, sequence)
-            self.files.write(handle, data, 0)
-            self.files.sync(handle)
-        finally:
-            self.files.close(handle)
-        self.files.rename(self.at(name + ".new"), self.at(name))
-        self.files.sync_names(self.path)
+        replace(self.files, self.path, remembered.NAMES[sequence % 2], remembered.pack(memory, sequence))
         self.sequence = sequence
 
     def close(self) -> None:
--- a/wickhinge/options/load.py
+++ b/wickhinge/options/load.py
@@ -285,15 +285,15 @@
         return value
 
 
-def schema() -> Record:
-    source = resources.files("wickhinge.options").joinpath("schema.cue").read_text()
-    return parse(source, "schema.cue")
+def unify(package: str, schema: str, source: str, name: str) -> dict[str, Any]:
+    """A file's text with a package's schema, defaults and all. Raises Fault, naming file, line and dotted key."""
+    known = parse(resources.files(package).joinpath(schema).read_text(), schema)
+    return Unifier(known, name).record(known, parse(source, name), "", 1)
 
 
 def check(source: str, name: str) -> Options:
     """Options out of a file's text. Raises Fault, naming file, line and dotted key."""
-    known = schema()
-    told = Unifier(known, name).record(known, parse(source, name), "", 1)
+    told = unify("wickhinge.options", "schema.cue", source, name)
     options = msgspec.convert(told, Options)
     if options.store.mode == "on" and not options.store.dir:
         raise Fault(f"{name}: store.dir: is missing while store.mode is on")
@@ -317,7 +317,8 @@
     return options
 
 
-def load(path: str) -> Options:
+def text_of(path: str) -> str:
+    """A settings file's text. Raises Fault."""
     try:
         with open(path, "rb") as file:
             data = file.read(MOST + 1)
@@ -326,6 +327,10 @@
     if len(data) > MOST:
         raise Fault(f"{path}: holds over {MOST} bytes")
     try:
-        return check(data.decode(), path)
+        return data.decode()
     except UnicodeDecodeError:
         raise Fault(f"{path}: is not UTF-8") from None
+
+
+def load(path: str) -> Options:
+    return check(text_of(path), path)
--- a/wickhinge/store/files.py
+++ b/wickhinge/store/files.py
@@ -71,3 +71,16 @@
             os.close(handle)
             raise
         return handle
+
+
+def replace(files: Files, folder: str, name: str, data: bytes) -> None:
+    """A small file whole or as it was, whenever it ends; lasting when this returns."""
+    path = f"{folder}/{name}"
+    handle = files.open(path + ".new", write=True, create=True)
+    try:
+        files.write(handle, data, 0)
+        files.sync(handle)
+    finally:
+        files.close(handle)
+    files.rename(path + ".new", path)
+    files.sync_names(folder)
--- a/wickhinge/store/volume.py
+++ b/wickhinge/store/volume.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from wickhinge.store import believe, format
-from wickhinge.store.files import Files
+from wickhinge.store.files import Files, replace
 from wickhinge.store.keep import Copy
 from wickhinge.store.purged import Purge, Purged
 
@@ -145,15 +145,7 @@
             self.files.close(handle)
 
     def replace(self, name: str, data: bytes) -> None:
-        """Whole or not at all, whenever it ends."""
-        handle = self.files.open(self.at(name + ".new"), write=True, create=True)
-        try:
-            self.files.write(handle, data, 0)
-            self.files.sync(handle)
-        finally:
-            self.files.close(handle)
-        self.files.rename(self.at(name + ".new"), self.at(name))
-        self.files.sync_names(self.path)
+        replace(self.files, self.path, name, data)
 
     # Copies.
 
