--- /dev/null
+++ b/wickhinge/lab/play.py
@@ -0,0 +1,317 @@
+"""One scenario in virtual time: clients, the real decide module as often as there are routers, emulated machines."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+import numpy as np
+
+from wickhinge.decide import Chance, Cold, Fleet, Purges, Router, Shelf, Visit
+from wickhinge.interface import Effect, Listing, Outcome, Tariff
+from wickhinge.lab.judge import Judge
+from wickhinge.lab.machines import Fabric, Machine
+from wickhinge.lab.scenario import Failure, Scenario
+from wickhinge.lab.wheel import Wheel
+
+PARENTS, ORIGIN = 100_000, 200_000
+ROW = ("number", "since", "router", "tariff", "key", "part", "word", "took", "forwards", "again", "hit")
+
+
+class Asked:
+    """A visit as its client knows it."""
+
+    __slots__ = ("number", "since", "until", "key", "part", "exclusive", "answers", "ran", "again", "router",
+                 "forwards", "hit")
+
+    def __init__(self, number: int, since: float, patience: float, key: int, part: int, exclusive: bool, again: int,
+                 router: int) -> None:
+        self.number, self.since, self.until, self.key, self.part = number, since, since + patience, key, part
+        self.exclusive, self.again, self.router = exclusive, again, router
+        self.answers = self.ran = self.forwards = 0
+        self.hit = False
+
+
+class Client:
+    """decide's Caller for one visit."""
+
+    __slots__ = ("play", "asked", "out", "visit")
+
+    def __init__(self, play: Play, asked: Asked) -> None:
+        self.play, self.asked, self.out = play, asked, {}
+
+    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int, oldest: float | None,
+                join: bool, held_only: bool, renew: bool) -> None:
+        play, asked = self.play, self.asked
+        asked.forwards += 1
+        came_from = source.mark if source is not None and source is not cache else None
+        play.judge.sent(asked, asked.router, cache.mark, came_from, play.wheel.now)
+        began = play.wheel.now
+
+        def then(outcome: Outcome, made: float | None, note: Any) -> None:
+            if self.out.pop(forward, None) is None:
+                return
+            now = play.wheel.now
+            ours = outcome is Outcome.HONOURED and not asked.answers and not forward.visit.done
+            if ours:
+                asked.hit = note is not None and note.name == "HIT"
+                if not asked.exclusive:
+                    play.judge.served(asked, made, now)
+                play.answer(asked, "honoured")
+            forward.visit.ended(forward, outcome, now - began, asked.answers > 0, note, now)
+
+        runs = (lambda: play.judge.runs(asked, play.wheel.now)) if asked.exclusive else None
+        self.out[forward] = play.fabric.ask(cache.mark, (asked.key, asked.part), came_from, max(rank, 0), oldest, runs,
+                                            then)
+        play.wheel.after(patience, self.silent, forward, began)
+
+    def silent(self, forward: Any, began: float) -> None:
+        give_up = self.out.pop(forward, None)
+        if give_up is not None:
+            give_up()
+            forward.visit.ended(forward, Outcome.TIMED_OUT, self.play.wheel.now - began, self.asked.answers > 0, None,
+                                self.play.wheel.now)
+
+    def withdraw(self, forward: Any) -> None:
+        give_up = self.out.pop(forward, None)
+        if give_up is not None:
+            give_up()
+            self.play.wheel.after(0.0, lambda: forward.visit.ended(
+                forward, Outcome.WITHDRAWN, 0.0, self.asked.answers > 0, None, self.play.wheel.now))
+
+    def read(self, copy: Any) -> None:
+        raise AssertionError("no copies of their own here")
+
+    def deny(self, wait: float) -> None:
+        self.play.judge.denied(self.asked, self.play.wheel.now)
+        self.play.answer(self.asked, "denied")
+        self.play.came_back(self.asked, wait)
+
+    def abandon(self) -> None:
+        self.play.answer(self.asked, "abandoned")
+
+
+class Play:
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario, self.wheel, self.judge = scenario, Wheel(), Judge()
+        self.random = random.Random(scenario.seed)
+        noise = np.random.default_rng(scenario.seed)
+        weights = 1.0 / np.arange(1, scenario.objects + 1) ** scenario.zipf
+        self.keys = noise.choice(scenario.objects, 1 << 16, p=weights / weights.sum()).tolist()
+        self.rows: list[tuple[Any, ...]] = []
+        self.count = 0
+        self.words: Counter[str] = Counter()
+        self.purge_stamps: dict[int, float] = {}
+        self.listing_lost = 0.0
+        s = scenario
+        cold, fall = (s.cold_from, s.cold_s), (s.fall_multiple, s.fall_s)
+
+        def machine(mark: int, kind: str, weight: float, room: int) -> Machine:
+            return Machine(self.wheel, mark, kind, weight, room, cold, fall, s.restart_s, self.fell)
+
+        self.machines = {place + 1: machine(place + 1, "box", s.weight, s.keep) for place in range(s.caches)}
+        for place in range(s.parents):
+            self.machines[PARENTS + place] = machine(PARENTS + place, "parent", s.parent_weight, s.parent_keep)
+        self.machines[ORIGIN] = machine(ORIGIN, "origin", s.origin_weight, 1)
+        self.fabric = Fabric(self.wheel, self.machines, s.hop_s, s.part_s, lambda key: 0.0)
+        self.clips = Tariff("clips", s.promised_s, 2.0, s.patience_s, 1.0, 0.2, Effect.RERUNNABLE, "all", 0.0,
+                            s.fresh_s, 0.0, 0.7, True, False)
+        self.results = Tariff("results", s.promised_s, 2.0, s.patience_s, 3.0, 0.2, Effect.EXCLUSIVE, "all", 0.0, 0.0,
+                              0.0, 0.7, False, True)
+        self.routers = [self.router(number) for number in range(s.routers)]
+        for failure in s.failures:
+            self.wheel.at(failure.at_s, self.fail, failure)
+        self.arrive()
+
+    def router(self, number: int) -> Router:
+        s, chance = self.scenario, Chance(self.scenario.seed * 1000 + number)
+        edge = Cold(s.fall_multiple, s.fall_s, s.cold_from, s.cold_s)
+        upper = Cold(s.fall_multiple, s.fall_s, s.cold_from, s.cold_s)
+        fleet = Fleet(chance, "here", s.routers, "parent", "origin", True, edge, upper)
+        outside = SimpleNamespace(
+            wake=lambda delay, call: self.wheel.after(delay, lambda: call(self.wheel.now)),
+            probe=lambda cache: self.wheel.after(2 * s.hop_s, self.probed, number, cache), follow=lambda: None)
+        made = Router(outside, chance, fleet, Shelf(s.routers), Purges(6.0), joins=False, direct=True, flow=1000.0,
+                      most_forwards=6, second_copies=True, cancel=True, probes=False, follows=False, ask_within=0.0,
+                      longest_wait=0.5)
+        fleet.listed([self.listing(mark) for mark in self.machines], True, 0.0)
+        self.baseline(made)
+        made.start(0.0)
+        return made
+
+    def probed(self, number: int, cache: Any) -> None:
+        machine = self.machines[cache.mark]
+        well = machine.up and not machine.hung
+        outcome = Outcome.HONOURED if well else Outcome.UNREACHED if not machine.up else Outcome.TIMED_OUT
+        self.routers[number].probed(cache, outcome, {}, self.wheel.now)
+
+    def baseline(self, made: Router) -> None:
+        """Named plain policies, and planted faults, in place of parts of the module."""
+        policy, plant, fleet = self.scenario.policy, self.scenario.plant, made.fleet
+        if policy == "random":
+            fleet.order = lambda caches, salt, now: self.random.sample(caches, len(caches))
+        elif policy == "least_loaded":
+            fleet.order = lambda caches, salt, now: sorted(caches, key=lambda cache: (len(cache.pending), cache.mark))
+        elif policy == "keep_all":
+            made.shelf.rank = lambda item, part, work: 1
+        elif policy == "keep_none":
+            made.shelf.rank = lambda item, part, work: 0
+        if plant == "cold":
+            fleet.room = lambda cache, now: True
+        elif plant == "purges":
+            made.purges.oldest = lambda key, group, now: None
+        elif plant == "drains":
+            listed = fleet.listed
+            fleet.listed = lambda listings, whole, now: listed(
+                [one for one in listings if one.state != "draining"], whole, now)
+
+    def listing(self, mark: int) -> Listing:
+        machine = self.machines[mark]
+        return Listing(mark, "here" if machine.kind == "box" else "hub", machine.kind, 0, machine.state, machine.weight,
+                       machine.started if machine.started > 0 else None)
+
+    # Clients.
+
+    def arrive(self) -> None:
+        s, now = self.scenario, self.wheel.now
+        rate = s.visits_per_s / ((1 + s.parts) / 2) * (s.burst if s.seconds / 3 < now < 2 * s.seconds / 3 else 1.0)
+        self.wheel.after(self.random.expovariate(rate), self.arrive)
+        key = self.keys[self.random.randrange(len(self.keys))]
+        last = 1 + self.random.randrange(s.parts)
+        if self.random.random() < s.exclusive:
+            self.ask(key, 0, True, 0)
+        else:
+            self.session(key, 0, last)
+
+    def session(self, key: int, part: int, last: int) -> None:
+        """Parts in order, one each of its own sending time's length."""
+        self.ask(key, part, False, 0)
+        if part + 1 < last:
+            self.wheel.after(2 * self.scenario.part_s, self.session, key, part + 1, last)
+
+    def ask(self, key: int, part: int, exclusive: bool, again: int) -> None:
+        s, now = self.scenario, self.wheel.now
+        self.count += 1
+        number = self.random.randrange(s.routers)
+        asked = Asked(self.count, now, s.patience_s, key, part, exclusive, again, number)
+        tariff = self.results if exclusive else self.clips
+        client = Client(self, asked)
+        visit: Visit = self.routers[number].take(client, tariff, key, part, 0, 0.0, s.patience_s, again > 0, now)
+        if s.plant == "repeats" and exclusive and not visit.done:
+            self.wheel.after(0.2, self.planted_repeat, client, visit)
+        if s.plant == "answers":
+            self.wheel.after(0.3, self.answer, asked, "honoured")
+        self.wheel.after(s.patience_s + 0.2, self.judge.unanswered, asked, now + s.patience_s + 0.2)
+
+    def planted_repeat(self, client: Client, visit: Visit) -> None:
+        if visit.forwards:
+            client.forward(visit.forwards[0], visit.forwards[0].cache, 1.0, None, 0, None, False, False, False)
+
+    def answer(self, asked: Asked, word: str) -> None:
+        now = self.wheel.now
+        self.judge.answered(asked, now, word)
+        if asked.answers > 1:
+            return
+        late = word == "honoured" and now - asked.since > self.scenario.promised_s + 2.0 * self.scenario.part_s
+        word = "late" if late else word
+        if asked.since >= self.scenario.warm_s:
+            self.words[word] += 1
+        self.rows.append((asked.number, asked.since, asked.router, "results" if asked.exclusive else "clips", asked.key,
+                          asked.part, word, now - asked.since, asked.forwards, asked.again, asked.hit))
+
+    def came_back(self, asked: Asked, wait: float) -> None:
+        if asked.again < 2 and self.random.random() < self.scenario.again:
+            self.wheel.after(wait + 0.2 * self.random.random(), self.ask, asked.key, asked.part, asked.exclusive,
+                             asked.again + 1)
+
+    # Failures.
+
+    def fell(self, machine: Machine, over: float) -> None:
+        self.judge.toppled(machine.mark, over, self.wheel.now)
+
+    def boxes(self, share: float) -> list[Machine]:
+        boxes = [one for one in self.machines.values() if one.kind == "box"]
+        return boxes[: max(round(share * len(boxes)), 1)]
+
+    def fail(self, failure: Failure) -> None:
+        target, s = self.machines[failure.target + 1], self.scenario
+        match failure.kind:
+            case "crash":
+                target.crash(failure.for_s)
+                self.wheel.after(failure.for_s, self.tell, [target.mark])
+            case "hang":
+                target.hang(True)
+                self.wheel.after(failure.for_s, target.crash, s.restart_s)
+            case "slow":
+                target.slower(failure.factor)
+                self.wheel.after(failure.for_s, target.slower, 1.0)
+            case "drain":
+                target.state = "draining"
+                self.tell([target.mark])
+            case "mass_restart" | "lost_zone":
+                for one in self.boxes(failure.share):
+                    one.crash(failure.for_s if failure.kind == "lost_zone" else s.restart_s)
+                    self.wheel.after(failure.for_s + s.restart_s, self.tell, [one.mark])
+            case "origin_slow":
+                self.machines[ORIGIN].slower(failure.factor)
+                self.wheel.after(failure.for_s, self.machines[ORIGIN].slower, 1.0)
+            case "purge":
+                for key in range(max(round(failure.share * s.objects), 1)):
+                    self.purge(key)
+            case "list_lost":
+                self.listing_lost = self.wheel.now + failure.for_s
+
+    def purge(self, key: int) -> None:
+        now = self.wheel.now
+        self.judge.told_purge(key, now, now + self.scenario.list_s)
+        for number, router in enumerate(self.routers):
+            self.wheel.after(self.scenario.list_s, self.told_purge, number, key, now)
+            del router
+        for machine in self.machines.values():  # done everywhere by and by
+            if machine.kind != "origin":
+                self.wheel.after(5.0 * self.random.random(), lambda machine=machine: machine.held.purge(key))
+
+    def told_purge(self, number: int, key: int, stamp: float) -> None:
+        self.routers[number].purges.told(key, 0, stamp, self.wheel.now)
+
+    def tell(self, marks: list[int]) -> None:
+        delay = max(self.listing_lost - self.wheel.now, 0.0) + self.scenario.list_s
+        for number in range(len(self.routers)):
+            self.wheel.after(delay, self.told, number, [self.listing(mark) for mark in marks])
+
+    def told(self, number: int, listings: list[Listing]) -> None:
+        for one in listings:
+            if one.state != "ready":
+                self.judge.drained[number, one.cache] = self.wheel.now
+        self.routers[number].fleet.listed(listings, False, self.wheel.now)
+
+    # Results.
+
+    def run(self) -> dict[str, Any]:
+        s = self.scenario
+        self.wheel.run(s.seconds)
+        counted = sum(self.words.values())
+        served = [row for row in self.rows if row[6] in ("honoured", "late") and row[1] >= s.warm_s]
+        took = sorted(row[7] for row in served)
+        hits = [row[10] for row in served if row[3] == "clips"]
+
+        def at(share: float) -> float | None:
+            return round(took[min(int(share * len(took)), len(took) - 1)], 4) if took else None
+
+        origin = self.machines[ORIGIN]
+        return {
+            "scenario": s.name, "seed": s.seed, "policy": s.policy, "visits": counted, "events": self.wheel.done,
+            "honoured_share": round(self.words["honoured"] / max(counted, 1), 4),
+            "late_share": round(self.words["late"] / max(counted, 1), 4),
+            "denied_share": round(self.words["denied"] / max(counted, 1), 4),
+            "abandoned": self.words["abandoned"],
+            "hit_share": round(sum(hits) / max(len(hits), 1), 4),
+            "p50_s": at(0.5), "p99_s": at(0.99), "p999_s": at(0.999),
+            "origin_asked": origin.asked,
+            "forwards_a_visit": round(sum(row[8] for row in self.rows) / max(len(self.rows), 1), 3),
+            "peak_over_cold": round(max(one.peak for one in self.machines.values()), 3),
+            "rules_broken": {str(rule): count for rule, count in sorted(self.judge.breaks.items())},
+            "first_breaks": self.judge.first[:5],
+        }
--- /dev/null
+++ b/wickhinge/lab/scenario.cue
@@ -0,0 +1,47 @@
+// A scenario of the laboratory: what there is, who asks, what fails. Times in virtual seconds from the start.
+
+#Failure: {
+	kind: "crash" | "hang" | "slow" | "drain" | "mass_restart" | "lost_zone" | "origin_slow" | "purge" | "list_lost"
+	at_s:    number & >=0
+	for_s:   number & >0 | *5
+	// place of a cache from 0, or the share of them, or how many times slower, by kind
+	target:  int & >=0 | *0
+	share:   number & >0 & <=1 | *1
+	factor:  number & >=1 | *4
+}
+
+name:        string & !=""
+seed:        int & >=0 | *1
+seconds:     number & >0 & <=86400 | *30
+warm_s:      number & >=0 | *5
+routers:     int & >=1 & <=1000 | *4
+caches:      int & >=1 & <=5000 | *8
+parents:     int & >=1 & <=500 | *2
+// transfers at full pace, parts kept
+weight:        number & >0 | *8
+parent_weight: number & >0 | *32
+origin_weight: number & >0 | *64
+keep:          int & >=1 | *2000
+parent_keep:   int & >=1 | *20000
+restart_s:     number & >0 | *3
+cold_from:     number & >0 & <=1 | *0.2
+cold_s:        number & >0 | *10
+fall_multiple: number & >=1 | *4
+fall_s:        number & >0 | *3
+hop_s:         number & >=0 | *0.001
+list_s:        number & >=0 | *0.1
+visits_per_s:  number & >0 | *100
+objects:       int & >=1 | *2000
+zipf:          number & >=0 | *0.9
+parts:         int & >=1 & <=64 | *8
+part_s:        number & >0 | *0.05
+exclusive:     number & >=0 & <1 | *0.05
+fresh_s:       number & >=0 | *0
+promised_s:    number & >0 | *0.5
+patience_s:    number & >0 | *2
+// share of denied visits that come again after the time they were told
+again:         number & >=0 & <=1 | *0.3
+burst:         number & >=1 | *1
+policy:        *"wickhinge" | "random" | "least_loaded" | "keep_all" | "keep_none"
+plant:         *"" | "drains" | "cold" | "purges" | "repeats" | "answers"
+failures:      [...#Failure] | *[]
--- /dev/null
+++ b/wickhinge/lab/scenarios/calm.cue
@@ -0,0 +1,2 @@
+// Nothing fails: what the mechanism does by itself.
+name: "calm"
