--- a/wickhinge/lab/scenario.cue
+++ b/wickhinge/lab/scenario.cue
@@ -14,6 +14,8 @@
 seed:        int & >=0 | *1
 seconds:     number & >0 & <=86400 | *30
 warm_s:      number & >=0 | *5
+// locations that share nothing but parents and origin; caches and routers are dealt out to them in turn
+zones:       int & >=1 & <=500 | *1
 routers:     int & >=1 & <=1000 | *4
 caches:      int & >=1 & <=5000 | *8
 parents:     int & >=1 & <=500 | *2
--- a/wickhinge/lab/scenario.py
+++ b/wickhinge/lab/scenario.py
@@ -23,6 +23,7 @@
     seed: int
     seconds: float
     warm_s: float  # not counted in the figures
+    zones: int
     routers: int
     caches: int
     parents: int
@@ -57,6 +58,8 @@
 def check(source: str, name: str) -> Scenario:
     """Raises Fault."""
     made = msgspec.convert(unify("wickhinge.lab", "scenario.cue", source, name), Scenario)
+    if made.zones > min(made.caches, made.routers):
+        raise Fault(f"{name}: zones: are more than caches or routers")
     for place, failure in enumerate(made.failures):
         if failure.at_s >= made.seconds:
             raise Fault(f"{name}: failures[{place}].at_s: lies past the scenario's {made.seconds} s")
