A service that moved is followed at its new place; operators' page of the laboratory

Need: after SIGHUP the tries in turn went back to the service's old address. Change: the turn begins at the new one, with a test on sockets; laboratory's page with one report's picture, failures shaded behind the bars.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import socket
 import time
 
@@ -110,3 +111,19 @@
         assert None in answers
     finally:
         deployment.close()
+
+
+def test_a_service_that_moved_is_followed_and_its_old_place_is_not_tried_again(tmp_path, monkeypatch):
+    (tmp_path / "o.cue").write_text(f'discovery: {{mode: "on", dir: "{tmp_path}/list"}}')
+    monkeypatch.setenv("WICKHINGE_OPTIONS", str(tmp_path / "o.cue"))
+    deployment = Deployment(tmp_path)
+    try:
+        with socket.create_server(("127.0.0.1", 0)) as place:
+            place.settimeout(PATIENT)
+            conf = json.loads(deployment.path.read_text())
+            deployment.path.write_text(json.dumps(conf | {"journal": f"127.0.0.1:{place.getsockname()[1]}"}))
+            deployment.router.child.send_signal(signal.SIGHUP)
+            for _ in range(3):  # hung up on each time, it comes here again and not to the old one
+                place.accept()[0].close()
+    finally:
+        deployment.close()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -159,6 +159,8 @@
     assert [wait for _, wait in tries[:4]] == [0.1, 0.2, 0.2, 0.4] and tries[-1][1] == 1.0
     made.well()
     assert made.failed()[1] == 0.1
+    made.moved(("c", 3))
+    assert [made.failed()[0][0] for _ in range(4)] == ["b", "c", "b", "c"]
 
 
 @pytest.mark.parametrize("new, doubts", [
--- a/wickhinge/lab/report.py
+++ b/wickhinge/lab/report.py
@@ -5,6 +5,7 @@
 import base64
 import html
 import io
+from math import ceil
 from typing import Any
 
 import matplotlib
@@ -29,12 +30,12 @@
 
 def over_time(scenario: Scenario, rows: list[tuple[Any, ...]]) -> bytes:
     """Answers a second by word, and the share of hits; failures shaded."""
-    seconds = int(scenario.seconds) + 1
+    seconds = ceil(scenario.seconds)
     figure, (upper, lower) = plt.subplots(2, 1, figsize=(9, 5), sharex=True, height_ratios=(2, 1))
     base = np.zeros(seconds)
     for word, colour in COLOURS.items():
         counts = np.bincount([int(row[1]) for row in rows if row[6] == word], minlength=seconds)[:seconds]
-        upper.bar(np.arange(seconds) + 0.5, counts, 1.0, base, color=colour, label=word)
+        upper.bar(np.arange(seconds) + 0.5, counts, 1.0, base, color=colour, label=word, zorder=2)
         base += counts
     served = [row for row in rows if row[6] in ("honoured", "late") and row[3] == "clips"]
     total = np.bincount([int(row[1]) for row in served], minlength=seconds)[:seconds]
@@ -42,7 +43,7 @@
     lower.plot(np.arange(seconds) + 0.5, np.divide(hits, total, out=np.zeros(seconds), where=total > 0), color="#345")
     for axis in (upper, lower):
         for failure in scenario.failures:
-            axis.axvspan(failure.at_s, failure.at_s + failure.for_s, color="#888", alpha=0.18, lw=0)
+            axis.axvspan(failure.at_s, failure.at_s + failure.for_s, color="#888", alpha=0.25, lw=0, zorder=0)
     for failure in scenario.failures:
         upper.annotate(failure.kind, (failure.at_s, upper.get_ylim()[1]), fontsize=7, rotation=30)
     upper.set_ylabel("visits that came, a second")
--- a/wickhinge/net/members.py
+++ b/wickhinge/net/members.py
@@ -107,6 +107,10 @@
             for mark, where, state, zone, kind, cell, weight, started in machines], now)
         self.saved = min(self.saved, now - self.every + 1.0)  # soon, yet not for each of a burst
 
+    def moved(self, address: tuple[str, int]) -> None:
+        """The platform's address of the service is another now; the further ones stay."""
+        self.backoff.moved(address)
+
     def caught_up(self, journal: Any) -> None:
         self.members.caught_up(self.now(), journal.last, journal.unbroken and journal.resumed)
         self.backoff.well()
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -207,6 +207,8 @@
             self.log.event("reload_failed", why=str(problem))
             return
         self.log.event("reload", journal=f"{address[0]}:{address[1]}")
+        if self.members is not None:
+            self.members.moved(address)
         self.journal.move(address)
 
     def leave(self) -> None:
