A storm of purges while some are being put down loses none of them

Cause: past 100,000 waiting purges the queue was cleared and filled anew while a batch of the old one was at the disk; its end then took as many off the new queue, which were never written, though later numbers were. A restart that trusts numbers would have missed them. Change: the new queue is another one, and the batch ends on its own.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -197,6 +197,17 @@
     assert world.store.purged.number == 6 and world.store.find(1, 0, world.clock) is None
 
 
+def test_a_storm_of_purges_while_some_are_being_put_down_loses_none(monkeypatch):
+    monkeypatch.setattr("wickhinge.store.store.PENDING", 4)
+    world = begun(continues=True)
+    for key in range(1, 8):
+        world.purge(key, 0, key)
+    assert world.lanes.queue and len(world.store.unlogged) <= 5
+    world.lanes.go()
+    world.restart(1, lost=True)
+    assert all(world.store.purged.covers(key, group, stamp) for key, group, stamp in world.stamps)
+
+
 def test_a_slow_disk_is_bypassed():
     world = begun()
     copy = held(world)
--- a/wickhinge/store/store.py
+++ b/wickhinge/store/store.py
@@ -253,28 +253,27 @@
     # Purges.
 
     def purge(self, key: int | None, group: int, stamp: float, number: int) -> None:
-        """In force at once; on disk soon after, and then `durable` knows its number."""
+        """In force at once; on disk soon after, and only then is its number known there."""
         purge = Purge(key, group, stamp, max(self.volume.last, 1), number if self.continues else 0)
         self.purged.told(purge)
         self.unlogged.append(purge)
         if len(self.unlogged) > PENDING:
-            self.unlogged.clear()
-            self.purged.merge()
-            self.unlogged.extend(sorted(self.purged, key=lambda purge: purge.number))  # as they are durable
+            self.purged.merge()  # anew, since some of the old ones may be being put down; in the journal's order
+            self.unlogged = deque(sorted(self.purged, key=lambda purge: purge.number))
         self.put_down()
 
     def put_down(self) -> None:
         if self.logging or not self.unlogged or not self.on:
             return
-        batch = list(islice(self.unlogged, PURGES))
+        waiting = self.unlogged
+        batch = list(islice(waiting, PURGES))
         self.logging = True
 
         def then(_: Any, problem: BaseException | None) -> None:
             self.logging = False
             if problem is None:
                 for _ in batch:
-                    if self.unlogged:
-                        self.unlogged.popleft()
+                    waiting.popleft()
                 self.put_down()
             else:
                 self.counted["errors"] += 1
