One way to build an emulated router, one event queue, no search for the origin a fill

Need: the herd measurement and the laboratory built the same router and each had its queue; each fill looked through all machines for the origin; state that nothing read. Change: lab.play.emulated and lab.wheel serve both, the fabric is given its origin, stand-ins' connect and the last line are written once. The shelf counts the routers of its own location, as settings.build has it: with one location nothing changes.

--- a/bench/discovery.py
+++ b/bench/discovery.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 import tempfile
 import time
@@ -20,10 +19,12 @@
 
 import click
 import numpy as np
-import orjson
 
-from wickhinge.decide import Chance, Cold, Fleet, Purges, Router, Shelf
+from bench import told
+from wickhinge.decide import Chance, Router
 from wickhinge.interface import Effect, Listing, Outcome, Tariff
+from wickhinge.lab.play import emulated
+from wickhinge.lab.wheel import Wheel
 from wickhinge.membership.keeper import Keeper
 from wickhinge.membership.members import Members
 from wickhinge.membership.remembered import Memory, deployment, row
@@ -36,10 +37,6 @@
 GRACE = 0.5  # seconds after a drain was told
 
 
-def told(answer: dict[str, Any]) -> None:
-    click.echo(orjson.dumps(answer, option=orjson.OPT_SERIALIZE_NUMPY).decode())
-
-
 @click.group()
 def main() -> None:
     """Measure starts without discovery."""
@@ -61,7 +58,7 @@
             kinds[0] = ""
         elif age in ("1h", "3d"):  # half have: some gone, a parent at a box's old address, new ones elsewhere
             kinds = ["", "parent", "", "box", "box", "box", "parent", "", "origin", "box", "box", "parent"]
-        self.world = fleet.World(lambda key, part: 4000, seed, tuple(kinds))
+        self.world = fleet.World(lambda key, part: 4000, tuple(kinds))
         self.world.listen()
         if age == "1h":
             for place in (1, 9, 10, 11):
@@ -117,13 +114,7 @@
         self.visit()
 
     def connect(self) -> None:
-        from twisted.internet import protocol, reactor
-
-        factory = protocol.ClientFactory()
-        factory.noisy = False
-        factory.protocol = lambda: self.fleet.Asker(lambda line: setattr(self, "line", line), self.lost)
-        factory.clientConnectionFailed = lambda *_: reactor.callLater(0.05, self.connect)
-        reactor.connectTCP(*self.router.address, factory)
+        self.fleet.connect(self.router.address, lambda line: setattr(self, "line", line), self.lost, self.connect)
 
     def lost(self, line: Any) -> None:
         if not self.over:
@@ -277,7 +268,7 @@
     SPAN, MULTIPLE, FLOOR, WARM = 3.0, 4.0, 0.2, 10.0
 
     def __init__(self, routers: int, seed: int, blind: bool, load: float) -> None:
-        self.now, self.heap, self.serial, self.random = 1000.0, [], 0, random.Random(seed)
+        self.wheel, self.random = Wheel(1000.0), random.Random(seed)
         self.began, self.routers, self.blind = self.now, [], blind
         self.cells = {mark: Cell(4.0) for mark in range(1, 9)} | {100: Cell(40.0), 101: Cell(40.0), 200: Cell(1e6)}
         self.tariff = Tariff("clips", 1.0, 2.0, 3.0, 1.0, 0.2, Effect.RERUNNABLE, "all", 0.0, 0.0, 0.0, 0.7, True,
@@ -293,25 +284,23 @@
         self.arrivals(rate)
         self.served = self.denied = 0
 
+    @property
+    def now(self) -> float:
+        return self.wheel.now
+
     def at(self, when: float, call: Any) -> None:
-        self.serial += 1
-        heapq.heappush(self.heap, (when, self.serial, call))
+        self.wheel.at(when, call)
 
     def add(self, number: int, routers: int) -> None:
         chance = Chance(number + 1)
-        edge = Cold(self.MULTIPLE, self.SPAN, self.FLOOR, self.WARM)
-        upper = Cold(self.MULTIPLE, self.SPAN, self.FLOOR, self.WARM)
-        fleet = Fleet(chance, "here", routers, "parent", "origin", True, edge, upper)
         outside = SimpleNamespace(wake=lambda delay, call: self.at(self.now + delay, lambda: call(self.now)),
                                   probe=lambda cache: None, follow=lambda: None)
-        made = Router(outside, chance, fleet, Shelf(routers), Purges(6.0), joins=False, direct=True, flow=1000.0,
-                      most_forwards=6, second_copies=True, cancel=True, probes=False, follows=False, ask_within=0.0,
-                      longest_wait=0.5)
+        made = emulated(outside, chance, "here", routers, (self.MULTIPLE, self.SPAN, self.FLOOR, self.WARM))
         made.means["clips"] = 0.1
 
         def tell(machines: list[Any]) -> None:
-            fleet.listed([Listing(one.mark, one.zone, one.kind, one.cell, state, one.weight, one.started, trusted)
-                          for one, state, trusted in machines], False, self.now)
+            made.fleet.listed([Listing(one.mark, one.zone, one.kind, one.cell, state, one.weight, one.started, trusted)
+                               for one, state, trusted in machines], False, self.now)
 
         def probe(one: Statement) -> None:
             self.cells[one.mark].probes.append(self.now)
@@ -347,10 +336,7 @@
                   100.0, 3.0, False, self.now)
 
     def run(self, seconds: float) -> dict[str, Any]:
-        until = self.began + seconds
-        while self.heap and self.heap[0][0] <= until:
-            self.now, _, call = heapq.heappop(self.heap)
-            call()
+        self.wheel.run(self.began + seconds)
         peak = peak_upper = 0.0
         for mark, cell in self.cells.items():
             if mark == 200:
@@ -365,7 +351,7 @@
     def peak(self, cell: Cell) -> float:
         """Most work in a span over what topples the machine then; it began cold when everything did."""
         worst, start, total = 0.0, 0, 0.0
-        for place, (when, work) in enumerate(cell.work):
+        for when, work in cell.work:
             total += work
             while cell.work[start][0] < when - self.SPAN:
                 total -= cell.work[start][1]
@@ -375,7 +361,6 @@
                 break
             limit = self.MULTIPLE * (self.FLOOR + (1 - self.FLOOR) * age) * cell.weight * self.SPAN
             worst = max(worst, total / limit)
-            del place
         return worst
 
     def most(self, times: list[float], span: float) -> int:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,7 +18,6 @@
 from struct import Struct
 from typing import Any
 
-import numpy as np
 import orjson
 from twisted.internet import protocol, reactor, task
 from xxhash import xxh3_64_digest, xxh3_64_intdigest
@@ -54,22 +53,20 @@
 class World:
     """What is true: versions of objects, and what the machines gave out."""
 
-    def __init__(self, size: Callable[[int, int], int], seed: int = 7, kinds: tuple[str, ...] = KINDS) -> None:
+    def __init__(self, size: Callable[[int, int], int], kinds: tuple[str, ...] = KINDS) -> None:
         self.kinds, self.states = kinds, [0] * len(kinds)
         self.marks = [0xA0 + place for place in range(1, len(kinds) + 1)]
         self.heard: Callable[[int, dict[str, str], bytes], None] = lambda place, fields, data: None
-        self.size, self.random = size, np.random.default_rng(seed)
+        self.size = size
         self.versions: dict[int, int] = {}
         self.serial = self.given = self.same = 0
         self.vouched: dict[tuple[int, int], float] = {}  # when the newest was last given out or said to hold
         self.kept: dict[str, set[tuple[int, int]]] = {}
         self.frames: list[bytes] = []
-        self.first = 0  # number of frames[0], less one
         self.readers: set[Feed] = set()
         self.purges: list[tuple[int | None, int, float, dict[int, int]]] = []
         self.ports: list[Any] = []
         self.followed: Callable[[], None] = lambda: None  # a router has begun to read the journal
-        self.mute = False  # the journal accepts and tells nothing
 
     def version(self, key: int) -> int:
         return self.versions.get(key, 0)
@@ -90,14 +87,14 @@
     # The journal service.
 
     def tell(self, kind: int, payload: bytes) -> None:
-        number = self.first + len(self.frames) + 1
+        number = len(self.frames) + 1
         self.frames.append(HEAD.pack(9 + len(payload), number, kind) + payload)
         for reader in self.readers:
             reader.transport.write(self.frames[-1])
 
     def renumber(self) -> None:
         """Events count from 1 again, as at each start of a router; earlier ones are not told any more."""
-        self.frames, self.first = [], 0
+        self.frames = []
         for reader in list(self.readers):
             reader.transport.abortConnection()
 
@@ -178,16 +175,16 @@
 
     def dataReceived(self, data: bytes) -> None:
         self.data += data
-        if len(self.data) >= 8 and self.beat is None and not self.world.mute:
+        if len(self.data) >= 8 and self.beat is None:
             last = int.from_bytes(self.data[:8])
-            self.transport.write(b"".join(self.world.frames[max(last - self.world.first, 0):]))
+            self.transport.write(b"".join(self.world.frames[last:]))
             self.world.readers.add(self)
             self.world.followed()
             self.beat = task.LoopingCall(self.nothing)
             self.beat.start(1.0)
 
     def nothing(self) -> None:
-        self.transport.write(HEAD.pack(9, self.world.first + len(self.world.frames), 0))
+        self.transport.write(HEAD.pack(9, len(self.world.frames), 0))
 
     def connectionLost(self, reason: Any = None) -> None:
         self.world.readers.discard(self)
@@ -266,7 +263,7 @@
         self.log = folder / "router.log"
 
     def start(self, known: bool = True) -> None:
-        pos = self.world.first + len(self.world.frames)
+        pos = len(self.world.frames)
         entries = [{"pos": pos, "hosts": {"seq": 1, "whole": True, "hosts": self.world.known()}}] if known else []
         conf = {"name": "n1", "listen": f"{HOST}:{self.address[1]}", "seed": "8c1f30d27a5be964",
                 "limits": {"memory_mb": 512, "sockets": 1024}, "journal": f"{HOST}:{self.world.base}",
@@ -323,3 +320,13 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         self.lost(self)
+
+
+def connect(address: tuple[str, int], up: Callable[[Asker], None], lost: Callable[[Asker], None],
+            again: Callable[[], None]) -> None:
+    """An Asker to there; again() a little later where nobody listens yet."""
+    factory = protocol.ClientFactory()
+    factory.noisy = False
+    factory.protocol = lambda: Asker(up, lost)
+    factory.clientConnectionFailed = lambda *_: reactor.callLater(0.05, again)
+    reactor.connectTCP(*address, factory)
--- a/bench/lab.py
+++ b/bench/lab.py
@@ -15,9 +15,9 @@
 
 import click
 import msgspec
-import orjson
 import psutil
 
+from bench import told
 from wickhinge.lab.play import Play
 from wickhinge.lab.scenario import check
 from wickhinge.lab.wheel import Wheel
@@ -89,7 +89,7 @@
             visits.append(played.count / took)
         by_size[size] = {"us_an_event": round(statistics.median(costs), 2),
                          "visits_per_s": round(statistics.median(visits))}
-    answer["by_caches"] = {str(size): told for size, told in by_size.items()}
+    answer["by_caches"] = {str(size): one for size, one in by_size.items()}
     answer["visits_per_s"] = by_size[sizes[0]]["visits_per_s"]
     answer["growth"] = round(by_size[sizes[-1]]["us_an_event"] / by_size[sizes[0]]["us_an_event"], 2)
     answer["memory_mb"] = round(psutil.Process().memory_info().rss / 1e6)
@@ -100,7 +100,7 @@
             ratios.append(churned(Wheel(), pending, 300_000) / plain)
         answer[f"wheel_over_heapq_{pending}_ratio"] = round(statistics.median(ratios), 3)
         answer[f"wheel_over_heapq_{pending}_spread"] = [round(min(ratios), 3), round(max(ratios), 3)]
-    click.echo(orjson.dumps(answer).decode())
+    told(answer)
 
 
 if __name__ == "__main__":
--- a/bench/store.py
+++ b/bench/store.py
@@ -24,10 +24,10 @@
 
 import click
 import numpy as np
-import orjson
 import psutil
 from hdrh.histogram import HdrHistogram
 
+from bench import told
 from wickhinge.store.counts import Counts
 from wickhinge.store.files import Files
 from wickhinge.store.keep import Copy, Keep, Tails
@@ -37,10 +37,6 @@
 MEGA = 1 << 20
 
 
-def told(answer: dict[str, Any]) -> None:
-    click.echo(orjson.dumps(answer, option=orjson.OPT_SERIALIZE_NUMPY).decode())
-
-
 @click.group()
 def main() -> None:
     """Measure the disk tier."""
@@ -57,13 +53,13 @@
 
     def __init__(self, folder: Path, kills: int, seconds: float, seed: int, continues: bool, plant: str,
                  harm: bool, objects: int, clients: int) -> None:
-        from bench.fleet import Asker, RouterProcess, World
+        from bench.fleet import RouterProcess, World
 
         self.random = np.random.default_rng(seed)
         self.objects, self.continues, self.harm, self.folder = objects, continues, harm, folder
         sizes = self.random.choice([2_000, 8_000, 20_000, 40_000, 240_000], objects, p=[0.3, 0.3, 0.25, 0.1, 0.05])
         self.parts = self.random.integers(1, 9, objects)
-        self.world = World(lambda key, part: int(sizes[key % objects]), seed)
+        self.world = World(lambda key, part: int(sizes[key % objects]))
         self.world.listen()
         self.world.tell(1, self.world.records())
         weights = 1.0 / np.arange(1, objects + 1) ** 0.9
@@ -72,7 +68,7 @@
                    f"snapshot_s: 0.7, objects: 16384}}\njournal: continues: {str(continues).lower()}\n")
         start = ["-m", "bench.planted", plant] if plant else None
         self.router = RouterProcess(folder, self.world, options, start)
-        self.asker, self.clients, self.kills, self.seconds = Asker, clients, kills, seconds
+        self.clients, self.kills, self.seconds = clients, kills, seconds
         self.counted = dict.fromkeys(("visits", "served", "served_from_disk", "served_from_earlier_start", "denied",
                                       "failed", "corrupt", "older_than_purge", "too_old", "lost_visits",
                                       "cut_by_kills", "own_told"), 0)
@@ -80,7 +76,6 @@
         self.seen: set[int] = set()
         self.starts, self.up, self.over = 0, False, False
         self.lines: set[Any] = set()
-        self.waits: list[float] = []
         self.tags: dict[tuple[int, int], tuple[str, int]] = {}
 
     def run(self) -> dict[str, Any]:
@@ -147,16 +142,11 @@
                     file.write(bytes([was[0] ^ 1 << int(self.random.integers(8))]))
 
     def connect(self) -> None:
-        from twisted.internet import protocol, reactor
+        from bench.fleet import connect
 
         if self.over:
             return
-        factory = protocol.ClientFactory()
-        factory.noisy = False
-        factory.protocol = lambda: self.asker(self.ready, self.lost)
-        factory.clientConnectionFailed = lambda *_: reactor.callLater(0.05, self.connect)
-        host, port = self.router.address
-        reactor.connectTCP(host, port, factory)
+        connect(self.router.address, self.ready, self.lost, self.connect)
 
     def ready(self, line: Any) -> None:
         self.lines.add(line)
--- a/wickhinge/lab/machines.py
+++ b/wickhinge/lab/machines.py
@@ -72,9 +72,6 @@
     def warmth(self) -> float:
         return min(self.cold_from + (1 - self.cold_from) * (self.wheel.now - self.started) / self.cold_s, 1.0)
 
-    def reached(self) -> bool:
-        return self.up
-
     def begin(self, work: float, then: Callable[..., None]) -> int:
         """A request has come whole; then(outcome, ...) unless the process ends first: then with BROKEN."""
         self.serial += 1
@@ -146,9 +143,9 @@
 class Fabric:
     """Requests from routers to caches, and the fills behind them."""
 
-    def __init__(self, wheel: Wheel, machines: dict[int, Machine], hop: float, part_s: float,
-                 versions: Callable[[int], float]) -> None:
-        self.wheel, self.machines, self.hop, self.part_s, self.versions = wheel, machines, hop, part_s, versions
+    def __init__(self, wheel: Wheel, machines: dict[int, Machine], origin: Machine, hop: float,
+                 part_s: float) -> None:
+        self.wheel, self.machines, self.origin, self.hop, self.part_s = wheel, machines, origin, hop, part_s
 
     def ask(self, mark: int, name: tuple[int, int], source: int | None, rank: int, oldest: float | None,
             runs: Callable[[], None] | None, then: Callable[..., None]) -> Callable[[], None]:
@@ -217,12 +214,10 @@
             above.hits += 1
             above.shared.ask(self.part_s, above.ended, asked, Outcome.HONOURED, made, Note.HIT)
         else:
-            origin = next(one for one in self.machines.values() if one.kind == "origin")
-
             def given(outcome: Outcome, fresh: float | None, _: Note | None) -> None:
                 if outcome is Outcome.HONOURED and above.up:
                     above.held.put(name, fresh, 1)
                 above.ended(asked, outcome, fresh, None)
 
-            number_up = origin.begin(self.part_s, given)
-            origin.shared.ask(self.part_s, origin.ended, number_up, Outcome.HONOURED, self.wheel.now, None)
+            number_up = self.origin.begin(self.part_s, given)
+            self.origin.shared.ask(self.part_s, self.origin.ended, number_up, Outcome.HONOURED, self.wheel.now, None)
--- a/wickhinge/lab/play.py
+++ b/wickhinge/lab/play.py
@@ -17,7 +17,15 @@
 from wickhinge.lab.wheel import Wheel
 
 PARENTS, ORIGIN = 100_000, 200_000
-ROW = ("number", "since", "router", "tariff", "key", "part", "word", "took", "forwards", "again", "hit")
+
+
+def emulated(outside: Any, chance: Chance, zone: str, routers: int, cold: tuple[float, float, float, float]) -> Router:
+    """The module as a front builds it, with what the laboratory does not vary. routers: of its location; cold: what
+    topples a machine times its capacity, over which seconds, its pace at first, seconds until it is warm."""
+    fleet = Fleet(chance, zone, routers, "parent", "origin", True, Cold(*cold), Cold(*cold))
+    return Router(outside, chance, fleet, Shelf(fleet.routers), Purges(6.0), joins=False, direct=True, flow=1000.0,
+                  most_forwards=6, second_copies=True, cancel=True, probes=False, follows=False, ask_within=0.0,
+                  longest_wait=0.5)
 
 
 class Asked:
@@ -37,7 +45,7 @@
 class Client:
     """decide's Caller for one visit."""
 
-    __slots__ = ("play", "asked", "out", "visit")
+    __slots__ = ("play", "asked", "out")
 
     def __init__(self, play: Play, asked: Asked) -> None:
         self.play, self.asked, self.out = play, asked, {}
@@ -103,7 +111,6 @@
         self.rows: list[tuple[Any, ...]] = []
         self.count = 0
         self.words: Counter[str] = Counter()
-        self.purge_stamps: dict[int, float] = {}
         self.listing_lost = 0.0
         s = scenario
         cold, fall = (s.cold_from, s.cold_s), (s.fall_multiple, s.fall_s)
@@ -115,7 +122,7 @@
         for place in range(s.parents):
             self.machines[PARENTS + place] = machine(PARENTS + place, "parent", s.parent_weight, s.parent_keep)
         self.machines[ORIGIN] = machine(ORIGIN, "origin", s.origin_weight, 1)
-        self.fabric = Fabric(self.wheel, self.machines, s.hop_s, s.part_s, lambda key: 0.0)
+        self.fabric = Fabric(self.wheel, self.machines, self.machines[ORIGIN], s.hop_s, s.part_s)
         self.clips = Tariff("clips", s.promised_s, 2.0, s.patience_s, 1.0, 0.2, Effect.RERUNNABLE, "all", 0.0,
                             s.fresh_s, 0.0, 0.7, True, False)
         self.results = Tariff("results", s.promised_s, 2.0, s.patience_s, 3.0, 0.2, Effect.EXCLUSIVE, "all", 0.0, 0.0,
@@ -127,16 +134,12 @@
 
     def router(self, number: int) -> Router:
         s, chance = self.scenario, Chance(self.scenario.seed * 1000 + number)
-        edge = Cold(s.fall_multiple, s.fall_s, s.cold_from, s.cold_s)
-        upper = Cold(s.fall_multiple, s.fall_s, s.cold_from, s.cold_s)
-        fleet = Fleet(chance, f"z{number % s.zones}", s.routers // s.zones, "parent", "origin", True, edge, upper)
         outside = SimpleNamespace(
             wake=lambda delay, call: self.wheel.after(delay, lambda: call(self.wheel.now)),
             probe=lambda cache: self.wheel.after(2 * s.hop_s, self.probed, number, cache), follow=lambda: None)
-        made = Router(outside, chance, fleet, Shelf(s.routers), Purges(6.0), joins=False, direct=True, flow=1000.0,
-                      most_forwards=6, second_copies=True, cancel=True, probes=False, follows=False, ask_within=0.0,
-                      longest_wait=0.5)
-        fleet.listed([self.listing(mark) for mark in self.machines], True, 0.0)
+        made = emulated(outside, chance, f"z{number % s.zones}", s.routers // s.zones,
+                        (s.fall_multiple, s.fall_s, s.cold_from, s.cold_s))
+        made.fleet.listed([self.listing(mark) for mark in self.machines], True, 0.0)
         self.baseline(made)
         made.start(0.0)
         return made
@@ -270,9 +273,8 @@
     def purge(self, key: int) -> None:
         now = self.wheel.now
         self.judge.told_purge(key, now, now + self.scenario.list_s)
-        for number, router in enumerate(self.routers):
+        for number in range(len(self.routers)):
             self.wheel.after(self.scenario.list_s, self.told_purge, number, key, now)
-            del router
         for machine in self.machines.values():  # done everywhere by and by
             if machine.kind != "origin":
                 self.wheel.after(5.0 * self.random.random(), lambda machine=machine: machine.held.purge(key))
