--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -71,6 +71,7 @@
     other, address = second(deployment, tmp_path / "b", f"127.0.0.1:{port}", extra)
     try:
         assert other.wait('"source":"sibling"' if served else '"event":"sibling_lost"')
+        assert '"trusted"' in other.wait('"event":"open"') if served else other.wait('"event":"open"')
         assert honoured(Client(address), PATIENT if served else 1.0) is served
     finally:
         other.close()
@@ -108,6 +109,7 @@
         env = {**os.environ, "RELAY_CONFIG": str(deployment.path)}
         deployment.router = Process("-m", "wickhinge", env=env)
         assert '"source":"remembered"' in deployment.router.wait('"event":"list_source"')
+        assert '"trusted"' in deployment.router.wait('"event":"open"')
         assert honoured(deployment.client(), PATIENT)
     finally:
         deployment.close()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -78,7 +78,7 @@
         self.toy.wait("ready")
         told = {**os.environ, "RELAY_CONFIG": str(self.path)}
         self.router = Process("-m", "wickhinge", env=told)
-        self.router.wait('"event":"list"')
+        self.router.wait('"event":"open"')
 
     def client(self):
         return Client(self.address)
@@ -272,6 +272,93 @@
             assert client.answer(client.ask())[2] is None
 
 
+class Restarted:
+    """A router whose configuration is older than what its service has to tell, and the service, which is the test."""
+
+    def __init__(self, folder):
+        self.toy_base = free(7)
+        self.toy = Process("example/toy.py", str(self.toy_base), "hidden")
+        self.toy.wait("ready")
+        self.service = socket.create_server(("127.0.0.1", self.toy_base + 6))
+        self.service.settimeout(PATIENT)
+        conf = json.loads((ROOT / "example/config.json").read_text())
+        kinds = conf["settings"]["shapes"]
+        hosts = [{"host": f"s-{0xA0 + place:08x}", "dial": f"127.0.0.1:{self.toy_base + place}", "block": 0,
+                  "site": "here" if kind == "box" else "hub", "class": kind, "health": "ready", "share": 4,
+                  "born_ms": 0} for place, kind in enumerate((kinds[0], *kinds), 1)]
+        self.address = ("127.0.0.1", self.toy_base + 5)
+        conf |= {"listen": f"127.0.0.1:{self.toy_base + 5}", "journal": f"127.0.0.1:{self.toy_base + 6}",
+                 "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}}
+        (folder / "config.json").write_text(json.dumps(conf))
+        self.told = {**os.environ, "RELAY_CONFIG": str(folder / "config.json")}
+        self.router = Process("-m", "wickhinge", env=self.told)
+
+    def refuses(self):
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(self.address, PATIENT)
+
+    def close(self):
+        self.router.close()
+        self.toy.close()
+        self.service.close()
+
+
+@pytest.fixture
+def restarted(tmp_path):
+    made = Restarted(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_router_takes_nothing_before_it_knows_what_drained_while_it_was_away(restarted):
+    restarted.toy.say("silent 1")
+    with restarted.service.accept()[0] as journal:
+        journal.settimeout(PATIENT)
+        assert int.from_bytes(journal.recv(8)) == 1
+        restarted.refuses()
+        drained = (0xA1).to_bytes(4) + bytes((127, 0, 0, 1)) + (restarted.toy_base + 1).to_bytes(2) + bytes(
+            (1, 0, 0, 0, 0)) + (4000).to_bytes(4) + bytes(8)
+        journal.sendall((9 + len(drained)).to_bytes(4) + (2).to_bytes(8) + b"\x02" + drained)
+        restarted.router.wait("draining")
+        restarted.refuses()  # there may be more
+        journal.sendall((9).to_bytes(4) + (2).to_bytes(8) + b"\x00")
+        assert '"caught up"' in restarted.router.wait('"event":"open"')
+        client = Client(restarted.address)
+        assert client.ping() is True
+        for call in [client.ask(block=str(part)) for part in range(20)]:
+            assert client.answer(call)[2] is None
+
+
+@pytest.mark.parametrize("silent", [True, False])
+def test_a_router_whose_service_tells_nothing_goes_on_with_its_list(restarted, silent):
+    if not silent:
+        restarted.service.close()
+    start = time.monotonic()
+    assert '"not told"' in restarted.router.wait('"event":"open"')
+    assert time.monotonic() - start < 4.0
+    client = Client(restarted.address)
+    assert client.ping() is True
+    assert client.answer(client.ask())[2] is None
+
+
+def test_sigterm_before_it_takes_anything_ends_the_program_at_once(restarted):
+    with restarted.service.accept()[0]:
+        start = time.monotonic()
+        restarted.router.child.send_signal(signal.SIGTERM)
+        assert restarted.router.child.wait(PATIENT) == 0
+        assert time.monotonic() - start < 0.7  # there are no clients that still come
+    restarted.refuses()
+
+
+@pytest.mark.parametrize("event", ["start", "open"])
+def test_of_two_at_one_address_one_ends_also_where_both_wait(restarted, event):
+    restarted.router.wait(f'"event":"{event}"')
+    other = Process("-m", "wickhinge", env=restarted.told)
+    assert "field listen" in other.wait("config")
+    assert other.child.wait(PATIENT) == 2
+    assert Client(restarted.address).ping() is True
+
+
 def test_bad_configuration_ends_the_program_with_its_key(tmp_path):
     (tmp_path / "config.json").write_text('{"name": "n1", "listen": "x"}')
     made = Process("-m", "wickhinge", env={**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")})
--- a/wickhinge/__main__.py
+++ b/wickhinge/__main__.py
@@ -37,14 +37,18 @@
         sys.stderr.write(f"{problem}\n")
         return 2
     except OSError as problem:
-        sys.stderr.write(f"config: field listen: {problem}\n")
-        return 2
+        return unusable(problem)
     # The handler runs between two turns of the reactor, never inside a call.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(node.leave))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
     reactor.run(installSignalHandlers=False)
-    return 0
+    return 0 if node.unusable is None else unusable(node.unusable)
+
+
+def unusable(problem: OSError) -> int:
+    sys.stderr.write(f"config: field listen: {problem}\n")
+    return 2
 
 
 if __name__ == "__main__":
--- a/wickhinge/net/members.py
+++ b/wickhinge/net/members.py
@@ -15,7 +15,7 @@
 from wickhinge.membership import remembered, talk
 from wickhinge.membership.backoff import Backoff
 from wickhinge.membership.keeper import Keeper, Unusable
-from wickhinge.membership.members import Members
+from wickhinge.membership.members import NONE, Members
 from wickhinge.membership.statements import LIVE, STATIC, Statement
 from wickhinge.store.files import Files
 from wickhinge.store.workers import Workers
@@ -73,6 +73,8 @@
             return
         now = self.now()
         self.members.tick(now)
+        if self.members.source not in (NONE, LIVE):
+            self.node.opening.trusted()
         self.save(now)
         self.after(TURN, self.turn)
 
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -20,6 +20,7 @@
 from wickhinge.net.forwards import Forwards
 from wickhinge.net.journal import Journal
 from wickhinge.net.log import Log
+from wickhinge.net.opening import Opening
 from wickhinge.net.visits import Visits
 
 STATES = ("ready", "draining", "gone")
@@ -38,6 +39,7 @@
         self.log = Log(descriptor, config.name(conf), Deadlines.now)
         self.deadlines = Deadlines(reactor, self.fault)
         self.leaving = self.started = False
+        self.unusable: OSError | None = None  # why the address could not be had in the end
         memory, sockets = config.limits(conf)
         self.collect_over = memory * 700  # in KB: 0.7 of the limit
         connect_within, idle, streams = config.times(conf)
@@ -82,11 +84,13 @@
             (self.told_list if kind == "list" else self.told_purge)(*told)
 
     def start(self) -> None:
-        host, port = self.listen
+        """Raises OSError where the address to listen on cannot be had."""
+        self.opening = Opening(self.reactor, self.listen, self.clients, self.deadlines, self.log.event,
+                               self.taken)
         self.started = True
         self.router.start(self.deadlines.now())
-        self.port = self.reactor.listenTCP(port, self.clients, backlog=1024, interface=host)
         self.reactor.addSystemEventTrigger("before", "shutdown", self.log.flush)
+        self.reactor.callWhenRunning(self.opening.start)
         self.journal.start()
         if self.members is not None:
             self.members.start()
@@ -94,7 +98,7 @@
         # A full walk takes 70 ms, in which visits run out. Visits leave no circles, so none is needed.
         gc.disable()
         self.deadlines.after(REPORT, self.report)
-        self.log.event("start", listen=f"{host}:{port}", pool=self.pool.limit)
+        self.log.event("start", listen=":".join(map(str, self.listen)), pool=self.pool.limit)
 
     # The module's Outside.
 
@@ -156,6 +160,7 @@
         self.log.event("purge", key=None if key is None else f"{key:016x}", group=group, stamp=stamp)
 
     def caught_up(self) -> None:
+        self.opening.caught_up()
         if self.copies is not None:
             self.copies.store.caught_up(self.deadlines.now(), self.journal.unbroken and self.purges_resumed)
         if self.members is not None:
@@ -220,7 +225,12 @@
         if self.copies is not None:
             self.copies.store.snapshot(self.deadlines.now())
         now = self.deadlines.now()
-        self.deadlines.at(now + LINGER, self.settle, now + self.last)
+        self.deadlines.at(now + (LINGER if self.opening.leave() else 0.0), self.settle, now + self.last)
+
+    def taken(self, problem: OSError) -> None:
+        """Another router listens at our address. It is at work, this one is not."""
+        self.unusable = problem
+        self.leave()
 
     def settle(self, last: float) -> None:
         now = self.deadlines.now()
