Routers that know each other: deciding part and wire, judged by drawn schedules in virtual time

Need: shared budgets, one owner at a time and works in order all stand on who is there, also while links are cut one way, processes stop for seconds, start twice under one name, or come back with nothing remembered.

peers/lines: what may be believed of a datagram, by lives, echoed tokens and counters, without any clock. peers/circle: probes direct and through others, suspicion with a bound, doubt of oneself first; a life asks before it claims its name and has one epoch for good, so an old process that wakes up cannot outbid its successor. peers/wire: one array under a keyed BLAKE2b, at most 1,400 bytes. lab/many: schedules as data (cuts, one way, flapping, loss, delay, doubling, order, kill, pause, starving, a twin, clocks that run wrong and jump, replays, liars), played in virtual time through the same codec, and their judges.

Not yet on sockets; nothing imports it in a router.

--- /dev/null
+++ b/wickhinge/lab/many/play.py
@@ -0,0 +1,244 @@
+"""A schedule in virtual time: the routers' own deciding code and codecs, a network that breaks as the schedule says."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import replace
+from typing import Any
+
+from wickhinge.decide import Chance
+from wickhinge.lab.many.schedule import Fault, Schedule
+from wickhinge.lab.wheel import Wheel
+from wickhinge.peers import wire
+from wickhinge.peers.circle import Circle, Item
+from wickhinge.peers.roster import Place, Roster
+
+KEY = b"of this fleet and of no other"
+TICK = 0.05
+HOP = 0.001
+BUFFER = 128  # datagrams that wait for a process that stands still
+
+
+class Process:
+    """One router process of the virtual fleet: a life of its own, a clock of its own."""
+
+    def __init__(self, fleet: Fleet, place: int, number: int) -> None:
+        self.fleet, self.place, self.number = fleet, place, number
+        self.name = fleet.names[place]
+        self.began = fleet.now
+        self.rate, self.ahead = 1.0, fleet.random.uniform(0.0, 1e6)  # the clocks of processes have nothing in common
+        self.since = fleet.now
+        self.stopped = self.dead = False
+        self.waiting: deque[bytes] = deque(maxlen=BUFFER)
+        self.circle = Circle(fleet.roster(self.name), Chance(fleet.random.getrandbits(62)), self.clock, self.send,
+                             self.log)
+        for plant in fleet.plants:
+            plant(self)
+        fleet.processes.append(self)
+        fleet.write(self, "started")
+        fleet.wheel.after(TICK * fleet.random.random(), self.tick)
+
+    @property
+    def clock(self) -> float:
+        return self.ahead + (self.fleet.now - self.since) * self.rate
+
+    def turn_clock(self, rate: float, jump: float = 0.0) -> None:
+        self.ahead, self.since, self.rate = self.clock + jump, self.fleet.now, rate
+
+    def log(self, event: str, **fields: Any) -> None:
+        self.fleet.write(self, event, **fields)
+
+    def tick(self) -> None:
+        if self.dead:
+            return
+        if not self.stopped:
+            self.circle.tick(self.clock)
+            self.look()
+        self.fleet.wheel.after(TICK, self.tick)
+
+    def look(self) -> None:
+        """Writes down what the layers above are told, where it changed."""
+        view = self.circle.view(self.clock)
+        seen = (round(view.share, 4), view.cut_since is not None, view.settled)
+        if seen != getattr(self, "seen", None):
+            self.seen = seen
+            self.log("view", share=seen[0], cut=seen[1], settled=seen[2])
+
+    def send(self, item: Item) -> None:
+        self.fleet.carry(self, self.fleet.places.get(item.to), wire.pack(KEY, item))
+
+    def take(self, data: bytes) -> None:
+        if self.dead:
+            return
+        if self.stopped:
+            self.waiting.append(data)
+            return
+        try:
+            item = wire.read(KEY, data)
+        except wire.Unreadable:
+            self.fleet.unreadable += 1
+            return
+        line = self.circle.lines.get(item.sender)
+        was = (line.epoch, line.life, line.heard) if line is not None else None
+        self.circle.heard(item, self.clock)
+        if line is not None and (line.epoch, line.life) == (item.epoch, item.life) and (
+                (line.epoch, line.life, line.heard) != was):
+            self.fleet.write(self, "believed", of=item.sender, epoch=item.epoch, life=item.life, to=self.circle.life,
+                             counter=item.counter, first=was[:2] != (item.epoch, item.life))
+
+    def stop(self) -> None:
+        self.stopped = True
+
+    def go_on(self) -> None:
+        self.stopped = False
+        while self.waiting and not self.dead:
+            self.take(self.waiting.popleft())
+
+
+class Fleet:
+    def __init__(self, schedule: Schedule, plants: tuple[Any, ...] = ()) -> None:
+        self.schedule, self.plants = schedule, plants
+        self.random = random.Random(schedule.seed * 7919 + 1)
+        self.wheel = Wheel()
+        self.names = [f"n{place}" for place in range(schedule.routers)]
+        self.places = {name: place for place, name in enumerate(self.names)}
+        self.processes: list[Process] = []
+        self.history: list[tuple[float, str, int, str, dict[str, Any]]] = []
+        self.active: list[Fault] = []
+        self.recorded: list[tuple[int, int, bytes]] = []
+        self.unreadable = self.carried = self.numbers = 0
+
+    @property
+    def now(self) -> float:
+        return self.wheel.now
+
+    def roster(self, mine: str) -> Roster:
+        return Roster([Place(name, ("127.0.0.1", place + 1), f"z{place % self.schedule.zones}")
+                       for place, name in enumerate(self.names)], mine)
+
+    def write(self, process: Process, event: str, **fields: Any) -> None:
+        self.history.append((self.now, process.name, process.number, event, fields))
+
+    def start(self, place: int) -> Process:
+        self.numbers += 1
+        return Process(self, place, self.numbers)
+
+    def alive(self, place: int) -> list[Process]:
+        return [one for one in self.processes if one.place == place and not one.dead]
+
+    # The network.
+
+    def cut(self, one: int, other: int) -> bool:
+        for fault in self.active:
+            if fault.kind == "flap" and int((self.now - fault.at_s) / fault.amount) % 2:
+                continue
+            if fault.kind in ("cut", "flap", "one_way") and (
+                    one in fault.one and other in fault.other
+                    or fault.kind != "one_way" and other in fault.one and one in fault.other):
+                return True
+        return False
+
+    def carry(self, process: Process, to: int | None, data: bytes) -> None:
+        self.carried += 1
+        if to is None:
+            return
+        if len(self.recorded) < 2000:
+            self.recorded.append((process.place, to, data))
+        copies, delay = 1, HOP * (0.5 + self.random.random())
+        for fault in self.active:
+            if process.place not in fault.one and to not in fault.one:
+                continue
+            if fault.kind == "loss" and self.random.random() < fault.amount:
+                return
+            if fault.kind == "delay":
+                delay += fault.amount
+            elif fault.kind == "reorder":
+                delay += fault.amount * self.random.random()
+            elif fault.kind == "double" and self.random.random() < fault.amount:
+                copies += 1
+            elif fault.kind == "lie" and process.place in fault.one:
+                data = self.foul(data)
+        if self.cut(process.place, to):
+            return
+        for copy in range(copies):
+            self.wheel.after(delay * (1 + copy * self.random.random()), self.arrive, process.place, to, data)
+
+    def arrive(self, one: int, to: int, data: bytes) -> None:
+        if not self.cut(one, to):
+            for process in self.alive(to):  # a twin under one address hears the same
+                process.take(data)
+
+    def foul(self, data: bytes) -> bytes:
+        """A process that has the key and lies: about counts, and about others' lives."""
+        item = wire.read(KEY, data)
+        news = tuple((name, epoch, life, self.random.choice((count, count + 1, 1 << 62)), self.random.choice((1, 2, 3)))
+                     for name, epoch, life, count, _ in item.news)
+        name = self.random.choice(self.names)
+        news += ((name, self.random.choice((1, 2, 1 << 40)), self.random.getrandbits(60) | 1, 0, 1),)
+        known = item.known
+        if self.random.random() < 0.1:
+            known = (self.random.choice((known[0] + 1, 1 << 40)), self.random.getrandbits(60) | 1, 0, 1)
+        return wire.pack(KEY, replace(item, news=news, known=known))
+
+    # The schedule.
+
+    def begin(self, fault: Fault) -> None:
+        self.active.append(fault)
+        self.wheel.after(fault.for_s, self.end, fault)
+        for place in fault.one:
+            for process in self.alive(place):
+                if fault.kind == "kill":
+                    process.dead = True
+                    self.write(process, "killed")
+                elif fault.kind == "pause":
+                    process.stop()
+                elif fault.kind == "starve":
+                    self.starve(process, fault.at_s + fault.for_s)
+                elif fault.kind in ("fast", "slow"):
+                    process.turn_clock(1.0 + (fault.amount if fault.kind == "fast" else -fault.amount))
+                elif fault.kind == "jump":
+                    process.turn_clock(process.rate, fault.amount)
+        if fault.kind == "twin":
+            self.start(fault.one[0])
+        if fault.kind == "replay":
+            for number, (one, to, data) in enumerate(self.random.sample(self.recorded, min(len(self.recorded), 300))):
+                self.wheel.after(fault.for_s * number / 300, self.arrive, one, to, data)
+
+    def starve(self, process: Process, until: float) -> None:
+        """Runs for 20 ms in each 300."""
+        if process.dead or self.now >= until:
+            process.go_on()
+            return
+        process.stop()
+        self.wheel.after(0.28, process.go_on)
+        self.wheel.after(0.3, self.starve, process, until)
+
+    def end(self, fault: Fault) -> None:
+        self.active.remove(fault)
+        for place in fault.one:
+            found = self.alive(place)
+            if fault.kind == "kill" and not found:
+                self.start(place)
+            elif fault.kind == "pause" and not any(
+                    other.kind == "pause" and place in other.one for other in self.active):
+                for process in found:
+                    process.go_on()
+            elif fault.kind in ("fast", "slow"):
+                for process in found:
+                    process.turn_clock(1.0)
+            elif fault.kind == "twin" and len(found) > 1:
+                found[-1].dead = True
+                self.write(found[-1], "killed")
+
+    def run(self) -> Fleet:
+        for place in range(self.schedule.routers):
+            self.start(place)
+        for fault in self.schedule.faults:
+            self.wheel.at(fault.at_s, self.begin, fault)
+        self.wheel.run(self.schedule.healed_s + self.schedule.calm_s)
+        return self
+
+
+def play(schedule: Schedule, plants: tuple[Any, ...] = ()) -> Fleet:
+    return Fleet(schedule, plants).run()
