Budgets that all routers share, in bounds under cuts, twins, pauses, restarts and wrong clocks

Need: what each router does alone adds up over a fleet; today each guesses its part from a fixed count of routers.

shared/bucket: a budget in any window dealt as a rate and a depth a router, with the formula that bounds their sum. shared/vouch: which life may use its name's part, by a majority of the others, a term each, by nobody's wall clock; voters that restarted grant nothing for a term. Rides on the probes that there are, so the term grows with the roster. shared/loans: parts lent for 3 s, renewed, given back; the borrower counts from when it asked, the lender from when it granted. shared/purse puts them together: floor + home while vouched for + borrowed. shared/riders: their words.

Found by a test of two lives of one name: a majority that counts the name's own voice lets both of them have one, since each raises it; now a majority of the others is needed (a roster of three needs all three).

Four plants found (no end of loans, no taking off what is lent, voters that do not wait, all before). Not on sockets.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -263,7 +263,7 @@
     (hears_twice, "twice", (Fault("double", 5.0, 5.0, (0, 1), (), 1.0),)),
     (forgets_epochs, "earlier life", (Fault("twin", 5.0, 12.0, (0,)),))])
 def test_a_planted_fault_is_found(plant, found, faults):
-    told = Schedule(3, 4, 1, faults, 20.0, 5.0)
+    told = Schedule(3, 4, 1, faults, 5, 20.0, 5.0)
     assert any(found in fault for fault in judges.lives(play.play(told, (plant,)).history))
     assert judges.lives(play.play(told).history) == []
 
--- /dev/null
+++ b/tests/test_shared.py
@@ -0,0 +1,224 @@
+"""Budgets that all routers share: bucket, vouchers, loans, and whole fleets under drawn schedules."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wickhinge.lab.many import judges, play, schedule
+from wickhinge.lab.many.schedule import Fault, Schedule
+from wickhinge.shared import riders
+from wickhinge.shared.bucket import Bucket
+from wickhinge.shared.loans import TIME, Loans
+from wickhinge.shared.vouch import DRIFT, Vouchers, term
+
+# The bucket: its formula, by any order of shares and wishes.
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 10**6), st.integers(1, 6), st.floats(1.0, 4.0))
+def test_shares_that_move_never_spend_more_than_the_budget_in_any_window(seed, count, window):
+    rand, most, unit = random.Random(seed), 60.0, 1.0
+    rates = [1.0 + rand.uniform(-DRIFT, DRIFT) for _ in range(count)]
+    buckets = [Bucket(most, window, unit, count, 0.1, 0.0) for _ in range(count)]
+    shares, now, spent = [1.0 / count] * count, 0.0, []
+    for _ in range(600):
+        now += rand.expovariate(40.0)
+        if rand.random() < 0.1:  # a part moves: gone there before it is had here
+            one, other = rand.randrange(count), rand.randrange(count)
+            part = shares[one] * rand.random()
+            shares[one] -= part
+            buckets[one].shared(shares[one], now * rates[one])
+            shares[other] += part
+        place = rand.randrange(count)
+        buckets[place].shared(shares[place], now * rates[place])
+        while buckets[place].take(unit, now * rates[place]):
+            spent.append((now, "", unit))
+    assert judges.peak(spent, most, window) <= 1.0 if spent else True
+
+
+def test_a_budget_that_cannot_be_kept_is_spent_by_nobody_and_one_lowered_takes_what_was_saved():
+    bucket = Bucket(5.0, 1.0, 1.0, 6, 0.1, 0.0)
+    bucket.shared(1.0, 0.0)
+    assert not bucket.take(1.0, 100.0) and bucket.wait(1.0) == float("inf")
+    bucket.set(100.0, 100.0)
+    assert not bucket.take(1.0, 100.0)
+    assert 0.0 < bucket.wait(1.0) < 0.1 and bucket.take(1.0, 101.0)
+    bucket.set(0.0, 101.0)
+    assert not bucket.take(0.001, 200.0)
+
+
+def test_a_restarted_bucket_is_empty():
+    bucket = Bucket(100.0, 1.0, 1.0, 1, 0.1, 50.0)
+    bucket.shared(1.0, 50.0)
+    assert not bucket.take(0.5, 50.0)
+
+
+# Vouchers: two lives of a name and what voters forgot, delayed and doubled.
+
+
+def vouched_at_once(seed, count, forgetful=False):
+    """Whether both of two lives of a name ever hold a majority. Each of the others grants to whichever asks it; clocks
+    differ, grants arrive late, voters restart and remember nothing."""
+    rand = random.Random(seed)
+    others = [SimpleNamespace(rate=1.0 + rand.uniform(-0.05, 0.05), born=-1e3) for _ in range(count - 1)]
+    lives = [SimpleNamespace(rate=1.0 + rand.uniform(-0.05, 0.05), ahead=rand.uniform(0, 1e5)) for _ in range(2)]
+    for voter in others:
+        voter.vouch = Vouchers(count, 0.0)
+    for one in lives:
+        one.vouch = Vouchers(count, 0.0)
+    on_way, now, long = [], 0.0, term(count)
+    for _ in range(900):
+        now += rand.expovariate(12.0)
+        for word in [word for word in on_way if word[0] <= now]:
+            _, one, place, asked = word
+            one.vouch.granted(f"n{place}", asked, one.ahead + now * one.rate)
+            on_way.remove(word)
+        number = rand.randrange(2)
+        if rand.random() < 0.7 and int(now / long) % 3 != number + 1:  # heard in turns, and at times both
+            place, one = rand.randrange(count - 1), lives[number]
+            voter, asked = others[place], one.ahead + now * one.rate
+            if voter.vouch.grant("x", number + 1, (now - voter.born) * voter.rate):
+                on_way.append((now + rand.choice((0.0, 0.01, 2.0, long)), one, place, asked))
+        if rand.random() < 0.004:
+            voter = rand.choice(others)
+            voter.born, voter.vouch = now, Vouchers(count, -1e3 if forgetful else 0.0)
+        if all(one.vouch.until(one.ahead + now * one.rate) > one.ahead + now * one.rate for one in lives):
+            return True
+    return False
+
+
+@settings(max_examples=80, deadline=None)
+@given(st.integers(0, 10**6), st.integers(2, 7))
+def test_two_lives_of_a_name_are_never_vouched_for_at_once(seed, count):
+    assert not vouched_at_once(seed, count)
+
+
+def test_voters_that_do_not_wait_after_a_restart_are_found():
+    assert any(vouched_at_once(seed, 4, forgetful=True) for seed in range(60))
+
+
+def test_one_alone_vouches_for_itself_and_of_two_each_needs_the_other():
+    assert Vouchers(1, 0.0).until(5.0) > 5.0
+    two = Vouchers(2, 0.0)
+    assert two.until(5.0) == 0.0
+    two.granted("n1", 5.0, 5.1)
+    assert two.until(5.1) == pytest.approx(5.0 + term(2) * (1 - DRIFT))
+    assert not two.grant("n1", 9, 1.0) and two.grant("n1", 9, 1.0 + 2 * term(2))
+    two.lost()
+    assert two.until(5.1) == 0.0
+
+
+# Loans.
+
+
+def test_a_loan_ends_at_the_borrower_before_it_ends_at_the_lender_however_late_the_word():
+    lender, borrower = Loans(), Loans()
+    serial = borrower.ask("n0", 0.2, 100.0)
+    assert lender.lend("n1", 7, serial, 0.2, 0.0) == 0.2 and lender.lend("n1", 7, serial, 0.2, 0.0) == 0.0
+    assert not borrower.granted("n2", serial, 0.2, 100.1)
+    assert borrower.granted("n0", serial, 0.2, 100.1) and not borrower.granted("n0", serial, 0.2, 100.1)
+    assert borrower.borrowed(100.0 + TIME * (1 - DRIFT) - 0.3) == 0.2
+    assert borrower.borrowed(100.0 + TIME * (1 - DRIFT)) == 0.0
+    assert lender.lent(TIME) == 0.2 and lender.lent(TIME * (1 + DRIFT) + 0.01) == 0.0
+    late = borrower.ask("n0", 0.2, 200.0)
+    assert not borrower.granted("n0", late, 0.2, 200.0 + TIME)
+
+
+def test_a_loan_is_renewed_by_its_number_and_given_back_when_it_is_too_much():
+    lender, borrower = Loans(), Loans()
+    serial = borrower.ask("n0", 0.2, 0.0)
+    lender.lend("n1", 7, serial, 0.2, 0.0)
+    borrower.granted("n0", serial, 0.2, 0.0)
+    assert borrower.again(0.5, 4) == []
+    assert borrower.again(2.0, 4) == [("n0", serial, 0.2)] and borrower.again(2.0, 4) == []
+    assert lender.renew("n1", 7, serial, 2.0) == 0.2 and borrower.granted("n0", serial, 0.2, 2.1)
+    assert borrower.borrowed(4.0) == 0.2 and lender.lent(4.5) == 0.2
+    assert lender.renew("n1", 8, serial, 2.0) == 0.0
+    assert borrower.give_back(0.1) == [] and borrower.give_back(0.25) == [("n0", serial)]
+    assert lender.returned("n1", 7, serial) and not lender.returned("n1", 7, serial) and lender.lent(4.5) == 0.0
+
+
+GOOD = (5, 1.5, 0.0, False, [(0.1, 0.2)], [(0, 1, 0.1)], [], [(0, 3)])
+
+
+@pytest.mark.parametrize("place, value", [
+    (0, "x"), (1, float("nan")), (4, [(2.0, 0.1)]), (4, [(0.1, 0.1)] * 9), (5, [(0, 1, float("inf"))]),
+    (5, [(8, 1, 0.1)]), (6, [(0, 1, -0.1)]), (7, [(-1, 1)]), (7, [(0, 1)] * 9)])
+def test_words_that_no_honest_fellow_says_are_refused(place, value):
+    assert riders.read(riders.pack(*GOOD)) == GOOD
+    with pytest.raises(riders.Unreadable):
+        riders.read(riders.pack(*GOOD[:place], value, *GOOD[place + 1:]))
+    with pytest.raises(riders.Unreadable):
+        riders.read(riders.pack(*GOOD)[:-1])
+
+
+# Whole fleets.
+
+
+@pytest.mark.parametrize("seed", range(100, 130))
+def test_no_schedule_spends_more_than_the_budget(seed):
+    drawn = schedule.draw(seed)
+    played = play.play(drawn)
+    assert judges.budgets(played.spent, play.BUDGETS) == [], schedule.text(drawn)
+    assert judges.all_of(played.history, drawn) == [], schedule.text(drawn)
+
+
+def used(routers, wants, plants=()):
+    fleet = play.Fleet(Schedule(5, routers, 1, (), routers, 20.0, 5.0), plants)
+    fleet.wants = wants
+    fleet.run()
+    most, window, _ = play.BUDGETS[0]
+    return sum(amount for when, _, amount in fleet.spent[0] if when > 12.0) / (most / window * 13.0)
+
+
+def test_the_budget_goes_where_the_need_is():
+    one = used(5, lambda process, number: 2.0 * (process.place == 0))
+    assert one > 0.8 and used(5, lambda process, number: 2.0) > 0.8
+    assert used(5, lambda process, number: 2.0 * (process.place == 0), (keeps_to_itself,)) < 0.25 * one
+
+
+def test_who_is_cut_off_spends_its_floor_and_no_more_after_its_term():
+    fleet = play.Fleet(Schedule(5, 4, 1, (Fault("cut", 10.0, 40.0, (0,), (1, 2, 3)),), 4, 50.0, 1.0))
+    fleet.wants = lambda process, number: 2.0
+    fleet.run()
+    most, window, _ = play.BUDGETS[0]
+    mine = [amount for when, name, amount in fleet.spent[0] if name == "n0" and 20.0 < when < 50.0]
+    rest = [amount for when, name, amount in fleet.spent[0] if name != "n0" and 20.0 < when < 50.0]
+    assert 0.0 < sum(mine) / (most / window * 30.0) < 0.02
+    assert sum(rest) / (most / window * 30.0) > 0.6  # its part is not theirs; the others go on
+
+
+def keeps_to_itself(process):
+    process.purse.ask = lambda number, budget, now: None
+
+
+def never_ends(process):
+    """The plant: a borrower for whom loans have no end."""
+    for budget in process.purse.budgets:
+        loans = budget.loans
+        loans.granted = lambda lender, serial, amount, now, loans=loans, granted=loans.granted: (
+            granted(lender, serial, amount, now) and (setattr(loans.had[serial], "until", 1e18) or True))
+
+
+def lends_what_it_keeps(process):
+    """The plant: what is out is not taken off."""
+    for budget in process.purse.budgets:
+        budget.loans.lent = lambda late: 0.0
+
+
+@pytest.mark.parametrize("plant, faults", [
+    (never_ends, (Fault("cut", 14.0, 10.0, (0,), (1, 2, 3)),)),
+    (lends_what_it_keeps, ())])
+def test_a_planted_fault_is_found(plant, faults):
+    told = Schedule(5, 4, 1, faults, 6, 26.0, 4.0)
+
+    def play_it(plants):
+        fleet = play.Fleet(told, plants)
+        # One needs all, then the others do too.
+        fleet.wants = lambda process, number: 2.0 * (process.place == 0 or fleet.now > 14.0)
+        return judges.budgets(fleet.run().spent, play.BUDGETS)
+
+    assert play_it((plant,)) and play_it(()) == []
--- a/wickhinge/lab/many/judges.py
+++ b/wickhinge/lab/many/judges.py
@@ -66,5 +66,27 @@
     return found
 
 
+def peak(spent: list[tuple[float, str, float]], most: float, window: float) -> float:
+    """The worst window of what was spent, over the budget."""
+    worst = total = 0.0
+    first = 0
+    for when, _, amount in spent:
+        total += amount
+        while spent[first][0] <= when - window:
+            total -= spent[first][2]
+            first += 1
+        worst = max(worst, total)
+    return worst / most
+
+
+def budgets(spent: list[list[tuple[float, str, float]]], told: list[tuple[float, float, float]]) -> list[str]:
+    faults = []
+    for number, (most, window, _) in enumerate(told):
+        worst = peak(spent[number], most, window)
+        if worst > 1.0 + 1e-9:
+            faults.append(f"budget {number}: {worst:.4f} of it in {window} s")
+    return faults
+
+
 def all_of(history: History, schedule: Schedule) -> list[str]:
     return lives(history) + together(history, schedule)
--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -13,10 +13,12 @@
 from wickhinge.peers import wire
 from wickhinge.peers.circle import Circle, Item
 from wickhinge.peers.roster import Place, Roster
+from wickhinge.shared.purse import Purse
 
 KEY = b"of this fleet and of no other"
 TICK = 0.05
 HOP = 0.001
+BUDGETS = [(120.0, 3.0, 1.0), (30.0, 1.0, 0.2)]  # most, window, unit
 BUFFER = 128  # datagrams that wait for a process that stands still
 
 
@@ -33,6 +35,8 @@
         self.waiting: deque[bytes] = deque(maxlen=BUFFER)
         self.circle = Circle(fleet.roster(self.name), Chance(fleet.random.getrandbits(62)), self.clock, self.send,
                              self.log)
+        self.purse = Purse(self.circle, fleet.schedule.places, BUDGETS, self.clock, self.log)
+        self.wants = [0.0] * len(BUDGETS)  # times the whole budget's rate
         for plant in fleet.plants:
             plant(self)
         fleet.processes.append(self)
@@ -54,7 +58,9 @@
             return
         if not self.stopped:
             self.circle.tick(self.clock)
+            self.purse.tick(self.clock)
             self.look()
+            self.spend()
         self.fleet.wheel.after(TICK, self.tick)
 
     def look(self) -> None:
@@ -65,6 +71,15 @@
             self.seen = seen
             self.log("view", share=seen[0], cut=seen[1], settled=seen[2])
 
+    def spend(self) -> None:
+        """As much as is wanted, in pieces of UNIT; what is spent reaches a stand-in at once."""
+        for number, (most, window, unit) in enumerate(BUDGETS):
+            self.wants[number] += self.fleet.wants(self, number) * most / window * TICK
+            while self.wants[number] >= unit:
+                self.wants[number] -= unit
+                if self.purse.take(number, unit, self.clock):
+                    self.fleet.spent[number].append((self.fleet.now, self.name, unit))
+
     def send(self, item: Item) -> None:
         self.fleet.carry(self, self.fleet.places.get(item.to), wire.pack(KEY, item))
 
@@ -107,6 +122,8 @@
         self.history: list[tuple[float, str, int, str, dict[str, Any]]] = []
         self.active: list[Fault] = []
         self.recorded: list[tuple[int, int, bytes]] = []
+        self.spent: list[list[tuple[float, str, float]]] = [[] for _ in BUDGETS]
+        self.needs = [[self.random.choice((0.0, 0.1, 0.5, 2.0)) for _ in BUDGETS] for _ in self.names]
         self.unreadable = self.carried = self.numbers = 0
 
     @property
@@ -120,6 +137,11 @@
     def write(self, process: Process, event: str, **fields: Any) -> None:
         self.history.append((self.now, process.name, process.number, event, fields))
 
+    def wants(self, process: Process, number: int) -> float:
+        """The whole budget's rate times this is wanted there; needs move to the next router each 7 s."""
+        turn = int(self.now / 7.0)
+        return self.needs[(process.place + turn) % len(self.names)][number]
+
     def start(self, place: int) -> Process:
         self.numbers += 1
         return Process(self, place, self.numbers)
--- a/wickhinge/lab/many/schedule.py
+++ b/wickhinge/lab/many/schedule.py
@@ -31,6 +31,7 @@
     routers: int
     zones: int
     faults: tuple[Fault, ...]
+    places: int  # of the budgets: processes at most
     healed_s: float  # the last fault's end
     calm_s: float  # after that, in which all has to be well again
     plant: str = ""
@@ -79,7 +80,9 @@
         faults.append(Fault(kind, at, lasts, one, other, amount))
     faults.sort(key=lambda fault: fault.at_s)
     healed = max(fault.at_s + fault.for_s for fault in faults)
-    return Schedule(seed, routers, min(routers, rand.randint(1, 3)), tuple(faults), healed, bound(routers), plant)
+    twins = sum(fault.kind == "twin" for fault in faults)
+    zones = min(routers, rand.randint(1, 3))
+    return Schedule(seed, routers, zones, tuple(faults), routers + twins, healed, bound(routers), plant)
 
 
 def smaller(schedule: Schedule) -> list[Schedule]:
