A starting router asks the service whether that was all, and takes clients a second sooner

After events came and the link was quiet for two round trips (10 ms at least) it connects once more with the number it has now; the answer is the proof, nothing is guessed, and a service that does not answer so costs one connection.

The test of a stale list waits for the second question.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -321,6 +321,10 @@
         journal.sendall((9 + len(drained)).to_bytes(4) + (2).to_bytes(8) + b"\x02" + drained)
         restarted.router.wait("draining")
         restarted.refuses()  # there may be more
+    with restarted.service.accept()[0] as journal:  # asked whether that was all, it need not wait for a second
+        journal.settimeout(PATIENT)
+        assert int.from_bytes(journal.recv(8)) == 2
+        restarted.refuses()
         journal.sendall((9).to_bytes(4) + (2).to_bytes(8) + b"\x00")
         assert '"caught up"' in restarted.router.wait('"event":"open"')
         client = Client(restarted.address)
--- a/wickhinge/net/journal.py
+++ b/wickhinge/net/journal.py
@@ -21,6 +21,7 @@
 NOTHING, WHOLE, CHANGES, PURGED_OBJECT, PURGED_GROUP = range(5)
 QUIET = 1.6  # seconds without a frame, one of which comes each second: the connection is dead
 AGAIN = 0.15  # seconds before the next try
+SETTLED = 0.01  # seconds at least after what came last, before the service is asked whether that was all
 
 
 class Unreadable(Exception):
@@ -95,6 +96,9 @@
         self.round = 0  # of tries to connect: one that belongs to an earlier round is over
         self.heard = 0.0
         self.closed = False
+        self.proven = -1  # the number at which the service last said that there is nothing more
+        self.pressing = False  # somebody waits for the proof that nothing more is to be told
+        self.asked, self.trip = 0.0, 0.0  # when a connection was begun; what the last one took to come up
 
     def move(self, address: tuple[str, int]) -> None:
         """The service is elsewhere now, and the old place tells nothing more: on from the last number had."""
@@ -131,7 +135,7 @@
         factory.noisy = False
         factory.protocol = lambda: Reading(self)
         attempt = TCP4ClientEndpoint(self.reactor, *self.address, timeout=None).connect(factory)
-        told = self.round
+        told, self.asked = self.round, self.deadlines.now()
         attempt.addCallbacks(lambda reading: self.connected(reading, told),
                              lambda failure: self.again(failure.getErrorMessage(), told))
         attempt.addErrback(lambda failure: self.again(failure.getErrorMessage(), told))
@@ -143,6 +147,7 @@
             reading.transport.abortConnection()
             return
         self.reading, self.heard = reading, self.deadlines.now()
+        self.trip = self.heard - self.asked
         self.log("journal_up", last=self.last)
         self.deadlines.after(QUIET, self.check, reading)
 
@@ -177,11 +182,24 @@
         if self.reading is not reading:
             return  # a place that the service has left
         self.heard = self.deadlines.now()
+        kind = NOTHING
         try:
             for number, kind, payload in reading.stream.feed(data):
                 self.frame(number, kind, payload)
         except Unreadable as problem:
             self.drop(reading, str(problem))
+            return
+        if self.pressing and kind != NOTHING:
+            self.pressing = False
+            self.deadlines.after(max(2 * self.trip, SETTLED), self.prove, reading)
+
+    def prove(self, reading: Reading) -> None:
+        """Events came, all that there were, most likely; the frame that says so may take a second. Who connects with
+        the last number is told at once that it has all. One connection more a start, and no guess."""
+        if self.reading is reading and self.proven != self.last and not self.closed:
+            self.reading = None
+            reading.transport.loseConnection()
+            self.start()
 
     def frame(self, number: int, kind: int, payload: bytes) -> None:
         """No gap or bad frame is guessed over: the connection goes, and the rest is asked for again. An event
@@ -190,6 +208,7 @@
             # Below what we have, it is another count than the one that was remembered.
             self.unbroken = self.unbroken and number == self.last
             if number == self.last:
+                self.pressing, self.proven = False, number
                 self.caught_up()
             elif self.resumed:
                 self.anew(f"event {number} is the last, and {self.last} was remembered")
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -91,6 +91,7 @@
         self.router.start(self.deadlines.now())
         self.reactor.addSystemEventTrigger("before", "shutdown", self.log.flush)
         self.reactor.callWhenRunning(self.opening.start)
+        self.journal.pressing = True
         self.journal.start()
         if self.members is not None:
             self.members.start()
