--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,7 +2,10 @@
 
 import gc
 import json
+import socket
+import time
 import weakref
+from contextlib import ExitStack
 from types import SimpleNamespace
 
 import pytest
@@ -19,6 +22,7 @@
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.ends import OUTCOMES, WORDS, End, unconnected
 from wickhinge.net.forwards import NOTES, Forwards, Sent
+from wickhinge.net.loop import Reactor
 from wickhinge.net.slots import Slots
 from wickhinge.net.visits import Door, Visits
 
@@ -375,6 +379,52 @@
     assert deadlines.waited(now + 0.1) < 0.1 and deadlines.waited(now + 60.0) < 0.001
 
 
+@pytest.mark.parametrize("how", ["closed by its peer", "closed by us", "refused", "given up"])
+def test_a_connection_that_has_ended_is_freed_without_the_collector(how):
+    """The collector is off in service: 4 KB a connection, two of them a second, crashed a router in half an hour."""
+    reactor, ended = Reactor(), []
+    with ExitStack() as stack:
+        place = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=1))
+        place.settimeout(5.0)
+        address = place.getsockname()
+        if how == "refused":
+            place.close()
+        for _ in range(4 if how == "given up" else 0):  # no room for one more: it hears nothing
+            other = stack.enter_context(socket.socket())
+            other.setblocking(False)
+            other.connect_ex(address)
+        deadlines = Deadlines(reactor, ended.append)
+        caches = Caches(reactor, deadlines, pool()[0], 5.0, 15.0, 100, 50, lambda *_, **told: ended.append(told),
+                        ended.append)
+        caches.listed(1, "1", address)
+        gc.collect()
+        gc.disable()
+        try:
+            made = Line(caches.machines[1])
+            made.machine.lines.append(made)
+            made.connect(address)
+            seen = weakref.ref(made)
+            if how == "given up":
+                for _ in range(5):
+                    reactor.iterate(0.01)
+                made.overdue()
+            elif how != "refused":
+                while not made.up:
+                    reactor.iterate(0.01)
+                there = place.accept()[0]
+                made.close() if how == "closed by us" else there.close()
+            end = time.monotonic() + 5.0
+            while not made.down and time.monotonic() < end:
+                reactor.iterate(0.01)
+            assert made.down and len(caches.machines[1].lines) == 0
+            del made
+            reactor.iterate(0.0)  # what a turn of the loop still named
+            deadlines.heap.clear()
+            assert seen() is None and gc.collect() == 0
+        finally:
+            gc.enable()
+
+
 def test_a_visit_denied_at_once_is_freed_without_the_collector():
     """The collector is off in service: a circle would stay until the memory limit."""
     clock = SimpleNamespace(now=lambda: 100.0, at=lambda *_: None, waited=lambda _: 0.0)
--- a/wickhinge/membership/talk.py
+++ b/wickhinge/membership/talk.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 
 from wickhinge.membership import siblings
+from wickhinge.net.dial import Dial
 
 WITHIN = 2.0  # seconds for the whole of it
 AT_ONCE = 8  # siblings answered at a time; a fleet that restarts asks again
@@ -84,7 +84,8 @@
     def finish(self, told: siblings.Told | None, why: str) -> None:
         then, self.then = self.then, None
         if then is not None:
-            self.transport.abortConnection()
+            if self.transport is not None:
+                self.transport.abortConnection()
             then(told, why)
 
     def connectionLost(self, reason: Failure) -> None:
@@ -95,20 +96,10 @@
         then: Callable[[siblings.Told | None, str], None]) -> None:
     """then(list, "") or then(None, why), once, within WITHIN seconds."""
     made = Ask(key, now, then)
-    factory = Factory()
-    factory.noisy = False
-    factory.protocol = lambda: made
-    attempt = TCP4ClientEndpoint(reactor, *address, timeout=None).connect(factory)
-    attempt.addErrback(lambda failure: made.then and unreached(made, failure))
+    attempt = Dial(reactor, address, made, lambda failure: made.finish(None, failure.getErrorMessage()))
 
     def over() -> None:
-        attempt.cancel()
-        if made.transport is not None:
-            made.finish(None, "it did not finish in time")
+        attempt.stop()
+        made.finish(None, "it did not finish in time")
 
     after(WITHIN, over)
-
-
-def unreached(made: Ask, failure: Failure) -> None:
-    then, made.then = made.then, None
-    then(None, failure.getErrorMessage())
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -7,13 +7,13 @@
 from math import inf
 from typing import Any
 
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from wickhinge.net import resp
 from wickhinge.net.buffers import Body, Pool
 from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.dial import Dial
 from wickhinge.net.ends import End, unconnected
 from wickhinge.net.loop import waiting
 
@@ -43,17 +43,10 @@
         self.socket: Any = None
 
     def connect(self, address: tuple[str, int]) -> None:
-        caches = self.caches
-        factory = Factory()
-        factory.noisy = False
-        factory.protocol = lambda: self
-        endpoint = TCP4ClientEndpoint(caches.reactor, *address, timeout=None)
-        self.attempt = endpoint.connect(factory)
-        self.attempt.addCallbacks(self.connected, self.unconnected)
-        self.attempt.addErrback(lambda failure: caches.fault(failure.getErrorMessage()))
-        caches.deadlines.after(caches.connect_within, self.overdue)
-
-    def connected(self, _: Any) -> None:
+        self.attempt = Dial(self.caches.reactor, address, self, self.unconnected)
+        self.caches.deadlines.after(self.caches.connect_within, self.overdue)
+
+    def connectionMade(self) -> None:
         self.up, self.attempt = True, None
         self.heard = self.used = self.caches.deadlines.now()
         self.transport.setTcpNoDelay(True)
@@ -69,7 +62,7 @@
 
     def overdue(self) -> None:
         if self.attempt is not None:
-            self.attempt.cancel()
+            self.attempt.stop()
 
     def send(self, tag: bytes, number: int, payload: bytes) -> None:
         self.used = self.caches.deadlines.now()
@@ -192,7 +185,7 @@
         if self.up:
             self.transport.loseConnection()
         elif self.attempt is not None:
-            self.attempt.cancel()
+            self.attempt.stop()
 
     def rest(self) -> None:
         if self.down or self.closing:
--- a/wickhinge/net/journal.py
+++ b/wickhinge/net/journal.py
@@ -6,11 +6,11 @@
 from struct import Struct
 from typing import Any
 
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.dial import Dial
 
 HEAD = Struct(">IQB")
 RECORD = Struct(">IIHBBBHIQ")
@@ -63,12 +63,13 @@
 
 
 class Reading(Protocol):
-    def __init__(self, journal: Journal) -> None:
-        self.journal, self.stream = journal, Stream()
+    def __init__(self, journal: Journal, told: int) -> None:
+        self.journal, self.stream, self.told = journal, Stream(), told
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.transport.write(NUMBER.pack(self.journal.last))
+        self.journal.connected(self, self.told)
 
     def dataReceived(self, data: bytes) -> None:
         self.journal.read(self, data)
@@ -131,16 +132,10 @@
         if self.closed or after not in (None, self.round):
             return
         self.round += 1
-        factory = Factory()
-        factory.noisy = False
-        factory.protocol = lambda: Reading(self)
-        attempt = TCP4ClientEndpoint(self.reactor, *self.address, timeout=None).connect(factory)
         told, self.asked = self.round, self.deadlines.now()
-        attempt.addCallbacks(lambda reading: self.connected(reading, told),
-                             lambda failure: self.again(failure.getErrorMessage(), told))
-        attempt.addErrback(lambda failure: self.again(failure.getErrorMessage(), told))
-        # Cancelling what has fired already does nothing.
-        self.deadlines.after(self.connect_within, attempt.cancel)
+        attempt = Dial(self.reactor, self.address, Reading(self, told),
+                       lambda failure: self.again(failure.getErrorMessage(), told))
+        self.deadlines.after(self.connect_within, attempt.stop)  # which does nothing to one that is up
 
     def connected(self, reading: Reading, told: int) -> None:
         if told != self.round or self.closed:  # moved meanwhile
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -30,6 +30,8 @@
 LAST = 0.45  # after the longest patience, whatever is open is given up on: SIGKILL comes 0.25 s later
 LONGEST = 3.0  # and counts no longer patience than this
 REPORT = 5.0
+# Objects more than at the last walk, 5 MB of them: by the peak alone a second walk came only past a limit of 32 MB.
+CIRCLES = 25_000
 SPARE = 24  # descriptors for the journal, the log, the listening socket and connections being closed
 
 
@@ -184,7 +186,7 @@
 
     def report(self) -> None:
         usage = resource.getrusage(resource.RUSAGE_SELF)
-        if usage.ru_maxrss > self.collect_over:
+        if usage.ru_maxrss > self.collect_over or gc.get_count()[0] > CIRCLES:
             found = gc.collect()  # rare, and better than being killed for memory
             self.collect_over = usage.ru_maxrss + 5000
             self.log.event("collected", objects=found)
