--- a/wickhinge/shared/purse.py
+++ b/wickhinge/shared/purse.py
@@ -31,7 +31,7 @@
 LENDERS = 2  # asked at a look
 RENEWED = 4  # loans at a look
 WORD = 5.0  # seconds for which another's word of what it can spare counts
-SPAN = 0.08  # seconds of a rate that a bucket saves up
+SPAN = 0.1  # seconds of a rate that a bucket saves up
 FADE = 0.4  # seconds in which a need not felt again is half forgotten
 LEAST = 0.002  # parts of a budget that are not worth a datagram
 
@@ -72,7 +72,7 @@
             self.tick(now)
         budget = self.budgets[number]
         budget.wanted += amount / FADE * 0.7
-        if budget.bucket.take(amount, self.late):
+        if budget.bucket.take(amount, self.late + now - self.ticked):  # the next tick counts that gap too
             budget.taken += amount
             return True
         budget.refused += amount
