Routers talk to their fellows over UDP; many processes behind relays play the same schedules

Found by the rig's first play: a refused connection wrote a traceback into the router's log, since the loop calls both doRead and doWrite of a connecting socket and net/dial had taken them away after the first; now both do nothing then. The test of connections' ends also asks that nothing was logged as an error.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,6 +11,7 @@
 import pytest
 from helpers import router, tariff
 from twisted.internet import error
+from twisted.python import log
 from twisted.python.failure import Failure
 
 from wickhinge.fields import Malformed
@@ -382,8 +383,11 @@
 @pytest.mark.parametrize("how", ["closed by its peer", "closed by us", "refused", "given up"])
 def test_a_connection_that_has_ended_is_freed_without_the_collector(how):
     """The collector is off in service: 4 KB a connection, two of them a second, crashed a router in half an hour."""
-    reactor, ended = Reactor(), []
+    reactor, ended, errors = Reactor(), [], []
     with ExitStack() as stack:
+        watch = lambda event: event["isError"] and errors.append(event)  # noqa: E731
+        log.addObserver(watch)
+        stack.callback(log.removeObserver, watch)
         place = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=1))
         place.settimeout(5.0)
         address = place.getsockname()
@@ -420,7 +424,7 @@
             del made
             reactor.iterate(0.0)  # what a turn of the loop still named
             deadlines.heap.clear()
-            assert seen() is None and gc.collect() == 0
+            assert seen() is None and gc.collect() == 0 and errors == []
         finally:
             gc.enable()
 
--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from wickhinge.decide import Chance
+from wickhinge.lab.many.between import Between
 from wickhinge.lab.many.schedule import Fault, Schedule
 from wickhinge.lab.wheel import Wheel
 from wickhinge.peers import wire
@@ -120,7 +121,7 @@
         self.places = {name: place for place, name in enumerate(self.names)}
         self.processes: list[Process] = []
         self.history: list[tuple[float, str, int, str, dict[str, Any]]] = []
-        self.active: list[Fault] = []
+        self.between = Between(self.random)
         self.recorded: list[tuple[int, int, bytes]] = []
         self.spent: list[list[tuple[float, str, float]]] = [[] for _ in BUDGETS]
         self.needs = [[self.random.choice((0.0, 0.1, 0.5, 1.3)) for _ in BUDGETS] for _ in self.names]
@@ -151,62 +152,26 @@
 
     # The network.
 
-    def cut(self, one: int, other: int) -> bool:
-        for fault in self.active:
-            if fault.kind == "flap" and int((self.now - fault.at_s) / fault.amount) % 2:
-                continue
-            if fault.kind in ("cut", "flap", "one_way") and (
-                    one in fault.one and other in fault.other
-                    or fault.kind != "one_way" and other in fault.one and one in fault.other):
-                return True
-        return False
-
     def carry(self, process: Process, to: int | None, data: bytes) -> None:
         self.carried += 1
         if to is None:
             return
         if len(self.recorded) < 2000:
             self.recorded.append((process.place, to, data))
-        copies, delay = 1, HOP * (0.5 + self.random.random())
-        for fault in self.active:
-            if process.place not in fault.one and to not in fault.one:
-                continue
-            if fault.kind == "loss" and self.random.random() < fault.amount:
-                return
-            if fault.kind == "delay":
-                delay += fault.amount
-            elif fault.kind == "reorder":
-                delay += fault.amount * self.random.random()
-            elif fault.kind == "double" and self.random.random() < fault.amount:
-                copies += 1
-            elif fault.kind == "lie" and process.place in fault.one:
-                data = self.foul(data)
-        if self.cut(process.place, to):
-            return
-        for copy in range(copies):
-            self.wheel.after(delay * (1 + copy * self.random.random()), self.arrive, process.place, to, data)
+        if self.between.lies(process.place):
+            data = foul(data, self.names, self.random)
+        for delay in self.between.fate(process.place, to, self.now, HOP * (0.5 + self.random.random())):
+            self.wheel.after(delay, self.arrive, process.place, to, data)
 
     def arrive(self, one: int, to: int, data: bytes) -> None:
-        if not self.cut(one, to):
+        if not self.between.cut(one, to, self.now):
             for process in self.alive(to):  # a twin under one address hears the same
                 process.take(data)
 
-    def foul(self, data: bytes) -> bytes:
-        """A process that has the key and lies: about counts, and about others' lives."""
-        item = wire.read(KEY, data)
-        news = tuple((name, epoch, life, self.random.choice((count, count + 1, 1 << 62)), self.random.choice((1, 2, 3)))
-                     for name, epoch, life, count, _ in item.news)
-        name = self.random.choice(self.names)
-        news += ((name, self.random.choice((1, 2, 1 << 40)), self.random.getrandbits(60) | 1, 0, 1),)
-        known = item.known
-        if self.random.random() < 0.1:
-            known = (self.random.choice((known[0] + 1, 1 << 40)), self.random.getrandbits(60) | 1, 0, 1)
-        return wire.pack(KEY, replace(item, news=news, known=known))
-
     # The schedule.
 
     def begin(self, fault: Fault) -> None:
-        self.active.append(fault)
+        self.between.active.append(fault)
         self.wheel.after(fault.for_s, self.end, fault)
         for place in fault.one:
             for process in self.alive(place):
@@ -237,13 +202,13 @@
         self.wheel.after(0.3, self.starve, process, until)
 
     def end(self, fault: Fault) -> None:
-        self.active.remove(fault)
+        self.between.active.remove(fault)
         for place in fault.one:
             found = self.alive(place)
             if fault.kind == "kill" and not found:
                 self.start(place)
             elif fault.kind == "pause" and not any(
-                    other.kind == "pause" and place in other.one for other in self.active):
+                    other.kind == "pause" and place in other.one for other in self.between.active):
                 for process in found:
                     process.go_on()
             elif fault.kind in ("fast", "slow"):
@@ -262,5 +227,18 @@
         return self
 
 
+def foul(data: bytes, names: list[str], rand: random.Random) -> bytes:
+    """A process that has the key and lies: about counts, and about others' lives."""
+    item = wire.read(KEY, data)
+    news = tuple((name, epoch, life, rand.choice((count, count + 1, 1 << 62)), rand.choice((1, 2, 3)))
+                 for name, epoch, life, count, _ in item.news)
+    name = rand.choice(names)
+    news += ((name, rand.choice((1, 2, 1 << 40)), rand.getrandbits(60) | 1, 0, 1),)
+    known = item.known
+    if rand.random() < 0.1:
+        known = (rand.choice((known[0] + 1, 1 << 40)), rand.getrandbits(60) | 1, 0, 1)
+    return wire.pack(KEY, replace(item, news=news, known=known))
+
+
 def play(schedule: Schedule, plants: tuple[Any, ...] = ()) -> Fleet:
     return Fleet(schedule, plants).run()
--- /dev/null
+++ b/wickhinge/lab/many/rig.py
@@ -0,0 +1,290 @@
+"""A schedule on sockets: real router processes on loopback, a relay between any two, faults as the schedule says.
+
+What the processes say to each other goes through the rig, one socket for each way, and is written down there with the
+machine's clock; the judges look at that and at what each process wrote, and ask none of them. All that was started ends
+with the rig, also where the rig itself is killed.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import json
+import os
+import random
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from heapq import heappop, heappush
+from pathlib import Path
+from typing import Any
+
+from wickhinge.lab.many.between import Between
+from wickhinge.lab.many.play import foul
+from wickhinge.lab.many.schedule import Fault, Schedule
+from wickhinge.peers import wire
+
+ROOT = Path(__file__).parents[3]
+KEY = b"of this fleet and of no other"  # as play.foul takes it
+HOST = "127.0.0.1"
+STARTED = 30.0  # seconds for all to be up
+PR_SET_PDEATHSIG = 1
+
+
+def with_us() -> None:
+    """In the child: it is killed when the rig has gone, however that went."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def bound_socket() -> socket.socket:
+    made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    made.setblocking(False)
+    made.bind((HOST, 0))
+    return made
+
+
+def free_port() -> int:
+    """Not one that the system gives to connections meanwhile."""
+    while True:
+        port = 10_000 + int.from_bytes(os.urandom(4)) % 20_000
+        try:
+            with socket.socket() as stream, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+                stream.bind((HOST, port))
+                datagrams.bind((HOST, port))
+            return port
+        except OSError:
+            continue
+
+
+class Process:
+    def __init__(self, rig: Rig, place: int, number: int) -> None:
+        self.rig, self.place, self.number = rig, place, number
+        self.name = rig.names[place]
+        self.port = free_port()
+        folder = rig.folder / f"{self.name}-{number}"
+        folder.mkdir()
+        self.log = folder / "log"
+        conf = json.loads((ROOT / "example/config.json").read_text())
+        conf |= {"name": self.name, "listen": f"{HOST}:{free_port()}", "journal": f"{HOST}:{rig.nowhere}",
+                 "limits": {"memory_mb": 64, "sockets": 128}, "seed": f"{rig.random.getrandbits(64):016x}"}
+        (folder / "config.json").write_text(json.dumps(conf))
+        roster = ", ".join(
+            f'{{name: "{name}", address: "{HOST}:{self.port if to == place else rig.ways[place, to]}", '
+            f'zone: "z{to % rig.schedule.zones}"}}' for to, name in enumerate(rig.names))
+        (folder / "o.cue").write_text(f'peers: {{mode: "on", key_file: "{rig.folder}/key", roster: [{roster}]}}\n')
+        env = {**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "WICKHINGE_OPTIONS": str(folder / "o.cue")}
+        turns = rig.turns.get(place, []) if number <= len(rig.names) else []
+        command = ["wickhinge.lab.many.launch", json.dumps(turns)] if turns else ["wickhinge"]
+        with open(self.log, "wb") as log:
+            self.child = subprocess.Popen([sys.executable, "-m", *command], cwd=ROOT, env=env, stdout=log, stderr=log,
+                                          preexec_fn=with_us)
+        self.began = clock()
+        self.ended: float | None = None
+
+    def up(self) -> bool:
+        return b'"event":"start"' in self.log.read_bytes()
+
+    def signal(self, number: int) -> None:
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL)
+        self.child.wait(10)
+        self.ended = clock()
+
+    def events(self) -> list[dict[str, Any]]:
+        return [json.loads(line) for line in self.log.read_bytes().splitlines() if line.startswith(b'{"t"')]
+
+
+class Rig:
+    """with Rig(folder, schedule) as rig: rig.run()"""
+
+    def __init__(self, folder: Path, schedule: Schedule) -> None:
+        self.folder, self.schedule = folder, schedule
+        self.random = random.Random(schedule.seed * 7919 + 1)
+        self.names = [f"n{place}" for place in range(schedule.routers)]
+        self.between = Between(self.random)
+        self.processes: list[Process] = []
+        self.selector = selectors.DefaultSelector()
+        self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.serial = self.numbers = 0
+        self.ways: dict[tuple[int, int], int] = {}
+        self.sockets: list[socket.socket] = []
+        self.seen: list[tuple[float, int, bytes]] = []  # when, from which place, what was said, before anything broke
+        self.recorded: list[tuple[int, int, bytes]] = []
+        self.out = bound_socket()
+        self.turns: dict[int, list[list[float]]] = defaultdict(list)
+        self.zero = 0.0
+        with socket.socket() as away:
+            away.bind((HOST, 0))
+            self.nowhere = away.getsockname()[1]  # where no journal service is
+        (folder / "key").write_bytes(KEY)
+
+    def __enter__(self) -> Rig:
+        return self
+
+    def __exit__(self, *_: Any) -> None:
+        for process in self.processes:
+            if process.child.poll() is None:
+                process.kill()
+        for one in [*self.sockets, self.out]:
+            one.close()
+        self.selector.close()
+
+    @property
+    def now(self) -> float:
+        return clock() - self.zero
+
+    def at(self, when: float, call: Callable[..., None], *args: Any) -> None:
+        self.serial += 1
+        heappush(self.due, (when, self.serial, call, args))
+
+    def alive(self, place: int) -> list[Process]:
+        return [one for one in self.processes if one.place == place and one.ended is None]
+
+    def start(self, place: int) -> Process:
+        self.numbers += 1
+        made = Process(self, place, self.numbers)
+        self.processes.append(made)
+        return made
+
+    # The relays.
+
+    def open(self) -> None:
+        for one in range(len(self.names)):
+            for to in range(len(self.names)):
+                if one != to:
+                    made = bound_socket()
+                    self.sockets.append(made)
+                    self.ways[one, to] = made.getsockname()[1]
+                    self.selector.register(made, selectors.EVENT_READ, (one, to))
+
+    def heard(self, made: socket.socket, one: int, to: int) -> None:
+        for _ in range(64):
+            try:
+                data = made.recv(65536)
+            except OSError:
+                return
+            if self.between.lies(one):
+                data = foul(data, self.names, self.random)
+            self.seen.append((self.now, one, data))
+            if len(self.recorded) < 2000:
+                self.recorded.append((one, to, data))
+            for delay in self.between.fate(one, to, self.now, 0.0):
+                if delay:
+                    self.at(self.now + delay, self.arrive, one, to, data)
+                else:
+                    self.arrive(one, to, data)
+
+    def arrive(self, one: int, to: int, data: bytes) -> None:
+        if not self.between.cut(one, to, self.now):
+            for process in self.alive(to):
+                try:
+                    self.out.sendto(data, (HOST, process.port))
+                except OSError:
+                    pass  # as lost
+
+    # The schedule.
+
+    def begin(self, fault: Fault) -> None:
+        self.between.active.append(fault)
+        self.at(fault.at_s + fault.for_s, self.end, fault)
+        for place in fault.one:
+            for process in self.alive(place):
+                if fault.kind == "kill":
+                    process.kill()
+                elif fault.kind == "pause":
+                    process.signal(signal.SIGSTOP)
+                elif fault.kind == "starve":
+                    self.starve(process, fault.at_s + fault.for_s)
+        if fault.kind == "twin":
+            self.start(fault.one[0])
+        if fault.kind == "replay":
+            for number, what in enumerate(self.random.sample(self.recorded, min(len(self.recorded), 300))):
+                self.at(fault.at_s + fault.for_s * number / 300, self.arrive, *what)
+
+    def starve(self, process: Process, until: float) -> None:
+        """Runs for 20 ms in each 300."""
+        if process.ended is not None or self.now >= until:
+            process.signal(signal.SIGCONT)
+            return
+        process.signal(signal.SIGSTOP)
+        self.at(self.now + 0.28, process.signal, signal.SIGCONT)
+        self.at(self.now + 0.3, self.starve, process, until)
+
+    def end(self, fault: Fault) -> None:
+        self.between.active.remove(fault)
+        for place in fault.one:
+            found = self.alive(place)
+            if fault.kind == "kill" and not found:
+                self.start(place)
+            elif fault.kind == "pause" and not any(
+                    other.kind == "pause" and place in other.one for other in self.between.active):
+                for process in found:
+                    process.signal(signal.SIGCONT)
+            elif fault.kind == "twin" and len(found) > 1:
+                found[-1].kill()
+
+    def run(self) -> Rig:
+        """Returns when the schedule and the calm after it are over."""
+        self.open()
+        self.zero = clock() + 2.5  # processes start within it where the machine is idle; faults come 3 s later at least
+        for fault in self.schedule.faults:
+            if fault.kind in ("fast", "slow", "jump"):
+                for place in fault.one:
+                    at = self.zero + fault.at_s
+                    if fault.kind == "jump":
+                        self.turns[place].append([at, 1.0, fault.amount])
+                    else:
+                        rate = 1.0 + (fault.amount if fault.kind == "fast" else -fault.amount)
+                        self.turns[place] += [[at, rate, 0.0], [at + fault.for_s, 1.0, 0.0]]
+        for turns in self.turns.values():
+            turns.sort()
+        for place in range(len(self.names)):
+            self.start(place)
+        for fault in self.schedule.faults:
+            self.at(fault.at_s, self.begin, fault)
+        until = self.schedule.healed_s + self.schedule.calm_s
+        while self.now < until:
+            wait = min([until, *(one[0] for one in self.due[:1])]) - self.now
+            for key, _ in self.selector.select(max(wait, 0.0)):
+                self.heard(key.fileobj, *key.data)
+            while self.due and self.due[0][0] <= self.now:
+                _, _, call, args = heappop(self.due)
+                call(*args)
+        return self
+
+    # What happened, for the judges.
+
+    def history(self) -> list[tuple[float, str, int, str, dict[str, Any]]]:
+        found = []
+        for process in self.processes:
+            found.append((process.began - self.zero, process.name, process.number, "started", {}))
+            if process.ended is not None:
+                found.append((process.ended - self.zero, process.name, process.number, "killed", {}))
+            shift = time.time() - clock() + self.zero
+            found += [(event["t"] - shift, process.name, process.number, event["event"].removeprefix("peers_"),
+                       {name: value for name, value in event.items() if name not in ("t", "event", "router")})
+                      for event in process.events() if event["event"].startswith("peers_")]
+        return sorted(found, key=lambda one: one[:3])
+
+    def believed(self) -> list[str]:
+        """What each life was heard to believe of the others' names: it only rises, and no datagram goes out twice."""
+        top: dict[tuple[int, int, str], tuple[int, int]] = defaultdict(lambda: (0, 0))
+        faults = []
+        for when, place, data in self.seen:
+            item = wire.read(KEY, data)
+            told = item.known[:2]
+            if told < top[place, item.life, item.to]:
+                faults.append(f"{when:.3f} {item.sender}: believes {item.to} in an earlier life, epoch {told[0]}")
+            top[place, item.life, item.to] = told
+        return faults
--- a/wickhinge/net/dial.py
+++ b/wickhinge/net/dial.py
@@ -14,6 +14,10 @@
 from twisted.python.failure import Failure
 
 
+def nothing() -> None:
+    pass
+
+
 class Dial(ClientFactory):
     """The protocol's connectionMade tells that it is up; failed(reason) that it never will be, once."""
 
@@ -39,8 +43,8 @@
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         failed, self.failed = self.failed, None
         if self.transport is not None:
-            for name in ("doRead", "doWrite"):  # its own methods, bound, while it was connecting
-                self.transport.__dict__.pop(name, None)
+            # Its own method, bound, while it was connecting; and the loop may call the second after the first failed.
+            self.transport.doRead = self.transport.doWrite = nothing
         self.made = self.connector = self.transport = None
         if failed is not None:
             failed(reason)
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -71,6 +71,11 @@
 
             self.members = members.make(options, conf_settings, self)
         self.forwards.members = self.members
+        self.fellows: Any = None
+        if options is not None and options.peers.mode == "on":
+            from wickhinge.net import fellows
+
+            self.fellows = fellows.make(options, config.name(conf), self)
         last, events = config.known(conf)
         self.journal = Journal(reactor, self.deadlines, config.journal(conf), last, connect_within,
                                self.told_records, self.told_purge, self.log.event, self.caught_up)
@@ -97,6 +102,8 @@
         self.journal.start()
         if self.members is not None:
             self.members.start()
+        if self.fellows is not None:
+            self.fellows.start()
         self.clients.sweep()
         # A full walk takes 70 ms, in which visits run out. Visits leave no circles, so none is needed.
         gc.disable()
@@ -200,6 +207,7 @@
             machines=len(self.caches.machines), objects=len(self.router.shelf.items),
             deadlines=len(self.deadlines.heap),
             **({} if self.members is None else {"list": self.members.figures()}),
+            **({} if self.fellows is None else {"peers": self.fellows.figures()}),
             **({} if self.copies is None else {"store": self.copies.figures()}))
         self.clients.faults = {}
         self.deadlines.late = 0.0
@@ -246,6 +254,8 @@
         self.journal.close()
         if self.members is not None:
             self.members.close()
+        if self.fellows is not None:
+            self.fellows.close()
         if self.copies is not None:
             self.copies.store.close()
         for machine in list(self.caches.machines.values()):
--- a/wickhinge/options/records.py
+++ b/wickhinge/options/records.py
@@ -50,7 +50,20 @@
     routers: int  # that may start at the same moment; 0: as the settings say
 
 
+class Fellow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    address: str
+    zone: str
+
+
+class Peers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    mode: str
+    key_file: str
+    roster: list[Fellow]
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     store: Store
     journal: Journal
     discovery: Discovery
+    peers: Peers
--- a/wickhinge/options/schema.cue
+++ b/wickhinge/options/schema.cue
@@ -48,6 +48,21 @@
 	routers:  int & >=0 & <=100000 | *0
 }
 
+#Fellow: {
+	// as in the platform's configuration, RELAY_NAME
+	name:    string & !=""
+	address: string & !=""
+	zone:    string | *""
+}
+
+#Peers: {
+	// talk between instances over UDP: only where the installation allows it
+	mode:     *"off" | "on"
+	key_file: string | *""
+	roster:   [...#Fellow] | *[]
+}
+
 store:     #Store
 journal:   #Journal
 discovery: #Discovery
+peers:     #Peers
