--- a/wickhinge/cli/lab.py
+++ b/wickhinge/cli/lab.py
@@ -161,6 +161,47 @@
     sys.exit(WRONG if broken else 0)
 
 
+@lab.command()
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0), help="Of the first schedule drawn.")
+@click.option("--count", default=1, show_default=True, type=click.IntRange(1), help="Schedules, seeds in a row.")
+@click.option("--routers", default=0, type=click.IntRange(0, 500), help="In place of a number drawn.")
+@click.option("--schedule", "path", type=click.Path(exists=True, dir_okay=False), help="Play this one, as printed.")
+@click.option("--sockets", is_flag=True, help="Real processes behind relays, in real time; else virtual time.")
+@click.option("--shrink", is_flag=True, help="Find the least faults that still break what broke (virtual time).")
+@JSON
+def many(seed: int, count: int, routers: int, path: str | None, sockets: bool, shrink: bool, as_json: bool) -> None:
+    """Routers that know each other and share budgets, under drawn faults; 1 if a rule broke, with its schedule."""
+    from wickhinge.lab.many import schedule as form
+    from wickhinge.lab.many import trial
+
+    if path:
+        try:
+            with open(path, encoding="utf-8") as file:
+                drawn = [form.read(file.read())]
+        except ValueError as problem:
+            fail(f"{path}: {problem}")
+    else:
+        drawn = [form.draw(seed + place, routers) for place in range(count)]
+    broken = []
+    try:
+        for one in drawn:
+            found = trial.on_sockets(one) if sockets else trial.virtual(one)
+            if found.faults:
+                least = trial.shrink(one) if shrink and not sockets else one
+                broken.append({"seed": one.seed, "faults": found.faults[:8], "schedule": form.text(least)})
+    except KeyboardInterrupt:
+        fail("stopped", WRONG)
+    answer = {"schedules": len(drawn), "sockets": sockets, "routers": sum(one.routers for one in drawn),
+              "broken": len(broken), "found": broken}
+    if as_json:
+        click.echo(orjson.dumps(answer).decode())
+    else:
+        click.echo(f"{len(drawn)} schedules, {len(broken)} broken")
+        for one in broken:
+            click.echo("\n".join([f"seed {one['seed']}", *one["faults"], one["schedule"]]))
+    sys.exit(WRONG if broken else 0)
+
+
 @lab.command()
 @click.argument("records", type=click.Path(exists=True, dir_okay=False))
 @JSON
--- a/wickhinge/lab/many/rig.py
+++ b/wickhinge/lab/many/rig.py
@@ -277,6 +277,16 @@
                       for event in process.events() if event["event"].startswith("peers_")]
         return sorted(found, key=lambda one: one[:3])
 
+    def crashed(self) -> list[str]:
+        """Processes that ended by themselves, and defects that they wrote down."""
+        faults = [f"{one.name}: process {one.number} ended with {one.child.returncode}" for one in self.processes
+                  if one.ended is None and one.child.poll() is not None]
+        for one in self.processes:
+            lines = one.log.read_bytes().splitlines()
+            faults += [f"{one.name}: {line.decode(errors='replace')[:200]}" for line in lines
+                       if b'"event":"fault"' in line or line.startswith((b"Traceback", b"Unhandled"))][:3]
+        return faults
+
     def believed(self) -> list[str]:
         """What each life was heard to believe of the others' names: it only rises, and no datagram goes out twice."""
         top: dict[tuple[int, int, str], tuple[int, int]] = defaultdict(lambda: (0, 0))
--- a/wickhinge/peers/circle.py
+++ b/wickhinge/peers/circle.py
@@ -56,7 +56,7 @@
     word: float = -1e9  # the last evidence of it, direct or not
     until: float = 0.0  # a suspicion's end
     witnesses: set[str] = field(default_factory=set)  # who suspects it
-    spread: int = 1 << 30  # how often this piece of news has gone out
+    spread: int = 0  # how often this piece of news has gone out
     asker: float = -1e9  # when another life of its name began to ask for it
     hearsay: dict[tuple[int, int], set[str]] = field(default_factory=dict)  # lives not known here, who tells of them
 
@@ -127,7 +127,9 @@
         self.changed: Callable[[str, int, float], None] = lambda name, state, now: None
         self.said: dict[str, float] = {}
         self.accused: dict[str, float] = {}  # who said that we are gone, and when
-        self.sent = self.false = 0
+        self.sent = 0
+        self.suspected: set[str] = set()
+        self.telling: set[str] = set()  # of whom there is news that has not gone out often enough
         self.roster = roster
         self.reload(roster, now)
         self.born(now)
@@ -140,6 +142,8 @@
         for table in (self.lines, self.entries, self.others_rosters, self.said, self.accused):
             for name in set(table) - set(roster.others):
                 del table[name]
+        self.suspected &= set(roster.others)
+        self.telling &= set(roster.others)
         for name in roster.others:
             self.lines.setdefault(name, Line(name))
             self.entries.setdefault(name, Entry(name, since=now))
@@ -212,8 +216,8 @@
             self.doubt = DOUBT
             self.probe = None
             self.helping.clear()
-            for entry in self.entries.values():
-                entry.until += gap
+            for name in self.suspected:
+                self.entries[name].until += gap
             self.next = now
             self.log("paused", seconds=round(gap, 3))
         self.claim(now)
@@ -224,8 +228,8 @@
                 self.send(name, VIA, probe.serial, now, probe.name)
         if probe is not None and now >= probe.until:
             self.failed(probe, now)
-        for entry in self.entries.values():
-            if entry.state == SUSPECT and now >= entry.until and not self.alone(now):
+        for entry in [self.entries[name] for name in sorted(self.suspected)]:
+            if now >= entry.until and not self.alone(now):
                 self.believe(entry, entry.epoch, entry.life, entry.count, GONE, now)
         for serial in [serial for serial, (_, _, until) in self.helping.items() if now >= until]:
             del self.helping[serial]
@@ -298,7 +302,9 @@
             entry.witnesses = set()
             self.changed(entry.name, state, now)
             self.log("peer", name=entry.name, state=STATES[state], epoch=epoch)
+        (self.suspected.add if state == SUSPECT else self.suspected.discard)(entry.name)
         entry.spread = 0
+        self.telling.add(entry.name)
         entry.hearsay.clear()
 
     # Datagrams.
@@ -314,10 +320,12 @@
 
     def news(self, to: str) -> tuple[tuple[str, int, int, int, int], ...]:
         most = 3 * ceil(log2(len(self.roster) + 1))
-        fresh = [one for one in self.entries.values() if one.spread < most and one.life and one.name != to]
+        fresh = [self.entries[name] for name in self.telling if name != to]
         told = []
         for one in sorted(fresh, key=lambda one: (one.spread, one.name))[:NEWS]:
             one.spread += 1
+            if one.spread >= most:
+                self.telling.discard(one.name)
             told.append((one.name, one.epoch, one.life, one.count, one.state))
         return tuple(told)
 
@@ -425,8 +433,7 @@
                 if witness not in entry.witnesses and len(entry.witnesses) <= CONFIRMED:
                     self.suspect(entry, witness, now)
             else:
-                entry.count = count
-                entry.state = ALIVE
+                entry.count, entry.state = count, ALIVE
                 self.suspect(entry, witness, now)
         elif state == GONE and count >= entry.count and entry.state in (ALIVE, SUSPECT):
             # One word is not enough to lose a fellow whom we hear: it hastens what our own look will tell.
