--- /dev/null
+++ b/bench/peers.py
@@ -0,0 +1,136 @@
+"""Routers that know each other, measured: python -m bench.peers size|budget
+
+    size     virtual: what a router sends a second, how soon a dead one is known, by the fleet's size
+    budget   virtual: drawn schedules against the budget's bound, and how much of it is used where the need is one's
+
+The last line is one JSON object. Virtual time, the routers' own deciding code and codecs, one core.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any
+
+import click
+import orjson
+
+from wickhinge.lab.many import play, trial
+from wickhinge.lab.many.schedule import Fault, Schedule, draw
+
+
+def told(answer: dict[str, Any]) -> None:
+    click.echo(orjson.dumps(answer).decode())
+
+
+@click.group()
+def main() -> None:
+    """Measure what routers know of each other and share."""
+
+
+class Sized(play.Fleet):
+    """Nothing is spent, and what each says is counted from `since` on."""
+
+    since, bytes, sends = 1e9, 0, 0
+
+    def wants(self, process: play.Process, number: int) -> float:
+        return 0.0
+
+    def carry(self, process: play.Process, to: int | None, data: bytes) -> None:
+        if self.now >= self.since:
+            self.bytes += len(data)
+            self.sends += 1
+        super().carry(process, to, data)
+
+
+def penniless(process: play.Process) -> None:
+    """Only what knowing each other costs."""
+    process.purse.tick = lambda now: None
+    process.spend = process.look = lambda: None
+    process.circle.rider, process.circle.ridden = lambda name: b"", lambda name, data, now: None
+
+
+@main.command()
+@click.option("--sizes", default="10,50,200,500", show_default=True)
+@click.option("--seconds", default=20.0, show_default=True, help="Counted, after the fleet has found itself.")
+@click.option("--json", "_", is_flag=True)
+def size(sizes: str, seconds: float, _: bool) -> None:
+    """One tenth of the fleet dies; when do the others know, and what does knowing each other cost?"""
+    rows = []
+    for count in map(int, sizes.split(",")):
+        found = 10.0 + 0.6 * count  # until each has spoken to each
+        dead = tuple(range(max(count // 10, 1)))
+        kill = Fault("kill", found + seconds, 1e6, dead)
+        fleet = Sized(Schedule(7, count, 3, (kill,), count, 0.0, 0.0), (penniless,))
+        fleet.since = found
+        began = time.perf_counter()
+        for place in range(count):
+            fleet.start(place)
+        fleet.wheel.run(found + seconds)
+        sends, size_of = fleet.sends / count / seconds, fleet.bytes / count / seconds
+        share = sum(one.circle.view(one.clock).share for one in fleet.processes) / count
+        fleet.begin(kill)
+        known = found + seconds
+        fleet.wheel.run(known + 40.0)
+        gone: dict[tuple[str, str], float] = {}
+        false = 0
+        for when, name, _number, event, more in fleet.history:
+            if event == "peer" and more["state"] == "gone" and when > found:
+                if int(more["name"][1:]) in dead and when >= known:
+                    gone.setdefault((name, more["name"]), when - known)
+                else:
+                    false += 1
+        spans = sorted(gone.values())
+        rows.append({"routers": count, "messages_per_s": round(sends, 2), "bytes_per_s": round(size_of),
+                     "heard_share": round(share, 3), "known_by": len(spans) / (len(dead) * (count - len(dead))),
+                     "detect_p50_s": round(spans[len(spans) // 2], 2) if spans else None,
+                     "detect_p99_s": round(spans[int(0.99 * (len(spans) - 1))], 2) if spans else None,
+                     "false_suspicions": false, "played_s": round(time.perf_counter() - began, 1)})
+        click.echo(rows[-1], err=True)
+    growth = rows[-1]["messages_per_s"] / rows[0]["messages_per_s"]
+    told({"virtual": True, "rows": rows, "messages_growth": round(growth, 3),
+          "bytes_per_s": rows[-1]["bytes_per_s"], "detect_p99_s": rows[-1]["detect_p99_s"],
+          "false_suspicions": sum(row["false_suspicions"] for row in rows)})
+
+
+def alone(process: play.Process) -> None:
+    process.purse.ask = lambda number, budget, now: None
+
+
+def used(routers: int, seed: int, plants: tuple[Any, ...]) -> float:
+    """Of the first budget, where one router wants all of it and all hear each other."""
+    fleet = play.Fleet(Schedule(seed, routers, 1, (), routers, 50.0, 0.0), plants)
+    fleet.wants = lambda process, number: 2.0 * (process.place == 0)
+    fleet.run()
+    most, window, _ = play.BUDGETS[0]
+    since = 20.0 + 0.5 * routers
+    return sum(amount for when, _name, amount in fleet.spent[0] if when > since) / (most / window * (50.0 - since))
+
+
+@main.command()
+@click.option("--seed", default=1000, show_default=True)
+@click.option("--count", default=200, show_default=True, help="Schedules drawn.")
+@click.option("--json", "_", is_flag=True)
+def budget(seed: int, count: int, _: bool) -> None:
+    """No schedule may spend more than the budget; where all hear each other little may stay unused."""
+    peaks, broken, gone, routers = [], 0, 0, 0
+    for place in range(count):
+        drawn = draw(seed + place)
+        found = trial.virtual(drawn)
+        peaks.append(max(found.peaks))
+        broken += bool(found.faults)
+        gone += found.gone
+        routers += drawn.routers
+        if found.faults:
+            click.echo(f"seed {drawn.seed}: {found.faults[:3]}", err=True)
+    sizes = (2, 5, 9, 16)
+    moved = {str(number): [round(used(number, seed + turn, ()), 3) for turn in range(2)] for number in sizes}
+    kept = {str(number): [round(used(number, seed + turn, (alone,)), 3) for turn in range(2)] for number in sizes}
+    told({"virtual": True, "processes": routers, "schedules": count, "budget_peak": round(max(peaks), 4),
+          "used_share": min(map(min, moved.values())), "used_by_routers": moved, "used_share_alone": kept,
+          "gone_unfounded": gone, "broken": broken})
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -65,6 +65,14 @@
     assert ran.exit_code == 2 and "routers" in ran.output
 
 
+def test_a_larger_fleet_costs_a_router_no_more():
+    ran = subprocess.run([sys.executable, "-m", "bench.peers", "size", "--sizes", "10,40", "--seconds", "5"], cwd=ROOT,
+                         capture_output=True, text=True, timeout=60, check=True)
+    told = json.loads(ran.stdout.splitlines()[-1])
+    assert told["messages_growth"] < 1.3 and told["false_suspicions"] == 0 and told["detect_p99_s"] < 9.0
+    assert all(row["known_by"] == 1.0 and row["heard_share"] == 1.0 for row in told["rows"])
+
+
 def lends_what_it_keeps(process):
     for budget in process.purse.budgets:
         budget.loans.lent = lambda late: 0.0
--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -19,6 +19,7 @@
 KEY = b"of this fleet and of no other"
 TICK = 0.1
 HOP = 0.001
+LOOK = 3  # ticks between two looks at what the layers above are told
 BUDGETS = [(120.0, 3.0, 1.0), (30.0, 1.0, 0.2)]  # most, window, unit
 BUFFER = 128  # datagrams that wait for a process that stands still
 
@@ -33,6 +34,7 @@
         self.rate, self.ahead = 1.0, fleet.random.uniform(0.0, 1e6)  # the clocks of processes have nothing in common
         self.since = fleet.now
         self.stopped = self.dead = False
+        self.turns = 0
         self.waiting: deque[bytes] = deque(maxlen=BUFFER)
         self.circle = Circle(fleet.roster(self.name), Chance(fleet.random.getrandbits(62)), self.clock, self.send,
                              self.log)
@@ -60,7 +62,9 @@
         if not self.stopped:
             self.circle.tick(self.clock)
             self.purse.tick(self.clock)
-            self.look()
+            self.turns += 1
+            if self.turns % LOOK == 0:
+                self.look()
             self.spend()
         self.fleet.wheel.after(TICK, self.tick)
 
--- a/wickhinge/peers/circle.py
+++ b/wickhinge/peers/circle.py
@@ -114,7 +114,7 @@
         self.order: list[str] = []
         self.aside: list[str] = []
         self.probe: Probe | None = None
-        self.helping: dict[int, tuple[str, int, float]] = {}  # our serial: who asked, its serial, until
+        self.helping: dict[int, tuple[str, int, float, str]] = {}  # our serial: who asked, its serial, until, for whom
         self.serial = 0
         self.count = 0
         self.doubt = 0
@@ -231,7 +231,7 @@
         for entry in [self.entries[name] for name in sorted(self.suspected)]:
             if now >= entry.until and not self.alone(now):
                 self.believe(entry, entry.epoch, entry.life, entry.count, GONE, now)
-        for serial in [serial for serial, (_, _, until) in self.helping.items() if now >= until]:
+        for serial in [serial for serial, (_, _, until, _) in self.helping.items() if now >= until]:
             del self.helping[serial]
         if now >= self.next and self.probe is None:
             self.next = max(self.next + PERIOD, now)  # a loop behind its time does not catch up in a burst
@@ -355,6 +355,8 @@
         if item.rider:
             self.ridden(item.sender, item.rider, now)
         self.answer(item, now)
+        if verdict == ADOPTED and self.again(item.sender, now):
+            return
         if item.token and (verdict == ADOPTED or now - self.said.get(item.sender, -1e9) >= SAY_AGAIN):
             self.said[item.sender] = now  # it does not know us yet
             self.send(item.sender, HELLO, item.serial, now)
@@ -371,6 +373,15 @@
         elif now - entry.asker >= REPLACED:
             self.believe(entry, entry.epoch, entry.life, entry.count, GONE, now)
 
+    def again(self, name: str, now: float) -> bool:
+        """It could not believe our probe, not knowing us; the same goes with its token. Whether there was one."""
+        serials = [serial for serial, (_, _, _, target) in self.helping.items() if target == name]
+        if self.probe is not None and self.probe.name == name:
+            serials.append(self.probe.serial)
+        for serial in serials:
+            self.send(name, PING, serial, now)
+        return bool(serials)
+
     def direct(self, entry: Entry, item: Item, now: float) -> None:
         entry.word = now
         if (item.epoch, item.life) > (entry.epoch, entry.life):
@@ -384,10 +395,10 @@
             self.send(item.sender, ACK, item.serial, now)
         elif item.kind == VIA and item.about in self.entries and len(self.helping) < HELPED:
             self.serial += 1
-            self.helping[self.serial] = (item.sender, item.serial, now + PERIOD)
+            self.helping[self.serial] = (item.sender, item.serial, now + PERIOD, item.about)
             self.send(item.about, PING, self.serial, now)
         elif item.kind == ACK and item.serial in self.helping:
-            asker, serial, _ = self.helping.pop(item.serial)
+            asker, serial, _, _ = self.helping.pop(item.serial)
             if asker in self.entries:
                 self.send(asker, REACHED, serial, now, item.sender)
         elif self.probe is not None and item.serial == self.probe.serial and (
