--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -1,5 +1,7 @@
 """Our own settings: what is taken, what is not, and what is said of it."""
 
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -14,6 +16,16 @@
 ROOT = Path(__file__).parent.parent
 
 
+def test_what_is_off_is_not_imported():
+    text = """
+import sys, wickhinge.__main__
+ours = [f"wickhinge.{name}" for name in ("peers", "shared", "store", "membership", "options", "lab")]
+print([name for name in sys.modules if name.startswith(("msgspec", "lark", "twisted.internet.endpoints", *ours))])
+"""
+    ran = subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert ran.stdout == "[]\n"
+
+
 def test_the_file_of_this_repository_keeps_everything_off():
     assert load(str(ROOT / "deploy/wickhinge.cue")).store.mode == "off"
     assert check("", "x") == check("// nothing\n", "x")
