One director of faults for both ways to play a schedule

The virtual fleet and the rig of real processes began and ended faults by two copies of the same lines (the duplicates list).

--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from wickhinge.decide import Chance
-from wickhinge.lab.many.between import Between
+from wickhinge.lab.many.director import Director
 from wickhinge.lab.many.schedule import Fault, Schedule
 from wickhinge.lab.wheel import Wheel
 from wickhinge.peers import wire
@@ -110,26 +110,26 @@
     def stop(self) -> None:
         self.stopped = True
 
+    def kill(self) -> None:
+        self.dead = True
+        self.fleet.write(self, "killed")
+
     def go_on(self) -> None:
         self.stopped = False
         while self.waiting and not self.dead:
             self.take(self.waiting.popleft())
 
 
-class Fleet:
+class Fleet(Director):
     def __init__(self, schedule: Schedule, plants: tuple[Any, ...] = ()) -> None:
-        self.schedule, self.plants = schedule, plants
-        self.random = random.Random(schedule.seed * 7919 + 1)
+        super().__init__(schedule)
+        self.plants = plants
         self.wheel = Wheel()
-        self.names = [f"n{place}" for place in range(schedule.routers)]
         self.places = {name: place for place, name in enumerate(self.names)}
-        self.processes: list[Process] = []
         self.history: list[tuple[float, str, int, str, dict[str, Any]]] = []
-        self.between = Between(self.random)
-        self.recorded: list[tuple[int, int, bytes]] = []
         self.spent: list[list[tuple[float, str, float]]] = [[] for _ in BUDGETS]
         self.needs = [[self.random.choice((0.0, 0.1, 0.5, 1.3)) for _ in BUDGETS] for _ in self.names]
-        self.unreadable = self.carried = self.numbers = 0
+        self.unreadable = self.carried = 0
 
     @property
     def now(self) -> float:
@@ -160,8 +160,7 @@
         self.carried += 1
         if to is None:
             return
-        if len(self.recorded) < 2000:
-            self.recorded.append((process.place, to, data))
+        self.record(process.place, to, data)
         if self.between.lies(process.place):
             data = foul(data, self.names, self.random)
         for delay in self.between.fate(process.place, to, self.now, HOP * (0.5 + self.random.random())):
@@ -174,53 +173,14 @@
 
     # The schedule.
 
-    def begin(self, fault: Fault) -> None:
-        self.between.active.append(fault)
-        self.wheel.after(fault.for_s, self.end, fault)
-        for place in fault.one:
-            for process in self.alive(place):
-                if fault.kind == "kill":
-                    process.dead = True
-                    self.write(process, "killed")
-                elif fault.kind == "pause":
-                    process.stop()
-                elif fault.kind == "starve":
-                    self.starve(process, fault.at_s + fault.for_s)
-                elif fault.kind in ("fast", "slow"):
-                    process.turn_clock(1.0 + (fault.amount if fault.kind == "fast" else -fault.amount))
-                elif fault.kind == "jump":
-                    process.turn_clock(process.rate, fault.amount)
-        if fault.kind == "twin":
-            self.start(fault.one[0])
-        if fault.kind == "replay":
-            for number, (one, to, data) in enumerate(self.random.sample(self.recorded, min(len(self.recorded), 300))):
-                self.wheel.after(fault.for_s * number / 300, self.arrive, one, to, data)
-
-    def starve(self, process: Process, until: float) -> None:
-        """Runs for 20 ms in each 300."""
-        if process.dead or self.now >= until:
-            process.go_on()
-            return
-        process.stop()
-        self.wheel.after(0.28, process.go_on)
-        self.wheel.after(0.3, self.starve, process, until)
-
-    def end(self, fault: Fault) -> None:
-        self.between.active.remove(fault)
-        for place in fault.one:
-            found = self.alive(place)
-            if fault.kind == "kill" and not found:
-                self.start(place)
-            elif fault.kind == "pause" and not any(
-                    other.kind == "pause" and place in other.one for other in self.between.active):
-                for process in found:
-                    process.go_on()
-            elif fault.kind in ("fast", "slow"):
-                for process in found:
-                    process.turn_clock(1.0)
-            elif fault.kind == "twin" and len(found) > 1:
-                found[-1].dead = True
-                self.write(found[-1], "killed")
+    def at(self, when: float, call: Any, *args: Any) -> None:
+        self.wheel.at(when, call, *args)
+
+    def turn(self, process: Process, fault: Fault, on: bool) -> None:
+        if fault.kind == "jump":
+            process.turn_clock(process.rate, fault.amount)
+        else:
+            process.turn_clock(1.0 + on * (fault.amount if fault.kind == "fast" else -fault.amount))
 
     def run(self) -> Fleet:
         for place in range(self.schedule.routers):
--- a/wickhinge/lab/many/rig.py
+++ b/wickhinge/lab/many/rig.py
@@ -10,7 +10,6 @@
 import ctypes
 import json
 import os
-import random
 import selectors
 import signal
 import socket
@@ -23,15 +22,14 @@
 from pathlib import Path
 from typing import Any
 
-from wickhinge.lab.many.between import Between
+from wickhinge.lab.many.director import Director
 from wickhinge.lab.many.play import foul
-from wickhinge.lab.many.schedule import Fault, Schedule
+from wickhinge.lab.many.schedule import Schedule
 from wickhinge.peers import wire
 
 ROOT = Path(__file__).parents[3]
 KEY = b"of this fleet and of no other"  # as play.foul takes it
 HOST = "127.0.0.1"
-STARTED = 30.0  # seconds for all to be up
 PR_SET_PDEATHSIG = 1
 
 
@@ -89,13 +87,16 @@
         self.began = clock()
         self.ended: float | None = None
 
-    def up(self) -> bool:
-        return b'"event":"start"' in self.log.read_bytes()
-
     def signal(self, number: int) -> None:
         if self.child.poll() is None:
             self.child.send_signal(number)
 
+    def stop(self) -> None:
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self.signal(signal.SIGCONT)
+
     def kill(self) -> None:
         self.signal(signal.SIGKILL)
         self.child.wait(10)
@@ -105,22 +106,18 @@
         return [json.loads(line) for line in self.log.read_bytes().splitlines() if line.startswith(b'{"t"')]
 
 
-class Rig:
+class Rig(Director):
     """with Rig(folder, schedule) as rig: rig.run()"""
 
     def __init__(self, folder: Path, schedule: Schedule) -> None:
-        self.folder, self.schedule = folder, schedule
-        self.random = random.Random(schedule.seed * 7919 + 1)
-        self.names = [f"n{place}" for place in range(schedule.routers)]
-        self.between = Between(self.random)
-        self.processes: list[Process] = []
+        super().__init__(schedule)
+        self.folder = folder
         self.selector = selectors.DefaultSelector()
         self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.serial = self.numbers = 0
+        self.serial = 0
         self.ways: dict[tuple[int, int], int] = {}
         self.sockets: list[socket.socket] = []
         self.seen: list[tuple[float, int, bytes]] = []  # when, from which place, what was said, before anything broke
-        self.recorded: list[tuple[int, int, bytes]] = []
         self.out = bound_socket()
         self.turns: dict[int, list[list[float]]] = defaultdict(list)
         self.zero = 0.0
@@ -177,8 +174,7 @@
             if self.between.lies(one):
                 data = foul(data, self.names, self.random)
             self.seen.append((self.now, one, data))
-            if len(self.recorded) < 2000:
-                self.recorded.append((one, to, data))
+            self.record(one, to, data)
             for delay in self.between.fate(one, to, self.now, 0.0):
                 if delay:
                     self.at(self.now + delay, self.arrive, one, to, data)
@@ -195,45 +191,6 @@
 
     # The schedule.
 
-    def begin(self, fault: Fault) -> None:
-        self.between.active.append(fault)
-        self.at(fault.at_s + fault.for_s, self.end, fault)
-        for place in fault.one:
-            for process in self.alive(place):
-                if fault.kind == "kill":
-                    process.kill()
-                elif fault.kind == "pause":
-                    process.signal(signal.SIGSTOP)
-                elif fault.kind == "starve":
-                    self.starve(process, fault.at_s + fault.for_s)
-        if fault.kind == "twin":
-            self.start(fault.one[0])
-        if fault.kind == "replay":
-            for number, what in enumerate(self.random.sample(self.recorded, min(len(self.recorded), 300))):
-                self.at(fault.at_s + fault.for_s * number / 300, self.arrive, *what)
-
-    def starve(self, process: Process, until: float) -> None:
-        """Runs for 20 ms in each 300."""
-        if process.ended is not None or self.now >= until:
-            process.signal(signal.SIGCONT)
-            return
-        process.signal(signal.SIGSTOP)
-        self.at(self.now + 0.28, process.signal, signal.SIGCONT)
-        self.at(self.now + 0.3, self.starve, process, until)
-
-    def end(self, fault: Fault) -> None:
-        self.between.active.remove(fault)
-        for place in fault.one:
-            found = self.alive(place)
-            if fault.kind == "kill" and not found:
-                self.start(place)
-            elif fault.kind == "pause" and not any(
-                    other.kind == "pause" and place in other.one for other in self.between.active):
-                for process in found:
-                    process.signal(signal.SIGCONT)
-            elif fault.kind == "twin" and len(found) > 1:
-                found[-1].kill()
-
     def run(self) -> Rig:
         """Returns when the schedule and the calm after it are over."""
         self.open()
