One way to read a shared key, one to say a view; state that nobody reads is gone

The fleet's key was read by a copy of what siblings' key had (net/members, net/fellows): now options/keys, same messages. The router's and the laboratory's line of a view was made twice: View.brief. In the purse the refresh of old shares stood three times and what a lost life gives up twice; a schedule's end was worked out three times.

--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -30,11 +30,11 @@
     def __init__(self, fleet: Fleet, place: int, number: int) -> None:
         self.fleet, self.place, self.number = fleet, place, number
         self.name = fleet.names[place]
-        self.began = fleet.now
         self.rate, self.ahead = 1.0, fleet.random.uniform(0.0, 1e6)  # the clocks of processes have nothing in common
         self.since = fleet.now
         self.stopped = self.dead = False
         self.turns = 0
+        self.seen: dict[str, Any] | None = None  # of the last view that was written down
         self.waiting: deque[bytes] = deque(maxlen=BUFFER)
         self.circle = Circle(fleet.roster(self.name), Chance(fleet.random.getrandbits(62)), self.clock, self.send,
                              self.log)
@@ -70,11 +70,10 @@
 
     def look(self) -> None:
         """Writes down what the layers above are told, where it changed."""
-        view = self.circle.view(self.clock)
-        seen = (round(view.share, 4), view.cut_since is not None, view.settled)
-        if seen != getattr(self, "seen", None):
+        seen = self.circle.view(self.clock).brief()
+        if seen != self.seen:
             self.seen = seen
-            self.log("view", share=seen[0], cut=seen[1], settled=seen[2])
+            self.log("view", **seen)
 
     def spend(self) -> None:
         """As much as is wanted, in pieces of UNIT; what is spent reaches a stand-in at once."""
@@ -104,8 +103,7 @@
         self.circle.heard(item, self.clock)
         if line is not None and (line.epoch, line.life) == (item.epoch, item.life) and (
                 (line.epoch, line.life, line.heard) != was):
-            self.fleet.write(self, "believed", of=item.sender, epoch=item.epoch, life=item.life, to=self.circle.life,
-                             counter=item.counter, first=was[:2] != (item.epoch, item.life))
+            self.fleet.write(self, "believed", of=item.sender, epoch=item.epoch, life=item.life, counter=item.counter)
 
     def stop(self) -> None:
         self.stopped = True
--- a/wickhinge/lab/many/schedule.py
+++ b/wickhinge/lab/many/schedule.py
@@ -79,10 +79,13 @@
             amount = rand.choice((0.5, 2.0, 3600.0))
         faults.append(Fault(kind, at, lasts, one, other, amount))
     faults.sort(key=lambda fault: fault.at_s)
-    healed = max(fault.at_s + fault.for_s for fault in faults)
     twins = sum(fault.kind == "twin" for fault in faults)
     zones = min(routers, rand.randint(1, 3))
-    return Schedule(seed, routers, zones, tuple(faults), routers + twins, healed, bound(routers), plant)
+    return Schedule(seed, routers, zones, tuple(faults), routers + twins, healed(faults), bound(routers), plant)
+
+
+def healed(faults: list[Fault] | tuple[Fault, ...]) -> float:
+    return max(fault.at_s + fault.for_s for fault in faults)
 
 
 def smaller(schedule: Schedule) -> list[Schedule]:
@@ -91,12 +94,10 @@
     for place in range(len(schedule.faults)):
         rest = schedule.faults[:place] + schedule.faults[place + 1:]
         if rest:
-            found.append(msgspec.structs.replace(
-                schedule, faults=rest, healed_s=max(fault.at_s + fault.for_s for fault in rest)))
+            found.append(msgspec.structs.replace(schedule, faults=rest, healed_s=healed(rest)))
     for place, fault in enumerate(schedule.faults):
         if fault.for_s > 0.8:
             short = msgspec.structs.replace(fault, for_s=round(fault.for_s / 2, 3))
             rest = (*schedule.faults[:place], short, *schedule.faults[place + 1:])
-            found.append(msgspec.structs.replace(
-                schedule, faults=rest, healed_s=max(fault.at_s + fault.for_s for fault in rest)))
+            found.append(msgspec.structs.replace(schedule, faults=rest, healed_s=healed(rest)))
     return found
--- a/wickhinge/net/fellows.py
+++ b/wickhinge/net/fellows.py
@@ -15,6 +15,7 @@
 
 from wickhinge.decide import Chance
 from wickhinge.fields import Malformed, endpoint
+from wickhinge.options import keys
 from wickhinge.peers import wire
 from wickhinge.peers.circle import STATES, Circle, Item
 from wickhinge.peers.roster import Place, Roster, Unusable
@@ -56,11 +57,10 @@
         self.taken = 0
         now = clock()
         self.circle.tick(now)
-        view = self.circle.view(now)
-        seen = round(view.share, 4), view.cut_since is not None, view.settled
+        seen = self.circle.view(now).brief()
         if seen != self.seen:
             self.seen = seen
-            self.log("peers_view", share=seen[0], cut=seen[1], settled=seen[2])
+            self.log("peers_view", **seen)
         self.after(TICK, self.tick)
 
     def send(self, item: Item) -> None:
@@ -112,11 +112,4 @@
         roster = Roster(places, name)
     except Unusable as problem:
         raise Malformed(f"peers.roster: {problem}") from None
-    try:
-        with open(found.key_file, "rb") as file:
-            key = file.read(4096).strip()
-    except OSError as problem:
-        raise Malformed(f"peers.key_file: {found.key_file} can't be read: {problem.strerror}") from None
-    if len(key) < 16:
-        raise Malformed(f"peers.key_file: {found.key_file} holds under 16 bytes")
-    return Fellows(node, roster, key, node.seed ^ 0xFE110)
+    return Fellows(node, roster, keys.read("peers.key_file", found.key_file), node.seed ^ 0xFE110)
--- a/wickhinge/net/members.py
+++ b/wickhinge/net/members.py
@@ -17,6 +17,7 @@
 from wickhinge.membership.keeper import Keeper, Unusable
 from wickhinge.membership.members import NONE, Members
 from wickhinge.membership.statements import LIVE, STATIC, Statement
+from wickhinge.options import keys
 from wickhinge.store.files import Files
 from wickhinge.store.workers import Workers
 
@@ -183,17 +184,9 @@
 
 
 def make(options: Any, conf: dict[str, Any], node: Any) -> Membership:
-    """Raises Malformed where the key can't be read: without it nothing is told to anybody."""
+    """Raises Malformed where the key can't be read."""
     found, fleet = options.discovery, node.router.fleet
-    key = b""
-    if found.key_file:
-        try:
-            with open(found.key_file, "rb") as file:
-                key = file.read(4096).strip()
-        except OSError as problem:
-            raise Malformed(f"discovery.key_file: {found.key_file} can't be read: {problem.strerror}") from None
-        if len(key) < 16:
-            raise Malformed(f"discovery.key_file: {found.key_file} holds under 16 bytes")
+    key = keys.read("discovery.key_file", found.key_file) if found.key_file else b""
     static = []
     for place, one in enumerate(found.static):
         if one.zone not in node.zones or one.kind not in node.kinds:
--- a/wickhinge/peers/circle.py
+++ b/wickhinge/peers/circle.py
@@ -93,6 +93,10 @@
     twin: bool  # another life of our name is alive
     rosters: int  # of those alive, how many told of another roster
 
+    def brief(self) -> dict[str, Any]:
+        """What is written down where it changes; the laboratory judges by it."""
+        return {"share": round(self.share, 4), "cut": self.cut_since is not None, "settled": self.settled}
+
 
 @dataclass(slots=True)
 class Probe:
@@ -124,7 +128,6 @@
         self.began = now
         self.rider: Callable[[str], bytes] = lambda name: b""
         self.ridden: Callable[[str, bytes, float], None] = lambda name, data, now: None
-        self.changed: Callable[[str, int, float], None] = lambda name, state, now: None
         self.said: dict[str, float] = {}
         self.accused: dict[str, float] = {}  # who said that we are gone, and when
         self.sent = 0
@@ -158,7 +161,6 @@
         self.asked = now
         self.told: dict[str, tuple[int, int, int, float]] = {}  # who answered: what it knows of our name, and when
         self.larger: dict[str, tuple[int, int]] = {}  # who believes a larger life of our name than ours
-        self.believed: dict[str, float] = {}
         self.twin = False
         if not self.roster.others:
             self.epoch = 1
@@ -186,10 +188,9 @@
             self.told[sender] = (epoch, life, state, now)
             return
         if (epoch, life) == (self.epoch, self.life):
-            self.believed[sender] = now
             self.larger.pop(sender, None)
             if state in (SUSPECT, GONE):
-                self.refute(count, now)
+                self.refute(count)
                 if state == GONE:
                     self.accused[sender] = now
             else:
@@ -202,7 +203,7 @@
                          told_by=sorted(self.larger)[:4])
                 self.born(now)
 
-    def refute(self, count: int, now: float) -> None:
+    def refute(self, count: int) -> None:
         if self.count <= count < self.count + LEAP:
             self.count = count + 1
             self.doubt = min(self.doubt + 1, DOUBT)
@@ -300,7 +301,6 @@
             entry.since = now
             entry.state = state
             entry.witnesses = set()
-            self.changed(entry.name, state, now)
             self.log("peer", name=entry.name, state=STATES[state], epoch=epoch)
         (self.suspected.add if state == SUSPECT else self.suspected.discard)(entry.name)
         entry.spread = 0
@@ -413,7 +413,7 @@
         name, epoch, life, count, state = piece
         if name == self.roster.mine.name:
             if (epoch, life) == (self.epoch, self.life) and state in (SUSPECT, GONE):
-                self.refute(count, now)
+                self.refute(count)
             return
         entry = self.entries.get(name)
         if entry is None or not 0 < state <= GONE or not (0 < epoch < lines.MOST and 0 < life <= lines.MASK):
--- a/wickhinge/peers/roster.py
+++ b/wickhinge/peers/roster.py
@@ -39,6 +39,3 @@
 
     def __len__(self) -> int:
         return len(self.places)
-
-    def zone(self, zone: str) -> list[str]:
-        return [one.name for one in self.places.values() if one.zone == zone]
--- a/wickhinge/shared/loans.py
+++ b/wickhinge/shared/loans.py
@@ -114,9 +114,6 @@
             del self.had[serial]
         return sum(loan.amount for loan in self.had.values())
 
-    def next_end(self) -> float:
-        return min((loan.until for loan in self.had.values()), default=float("inf"))
-
     def give_back(self, spare: float) -> list[tuple[str, int]]:
         """Loans that are not needed, smallest first, while what goes fits into what is to spare: (lender, number)."""
         back = []
--- a/wickhinge/shared/purse.py
+++ b/wickhinge/shared/purse.py
@@ -43,7 +43,6 @@
         self.wanted = 0.0  # units a second that were asked for here, lately
         self.need = 0.0  # the same as a part of the whole budget
         self.missing = self.spare = 0.0  # parts of the budget that are wanted and not had, had and not wanted
-        self.taken = self.refused = 0.0
 
 
 class Purse:
@@ -68,20 +67,14 @@
 
     def take(self, number: int, amount: float, now: float) -> bool:
         """Whether so much of that budget may be spent now. Counts as need either way."""
-        if not 0.0 <= now - self.ticked <= STEP:
-            self.tick(now)
+        self.refresh(now)
         budget = self.budgets[number]
         budget.wanted += amount / FADE * 0.7
-        if budget.bucket.take(amount, self.late + now - self.ticked):  # the next tick counts that gap too
-            budget.taken += amount
-            return True
-        budget.refused += amount
-        return False
+        return budget.bucket.take(amount, self.late + now - self.ticked)  # the next tick counts that gap too
 
     def share(self, number: int, now: float) -> float:
         """The part of that budget which is ours to spend."""
-        if not 0.0 <= now - self.ticked <= STEP:
-            self.tick(now)
+        self.refresh(now)
         return self.budgets[number].bucket.share
 
     def change(self, number: int, most: float) -> None:
@@ -93,16 +86,12 @@
     def tick(self, now: float) -> None:
         gap, self.ticked = now - self.ticked, now
         if gap < 0.0:  # no clock of ours goes back; if one did, nothing that others gave has an end we know
-            self.vouchers.lost()
-            for budget in self.budgets:
-                budget.loans.lost()
+            self.lost()
             self.log("clock_back", seconds=round(-gap, 3))
         self.late += min(max(gap, 0.0), STEP)
         if self.circle.life != self.life:
             self.life = self.circle.life
-            self.vouchers.lost()
-            for budget in self.budgets:
-                budget.loans.lost()
+            self.lost()
         self.vouched = self.vouchers.until(now) - STEP if self.circle.epoch else 0.0
         for budget in self.budgets:
             budget.wanted *= 0.5 ** (max(gap, 0.0) / FADE)
@@ -112,6 +101,17 @@
             for number, budget in enumerate(self.budgets):
                 self.ask(number, budget, now)
 
+    def lost(self) -> None:
+        """Nothing that we had of others, or they of us, is ours to reckon with any more."""
+        self.vouchers.lost()
+        for budget in self.budgets:
+            budget.loans.lost()
+
+    def refresh(self, now: float) -> None:
+        """Before anything is spent or said: shares are never older than STEP."""
+        if not 0.0 <= now - self.ticked <= STEP:
+            self.tick(now)
+
     def home(self, now: float) -> float:
         return (1 - FLOOR) / self.places if now < self.vouched else 0.0
 
@@ -191,8 +191,7 @@
                 self.log("places_differ", name=name, places=places)
             return
         self.differ.discard(name)
-        if not 0.0 <= now - self.ticked <= STEP:
-            self.tick(now)
+        self.refresh(now)
         self.told[name] = now, levels
         line = self.circle.lines[name]
         if stamp and self.circle.others_rosters.get(name) == self.circle.roster.version:
