Cold machines' limits are dealt among the routers by need, asked by policy for each forward

Need: alone, each router guesses its part of a cold machine's limit from a fixed count of routers and leaves a third unused against the others' guesses.

Change: settings shared (off by default, needs peers); Fleet.room asks Fleet.dealt where it is there, one call; a dealing of the purse may hold among one zone's routers only and stand for many machines, a bucket each, whose tokens are the credit that policy charges.

--- /dev/null
+++ b/tests/test_cold_shares.py
@@ -0,0 +1,248 @@
+"""Cold machines' limits by true shares: a router's part of them, and what `policy` makes of it."""
+
+import os
+import random
+import subprocess
+import sys
+from pathlib import Path
+from types import SimpleNamespace
+
+import helpers
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wickhinge.decide import Chance, Cold
+from wickhinge.interface import Outcome
+from wickhinge.lab.many import judges, play
+from wickhinge.lab.many.schedule import Schedule
+from wickhinge.options.load import Fault, check
+from wickhinge.peers.circle import Circle
+from wickhinge.peers.roster import Place, Roster
+from wickhinge.shared import cold
+from wickhinge.shared.purse import FLOOR, SPAN, Division, Purse
+from wickhinge.shared.vouch import DRIFT
+
+ROOT = Path(__file__).parent.parent
+LIMITS = Cold(4.0, 3.0, 0.2, 100.0)
+
+
+def roster(zones, mine="n0"):
+    return Roster([Place(f"n{place}", ("127.0.0.1", place + 1), zone) for place, zone in enumerate(zones)], mine)
+
+
+def colds(share=1.0, processes=4):
+    """Of a router alone under its name, whose share is what the test says."""
+    purse = Purse(Circle(roster(["here"]), Chance(1), 0.0, lambda item: None), Division(1, processes),
+                  cold.budgets("here"), 0.0)
+    made = cold.Colds(purse)
+    purse.settle = lambda budget, now: budget.shared(share, purse.late)
+    return made
+
+
+def machine(mark=7, weight=10.0):
+    return SimpleNamespace(mark=mark, weight=weight, credit=-0.3)
+
+
+def spend(made, cache, work, seconds, upper=False, part=0.2, since=0.0):
+    """As much as goes, each hundredth of a second: (when, name, work)."""
+    sent = []
+    for turn in range(int(seconds * 100)):
+        now = since + turn / 100
+        made.purse.tick(now)
+        while made.room(cache, upper, LIMITS, part, work, now):
+            cache.credit -= work
+            sent.append((now, "", work))
+    return sent
+
+
+@pytest.mark.parametrize("work", [0.01, 0.1, 1.0, 3.0])
+def test_a_machine_gets_what_the_formula_says_also_where_a_visit_is_more_than_its_bucket(work):
+    made, cache = colds(), machine()
+    most = LIMITS.multiple * 0.2 * cache.weight * LIMITS.span
+    sent = spend(made, cache, work, 30.0)
+    unit = cold.PIECES * most / 4
+    assert judges.peak(sent, most + max(work - unit, 0.0), LIMITS.span) <= 1.0
+    wanted = (1 - cold.PIECES) * most / (LIMITS.span + SPAN) / (1 + DRIFT) * 29.0
+    assert sum(one[2] for one in sent) >= 0.95 * wanted - work
+
+
+@settings(max_examples=40, deadline=None)
+@given(st.integers(0, 10**6), st.integers(2, 6), st.floats(0.002, 0.5))
+def test_routers_whose_shares_move_never_topple_a_machine(seed, count, work):
+    rand, now, sent = random.Random(seed), 0.0, []
+    shares = [1.0 / count] * count
+    most = LIMITS.multiple * 0.2 * 10.0 * LIMITS.span
+    caches = [machine() for _ in range(count)]
+    routers = []
+    for place in range(count):
+        made = colds(processes=count)
+        made.purse.settle = lambda budget, now, made=made, place=place: budget.shared(shares[place], made.purse.late)
+        routers.append(made)
+    for _ in range(500):
+        now += rand.expovariate(30.0)
+        if rand.random() < 0.1:
+            one, other = rand.randrange(count), rand.randrange(count)
+            part = shares[one] * rand.random()
+            shares[one] -= part
+            routers[one].purse.tick(now)
+            shares[other] += part
+        place = rand.randrange(count)
+        routers[place].purse.tick(now)
+        while routers[place].room(caches[place], False, LIMITS, 0.2, work, now):
+            caches[place].credit -= work
+            sent.append((now, "", work))
+    over = count * max(work - cold.PIECES * most / count, 0.0)
+    assert not sent or judges.peak(sent, most + over, LIMITS.span) <= 1.0
+
+
+def test_a_machine_that_started_anew_has_an_empty_bucket_and_one_nobody_wants_none():
+    made, cache = colds(), machine()
+    spend(made, cache, 0.1, 3.0)
+    assert cache.credit > -0.1
+    later = machine()  # the same mark, of another listing
+    assert not made.room(later, False, LIMITS, 0.2, 0.1, 3.0) and later.credit < 0.0
+    other = machine(8)
+    for turn in range(400, 1200):
+        made.purse.tick(turn / 100)
+        made.room(other, False, LIMITS, 0.2, 0.1, turn / 100)
+    assert set(made.purse.budgets[cold.EDGE].buckets) == {8}
+
+
+def test_no_more_machines_have_buckets_than_the_bound(monkeypatch):
+    monkeypatch.setattr(cold, "MOST", 3)
+    made = colds()
+    for mark in range(5):
+        made.room(machine(mark), False, LIMITS, 0.2, 0.1, 0.1)
+    assert len(made.purse.budgets[cold.EDGE].buckets) == 3
+
+
+def test_a_machine_that_warms_up_gets_more():
+    cool = spend(colds(), machine(), 0.1, 10.0)
+    warm = spend(colds(), machine(), 0.1, 10.0, part=0.6)
+    assert len(warm) > 2.5 * len(cool)
+
+
+# Who divides.
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(st.sampled_from(["a", "b"]), min_size=1, max_size=8), st.integers(0, 4), st.integers(0, 8),
+       st.integers(0, 3))
+def test_homes_and_floors_of_a_zone_add_up_to_one_while_half_the_fleet_has_another_roster(zones, spare, old, twins):
+    """Routers below `old` still have the roster that ended there."""
+    names = len(zones) + spare
+    division = Division(names, names + twins)
+    for zone in set(zones):
+        total = 0.0
+        for place, one in enumerate(zones):
+            if one == zone:
+                seen = zones[:max(old, 1)] if place < old else zones
+                mine = division.within(roster(seen, f"n{place}"), zone)
+                total += (1 - FLOOR) / mine.names + FLOOR / mine.processes
+        assert total <= 1.0 + 1e-9
+
+
+def test_a_division_smaller_than_the_roster_is_refused():
+    circle = Circle(roster(["a", "a"]), Chance(1), 0.0, lambda item: None)
+    for division in (Division(1, 4), Division(3, 2)):
+        with pytest.raises(ValueError, match="2 names"):
+            Purse(circle, division, [], 0.0)
+
+
+def test_a_zones_limit_goes_to_that_zones_routers_and_a_parents_to_all():
+    fleet = play.Fleet(Schedule(3, 6, 2, (), 6, 18.0, 4.0))
+    fleet.wants = lambda process, number: 2.0 * (process.place == 0)
+    fleet.run()
+    shares = {one.name: [round(budget.share, 2) for budget in one.purse.budgets[2:]] for one in fleet.processes}
+    assert shares["n0"][0] > 0.9 and shares["n0"][1] > 0.9
+    assert all(shares[name][0] < 0.03 for name in ("n2", "n4")) and all(
+        shares[name][0] > 0.3 for name in ("n1", "n3", "n5"))
+    assert judges.toppled(fleet.sent, fleet.bears, play.COLD.span) == []
+    one = sum(work for when, _, work in fleet.sent[0] if when > 12.0)
+    could = sum(fleet.bears(when / 10) / play.COLD.span / 10 for when in range(120, 220))
+    assert one > 0.8 * could
+
+
+def lends_what_it_keeps(process):
+    """The plant: what is out is not taken off."""
+    for budget in process.purse.budgets:
+        budget.loans.lent = lambda late: 0.0
+
+
+def takes_all_for_its_own(process):
+    """The plant: the limit divided among nobody."""
+    process.colds.room = lambda cache, upper, limits, part, work, now, room=process.colds.room: (
+        room(cache, upper, limits, part * len(process.fleet.names), work, now))
+
+
+@pytest.mark.parametrize("plant", [takes_all_for_its_own, lends_what_it_keeps])
+def test_a_planted_fault_topples_a_machine(plant):
+    told = Schedule(5, 4, 1, (), 6, 16.0, 4.0)
+
+    def play_it(plants):
+        fleet = play.Fleet(told, plants)
+        fleet.wants = lambda process, number: 2.0 * (process.place == 0 or fleet.now > 12.0)
+        return judges.toppled(fleet.run().sent, fleet.bears, play.COLD.span)
+
+    assert play_it((plant,)) and play_it(()) == []
+
+
+# What `policy` makes of it.
+
+
+def test_policy_sends_to_a_cold_cache_where_its_part_says_so_and_charges_it():
+    made = helpers.router(boxes=1)
+    cache = made.fleet.mine[0]
+    cache.started, cache.credit, asked = 99.0, 5.0, []
+
+    def dealt(*words):
+        asked.append(words)
+        return len(asked) > 1
+
+    made.fleet.dealt = dealt
+    _, caller = helpers.take(made)
+    assert cache not in [sent.cache for sent in caller.forwards]
+    _, caller = helpers.take(made)
+    assert caller.forwards[0].cache is cache
+    told, upper, limits, part, work = asked[0]
+    assert (told, upper, limits) == (cache, False, made.fleet.edge) and 0.2 < part < 0.3
+    assert work == pytest.approx(made.mean(helpers.tariff())) and cache.credit == pytest.approx(5.0 - work)
+    helpers.end(caller, Outcome.HONOURED, 100.1, closed=True)
+
+
+def test_policy_does_not_ask_for_warm_machines_nor_where_no_weights_are_told():
+    for weighed, started in ((True, -1e9), (False, 99.0)):
+        made = helpers.router(boxes=1, weighed=weighed)
+        made.fleet.mine[0].started = started
+        made.fleet.dealt = lambda *words: pytest.fail("asked")
+        made.fleet.edge.usual = 10.0
+        made.fleet.mine[0].credit = 1.0
+        _, caller = helpers.take(made)
+        assert caller.forwards
+
+
+# Settings.
+
+PEERS = 'peers: {mode: "on", key_file: "KEY", roster: [{name: "n1", address: "127.0.0.1:1", zone: "ZONE"}]}\n'
+
+
+@pytest.mark.parametrize("text, told", [
+    ('shared: mode: "on"', "shared.mode"),
+    (PEERS + 'shared: {mode: "on", names: 3, processes: 2}', "shared.processes"),
+    ('peers: {mode: "on", roster: [{name: "n1", address: "x"}, {name: "n2", address: "y"}]}\nshared: names: 1',
+     "shared.names")])
+def test_settings_that_cannot_be_name_the_key(text, told):
+    with pytest.raises(Fault, match=told):
+        check(text, "x")
+
+
+def test_a_router_in_another_zone_than_the_platform_says_is_refused(tmp_path):
+    (tmp_path / "key").write_text("k" * 16)
+    text = PEERS.replace("KEY", str(tmp_path / "key")).replace("ZONE", "hub") + 'shared: mode: "on"\n'
+    (tmp_path / "o.cue").write_text(text)
+    env = {**os.environ, "RELAY_CONFIG": str(ROOT / "example/config.json"),
+           "WICKHINGE_OPTIONS": str(tmp_path / "o.cue")}
+    ran = subprocess.run([sys.executable, "-m", "wickhinge"], cwd=ROOT, env=env, capture_output=True, text=True,
+                         timeout=30, check=False)
+    assert ran.returncode == 2 and "'hub'" in ran.stderr and "'here'" in ran.stderr
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -141,11 +141,11 @@
     assert lender.returned("n1", 7, serial) and not lender.returned("n1", 7, serial) and lender.lent(4.5) == 0.0
 
 
-GOOD = (5, 1.5, 0.0, False, [(0.1, 0.2)], [(0, 1, 0.1)], [], [(0, 3)])
+GOOD = ((5, 7), 1.5, 0.0, False, [(0.1, 0.2)], [(0, 1, 0.1)], [], [(0, 3)])
 
 
 @pytest.mark.parametrize("place, value", [
-    (0, "x"), (1, float("nan")), (4, [(2.0, 0.1)]), (4, [(0.1, 0.1)] * 9), (5, [(0, 1, float("inf"))]),
+    (0, (5, "x")), (1, float("nan")), (4, [(2.0, 0.1)]), (4, [(0.1, 0.1)] * 9), (5, [(0, 1, float("inf"))]),
     (5, [(8, 1, 0.1)]), (6, [(0, 1, -0.1)]), (7, [(-1, 1)]), (7, [(0, 1)] * 9)])
 def test_words_that_no_honest_fellow_says_are_refused(place, value):
     assert riders.read(riders.pack(*GOOD)) == GOOD
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -109,7 +109,7 @@
     unknown to each other, so each its share alone, and two thirds of the rule's, as sizes vary."""
 
     def __init__(self, multiple: float, span: float, floor: float, warm: float) -> None:
-        self.multiple, self.span, self.floor, self.warm = 0.65 * multiple, span, floor, warm
+        self.multiple, self.span, self.floor, self.warm = multiple, span, floor, warm
         self.usual = 0.0  # work a second that this router sends to a warm machine of the tier
 
     def part(self, cache: Cache, now: float) -> float:
@@ -126,7 +126,7 @@
 
     def room(self, cache: Cache, mine: float, now: float) -> bool:
         """One visit may be more than a share: it is sent on credit, and the debt sat out."""
-        rate = self.multiple * self.part(cache, now) * mine
+        rate = 0.65 * self.multiple * self.part(cache, now) * mine
         cache.credit = min(cache.credit + rate * (now - cache.credited), 0.5 * rate * self.span)
         cache.credited = now
         return cache.credit > 0.0
@@ -199,7 +199,7 @@
         self.chance, self.zone, self.routers, self.weighed = chance, zone, max(routers, 1), weighed
         self.parent_kind, self.origin_kind, self.edge, self.upper = parent_kind, origin_kind, edge, upper
         self.known, self.mine, self.parents, self.origin = {}, [], [], None  # known: by the list's ids
-        self.weight, self.share, self.pending = 0.0, 1.0, 0.0  # of caches here; of all traffic; out at once
+        self.weight, self.share, self.pending, self.dealt = 0.0, 1.0, 0.0, None  # of caches; traffic; out
 
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
         """Heeded at once, as sources too: what drains or is gone leaves the lists that sends choose from."""
@@ -230,7 +230,6 @@
         def score(cache: Cache) -> tuple[float, int]:
             weight = cache.weight * (self.edge.part(cache, now) if cache.zone == self.zone else 1.0)
             return weight / log(((mix(salt, cache.salt) >> 11) + 0.5) / (1 << 53)), cache.mark
-
         return sorted(caches, key=score)
 
     def count(self) -> None:
@@ -239,11 +238,12 @@
         for cache in self.mine:
             cache.others = (self.routers - 1) * self.pending * cache.weight / self.weight
 
-    def room(self, cache: Cache, now: float) -> bool:
-        upper = cache.kind == self.parent_kind
-        cold = self.upper if upper else self.edge
-        if cache is self.origin or cold.part(cache, now) >= 1.0:
+    def room(self, cache: Cache, visit: Visit, now: float) -> bool:
+        cold = self.upper if (upper := cache.kind == self.parent_kind) else self.edge
+        if cache is self.origin or (part := cold.part(cache, now)) >= 1.0:
             return True
+        if self.weighed and self.dealt:  # the routers' true shares in place of a guess, where they talk
+            return self.dealt(cache, upper, cold, part, visit.router.mean(visit.tariff))
         if self.weighed:
             return cold.room(cache, cache.weight * (self.share if upper else 1.0) / self.routers, now)
         # Of what a warm fellow bears: more than it can, maybe, and this one may be half as large.
@@ -297,7 +297,7 @@
             now + MARGIN * self.work * crowd > self.due or self.repeat and crowd > 1.0)
 
     def fits(self, cache: Cache, now: float) -> bool:
-        return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(cache, now)
+        return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(cache, self, now)
 
     def own(self, now: float, last: bool = False) -> bool:
         """Whether a copy of ours answers: a fresh one, or in place of a denial one in its grace."""
@@ -528,7 +528,7 @@
         failed = [f.source for f in visit.forwards if not f.pending and f.outcome not in (
             Outcome.MISS, Outcome.FULL, Outcome.BROKEN, Outcome.UNSENT)]
         for source in [*self.fleet.order(self.fleet.parents, visit.item.key, now), self.fleet.origin]:
-            if source and source.usable(now) and source not in failed and self.fleet.room(source, now):
+            if source and source.usable(now) and source not in failed and self.fleet.room(source, visit, now):
                 return source
         return None
 
--- a/wickhinge/lab/many/judges.py
+++ b/wickhinge/lab/many/judges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Any
 
 from wickhinge.lab.many.schedule import Schedule
@@ -66,8 +67,8 @@
     return found
 
 
-def peak(spent: list[tuple[float, str, float]], most: float, window: float) -> float:
-    """The worst window of what was spent, over the budget."""
+def peak(spent: list[tuple[float, str, float]], most: float | Callable[[float], float], window: float) -> float:
+    """The worst window of what was spent, over the budget, or over what it was as that window ended."""
     worst = total = 0.0
     first = 0
     for when, _, amount in spent:
@@ -75,8 +76,8 @@
         while spent[first][0] <= when - window:
             total -= spent[first][2]
             first += 1
-        worst = max(worst, total)
-    return worst / most
+        worst = max(worst, total / (most(when) if callable(most) else most))
+    return worst
 
 
 def budgets(spent: list[list[tuple[float, str, float]]], told: list[tuple[float, float, float]]) -> list[str]:
@@ -88,5 +89,12 @@
     return faults
 
 
+def toppled(sent: dict[int, list[tuple[float, str, float]]], bears: Callable[[float], float], span: float) -> list[str]:
+    """Cold machines that were sent more than they bear."""
+    peaks = {mark: peak(works, bears, span) for mark, works in sent.items()}
+    return [f"cold machine {mark}: {worst:.4f} of what it bears in {span} s" for mark, worst in peaks.items()
+            if worst > 1.0 + 1e-9]
+
+
 def all_of(history: History, schedule: Schedule) -> list[str]:
     return lives(history) + together(history, schedule)
--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -3,24 +3,28 @@
 from __future__ import annotations
 
 import random
-from collections import deque
+from collections import defaultdict, deque
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
-from wickhinge.decide import Chance
+from wickhinge.decide import Chance, Cold
 from wickhinge.lab.many.director import Director
 from wickhinge.lab.many.schedule import Fault, Schedule
 from wickhinge.lab.wheel import Wheel
 from wickhinge.peers import wire
 from wickhinge.peers.circle import Circle, Item
 from wickhinge.peers.roster import Place, Roster
-from wickhinge.shared.purse import Purse
+from wickhinge.shared import cold
+from wickhinge.shared.purse import Dealt, Division, Purse
 
 KEY = b"of this fleet and of no other"
 TICK = 0.1
 HOP = 0.001
 LOOK = 3  # ticks between two looks at what the layers above are told
 BUDGETS = [(120.0, 3.0, 1.0), (30.0, 1.0, 0.2)]  # most, window, unit
+COLD = Cold(4.0, 3.0, 0.2, 120.0)  # machines that warm up all the time
+WEIGHT = 50.0
 BUFFER = 128  # datagrams that wait for a process that stands still
 
 
@@ -38,8 +42,15 @@
         self.waiting: deque[bytes] = deque(maxlen=BUFFER)
         self.circle = Circle(fleet.roster(self.name), Chance(fleet.random.getrandbits(62)), self.clock, self.send,
                              self.log)
-        self.purse = Purse(self.circle, fleet.schedule.places, BUDGETS, self.clock, self.log)
+        self.purse = Purse(self.circle, Division(len(fleet.names), fleet.schedule.places),
+                           [*(Dealt(bucket=one) for one in BUDGETS), *cold.budgets(f"z{place % fleet.schedule.zones}")],
+                           self.clock, self.log)
+        self.colds = cold.Colds(self.purse, len(BUDGETS))
+        # One machine of the own zone, one parent: as `policy` sees them.
+        self.machines = [SimpleNamespace(mark=mark, weight=WEIGHT, credit=-0.1)
+                         for mark in (place % fleet.schedule.zones, -1)]
         self.wants = [0.0] * len(BUDGETS)  # times the whole budget's rate
+        self.works = [0.0] * len(self.machines)
         for plant in fleet.plants:
             plant(self)
         fleet.processes.append(self)
@@ -83,6 +94,15 @@
                 self.wants[number] -= unit
                 if self.purse.take(number, unit, self.clock):
                     self.fleet.spent[number].append((self.fleet.now, self.name, unit))
+        part = self.fleet.warmth(self.fleet.now)
+        for number, machine in enumerate(self.machines):
+            self.works[number] += self.fleet.wants(self, number) * COLD.multiple * part * WEIGHT * TICK
+            work = self.fleet.work
+            while self.works[number] >= work:
+                self.works[number] -= work
+                if self.colds.room(machine, machine.mark < 0, COLD, part, work, self.clock):
+                    machine.credit -= work
+                    self.fleet.sent[machine.mark].append((self.fleet.now, self.name, work))
 
     def send(self, item: Item) -> None:
         self.fleet.carry(self, self.fleet.places.get(item.to), wire.pack(KEY, item))
@@ -127,6 +147,8 @@
         self.history: list[tuple[float, str, int, str, dict[str, Any]]] = []
         self.spent: list[list[tuple[float, str, float]]] = [[] for _ in BUDGETS]
         self.needs = [[self.random.choice((0.0, 0.1, 0.5, 1.3)) for _ in BUDGETS] for _ in self.names]
+        self.sent: dict[int, list[tuple[float, str, float]]] = defaultdict(list)  # to cold machines, by their marks
+        self.work = cold.PIECES * COLD.floor * COLD.multiple * COLD.span * WEIGHT / schedule.places  # of a visit
         self.unreadable = self.carried = 0
 
     @property
@@ -145,6 +167,13 @@
         turn = int(self.now / 7.0)
         return self.needs[(process.place + turn) % len(self.names)][number]
 
+    def warmth(self, when: float) -> float:
+        return min(COLD.floor + (1 - COLD.floor) * when / COLD.warm, 0.99)
+
+    def bears(self, when: float) -> float:
+        """Seconds of work in COLD.span over which a machine topples then."""
+        return COLD.multiple * self.warmth(when) * WEIGHT * COLD.span
+
     def start(self, place: int) -> Process:
         self.numbers += 1
         return Process(self, place, self.numbers)
--- a/wickhinge/lab/many/trial.py
+++ b/wickhinge/lab/many/trial.py
@@ -21,9 +21,12 @@
 
 def virtual(schedule: Schedule, plants: tuple[Any, ...] = ()) -> Trial:
     fleet = play.play(schedule, plants)
-    return Trial(judges.all_of(fleet.history, schedule) + judges.budgets(fleet.spent, play.BUDGETS),
-                 [judges.peak(spent, most, window)
-                  for spent, (most, window, _) in zip(fleet.spent, play.BUDGETS, strict=True)],
+    span = play.COLD.span
+    return Trial(judges.all_of(fleet.history, schedule) + judges.budgets(fleet.spent, play.BUDGETS)
+                 + judges.toppled(fleet.sent, fleet.bears, span),
+                 [*(judges.peak(spent, most, window)
+                    for spent, (most, window, _) in zip(fleet.spent, play.BUDGETS, strict=True)),
+                  *(judges.peak(sent, fleet.bears, span) for sent in fleet.sent.values())],
                  len(judges.unfounded(fleet.history, schedule)), fleet.carried)
 
 
--- a/wickhinge/lab/play.py
+++ b/wickhinge/lab/play.py
@@ -162,7 +162,7 @@
         elif policy == "keep_none":
             made.shelf.rank = lambda item, part, work: 0
         if plant == "cold":
-            fleet.room = lambda cache, now: True
+            fleet.room = lambda cache, visit, now: True
         elif plant == "purges":
             made.purges.oldest = lambda key, group, now: None
         elif plant == "drains":
--- a/wickhinge/net/fellows.py
+++ b/wickhinge/net/fellows.py
@@ -23,6 +23,7 @@
 TICK = 0.05
 BUSY = 256  # datagrams in a tick that are looked at; the others are counted
 SHOWN = 64  # names in a report
+SPARE = 2  # processes more than names that may run at once, where the settings name no number
 
 
 def clock() -> float:
@@ -41,6 +42,17 @@
         self.circle = Circle(roster, Chance(seed), clock(), self.send, lambda event, **told: self.log(
             f"peers_{event}", **told))
         self.seen: Any = None  # of the last view that the log was told
+        self.purse: Any = None  # where the settings switch `shared` on
+
+    def share(self, division: Any) -> None:
+        """Cold machines' limits are asked of the fleet's budgets from now on."""
+        from wickhinge.shared import cold
+        from wickhinge.shared.purse import Purse
+
+        self.purse = Purse(self.circle, division, cold.budgets(self.circle.roster.mine.zone), clock(),
+                           lambda event, **told: self.log(f"shared_{event}", **told))
+        room = cold.Colds(self.purse).room
+        self.node.router.fleet.dealt = lambda *asked: room(*asked, clock())
 
     def start(self) -> None:
         """Raises OSError where our address of the roster cannot be had: another process has the name here."""
@@ -57,6 +69,8 @@
         self.taken = 0
         now = clock()
         self.circle.tick(now)
+        if self.purse is not None:
+            self.purse.tick(now)
         seen = self.circle.view(now).brief()
         if seen != self.seen:
             self.seen = seen
@@ -92,7 +106,8 @@
                 "oldest_s": round(view.oldest, 1), "epoch": circle.epoch, "twin": view.twin, "rosters": view.rosters,
                 "doubt": circle.doubt, "sent": circle.sent, "unreadable": self.unreadable, "unsent": self.unsent,
                 "left": self.left, "states": {name: STATES[entry.state] for name, entry in sorted(
-                    circle.entries.items())[:SHOWN]}}
+                    circle.entries.items())[:SHOWN]},
+                **({} if self.purse is None else {"shared": self.purse.figures(now)})}
 
     def close(self) -> None:
         self.closed = True
@@ -112,4 +127,14 @@
         roster = Roster(places, name)
     except Unusable as problem:
         raise Malformed(f"peers.roster: {problem}") from None
-    return Fellows(node, roster, keys.read("peers.key_file", found.key_file), node.seed ^ 0xFE110)
+    made = Fellows(node, roster, keys.read("peers.key_file", found.key_file), node.seed ^ 0xFE110)
+    if options.shared.mode == "on":
+        from wickhinge.shared.purse import Division
+
+        zones = {one.zone for one in places}
+        if roster.mine.zone != node.router.fleet.zone and zones != {""}:
+            raise Malformed(f"peers.roster: {name} stands in zone {roster.mine.zone!r}, the platform's settings say "
+                            f"{node.router.fleet.zone!r}: caches' limits are dealt among a zone's routers")
+        names = options.shared.names or len(roster)
+        made.share(Division(names, options.shared.processes or names + SPARE))
+    return made
--- a/wickhinge/options/load.py
+++ b/wickhinge/options/load.py
@@ -310,6 +310,12 @@
     for place, one in enumerate(found.static):
         if not MACHINE(one.id):
             raise Fault(f"{name}: discovery.static[{place}].id: {one.id!r} is not an id as s-00c41f7a")
+    if options.shared.mode == "on" and options.peers.mode != "on":
+        raise Fault(f"{name}: shared.mode: needs peers.mode: routers that do not know each other share nothing")
+    if 0 < options.shared.names < len(options.peers.roster):
+        raise Fault(f"{name}: shared.names: is less than the {len(options.peers.roster)} names of peers.roster")
+    if 0 < options.shared.processes < (options.shared.names or len(options.peers.roster)):
+        raise Fault(f"{name}: shared.processes: is less than the names")
     if options.store.size_mb < 4 * options.store.segment_mb:
         raise Fault(f"{name}: store.segment_mb: is over a quarter of store.size_mb")
     return options
--- a/wickhinge/options/records.py
+++ b/wickhinge/options/records.py
@@ -62,8 +62,15 @@
     roster: list[Fellow]
 
 
+class Shared(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    mode: str
+    names: int
+    processes: int
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     store: Store
     journal: Journal
     discovery: Discovery
     peers: Peers
+    shared: Shared
--- a/wickhinge/options/schema.cue
+++ b/wickhinge/options/schema.cue
@@ -62,7 +62,17 @@
 	roster:   [...#Fellow] | *[]
 }
 
+#Shared: {
+	// cold machines' limits dealt among the routers by need; needs peers
+	mode: *"off" | "on"
+	// names that all rosters in use hold together at most; 0: as many as ours
+	names: int & >=0 & <=5000 | *0
+	// processes that run at once at most, names and those started twice or not ended yet; 0: names and 2
+	processes: int & >=0 & <=10000 | *0
+}
+
 store:     #Store
 journal:   #Journal
 discovery: #Discovery
 peers:     #Peers
+shared:    #Shared
--- a/wickhinge/shared/bucket.py
+++ b/wickhinge/shared/bucket.py
@@ -23,14 +23,15 @@
         self.span, self.window, self.unit, self.places = span, window, unit, places
         self.tokens, self.filled = 0.0, now
         self.share = 0.0
+        self.wanted = 0.0  # units a second that were asked for here, lately
         self.set(most, now)
 
-    def set(self, most: float, now: float) -> None:
+    def set(self, most: float, now: float, unit: float | None = None) -> None:
         """Another budget; what was saved up by the old one is cut to the new one's depth. One that is less than a piece
         for each place is spent by nobody: it could not be kept."""
         if self.filled < now:
             self.fill(now)
-        self.most = most
+        self.most, self.unit = most, self.unit if unit is None else unit
         self.rate = max(most - self.places * self.unit, 0.0) / ((self.window + self.span) * (1 + DRIFT))
         self.tokens = min(self.tokens, self.depth())
 
--- a/wickhinge/shared/purse.py
+++ b/wickhinge/shared/purse.py
@@ -2,11 +2,13 @@
 
     share = floor + (home - lent out, while a majority vouches for this life of the name) + borrowed
 
-    floor = FLOOR / places        home = (1 - FLOOR) / places
+    floor = FLOOR / processes     home = (1 - FLOOR) / names
 
-`places` bounds how many processes spend at all, so that floors never add up to more than FLOOR, also while rosters
-differ and one name runs twice; it is one number for the whole fleet, larger than the roster where that may grow. Who
-hears nobody spends its share until its term ends, then its floor. Nothing here waits for anybody: `take` is local.
+`names` bounds how many names any roster in use holds, `processes` how many processes spend at all: homes never add up
+to more than 1 - FLOOR, since one life of a name has it, and floors to no more than FLOOR, also while one name runs
+twice. Both are the same for the whole fleet. Who hears nobody spends its share until its term ends, then its floor.
+Nothing here waits for anybody: `take` is local. A budget that only the routers of one zone spend is dealt among those;
+one dealing may stand for many machines, each with a bucket of its own that fills by the same share.
 
 Two clocks count here. What we have of others ends by the router's own clock. What others have of us, and what
 accrues to us, is counted by `late`, which goes on by at most STEP a tick: a clock that jumps ahead, or a process that
@@ -17,9 +19,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from wickhinge.peers.circle import HELLO, Circle
+from wickhinge.peers.roster import Roster
 from wickhinge.shared import riders
 from wickhinge.shared.bucket import Bucket
 from wickhinge.shared.loans import TIME, Loans
@@ -36,23 +40,58 @@
 LEAST = 0.002  # parts of a budget that are not worth a datagram
 
 
+@dataclass(frozen=True, slots=True)
+class Division:
+    """By what numbers homes and floors are divided, the same for the whole fleet."""
+
+    names: int  # of all rosters in use together, at most
+    processes: int  # that run at once, at most: names, and those started twice or not ended yet
+
+    def within(self, roster: Roster, zone: str) -> Division:
+        """Of one zone's routers: names that the roster does not hold yet may all come to be there."""
+        if not zone:
+            return self
+        names = sum(one.zone == zone for one in roster.places.values()) + self.names - len(roster)
+        return Division(names, names + self.processes - self.names)
+
+
+@dataclass(frozen=True, slots=True)
+class Dealt:
+    """What a budget is dealt among and of: zone's routers alone, "" for all; bucket (most, window, unit) its one, or
+    None where machines have one each, put there by who spends."""
+
+    zone: str = ""
+    bucket: tuple[float, float, float] | None = None
+
+
 class Budget:
-    def __init__(self, most: float, window: float, unit: float, places: int, late: float) -> None:
-        self.bucket = Bucket(most, window, unit, places, SPAN, late)
+    def __init__(self, told: Dealt, division: Division, late: float) -> None:
+        self.zone, self.division = told.zone, division
         self.loans = Loans()
-        self.wanted = 0.0  # units a second that were asked for here, lately
-        self.need = 0.0  # the same as a part of the whole budget
+        self.share = 0.0
+        self.buckets: dict[Any, Bucket] = {}
+        if told.bucket is not None:
+            self.buckets[None] = Bucket(*told.bucket, division.processes, SPAN, late)
+        self.need = 0.0  # the part of the whole budget that was asked for here lately, where most was
         self.missing = self.spare = 0.0  # parts of the budget that are wanted and not had, had and not wanted
 
+    def shared(self, share: float, late: float) -> None:
+        if share != self.share:
+            self.share = share
+            for bucket in self.buckets.values():
+                bucket.shared(share, late)
+
 
 class Purse:
-    def __init__(self, circle: Circle, places: int, budgets: list[tuple[float, float, float]], now: float,
+    def __init__(self, circle: Circle, division: Division, budgets: list[Dealt], now: float,
                  log: Callable[..., None] = lambda *a, **k: None) -> None:
-        """budgets: (most, window, unit) each: so much in any so many seconds for all routers together, in pieces of
-        unit at most. places: as many processes as ever spend at once, or more."""
-        self.circle, self.places, self.log = circle, places, log
+        """Raises ValueError where the roster has more names than the division counts."""
+        if not len(circle.roster) <= division.names <= division.processes:
+            raise ValueError(f"{len(circle.roster)} names on the roster, divided among {division.names} names and "
+                             f"{division.processes} processes")
+        self.circle, self.division, self.log = circle, division, log
         self.late, self.ticked = 0.0, now
-        self.budgets = [Budget(*budget, places, self.late) for budget in budgets]
+        self.budgets = [Budget(one, division.within(circle.roster, one.zone), self.late) for one in budgets]
         self.vouchers = Vouchers(len(circle.roster), self.late)
         self.life = circle.life
         self.stamps: dict[str, tuple[float, bool]] = {}  # what to answer: their stamp, whether we vouch
@@ -60,26 +99,31 @@
         self.words: dict[str, tuple[list[Any], list[Any], list[Any]]] = {}  # that go with the next datagram
         self.looked = now
         self.vouched = 0.0
-        self.differ: set[str] = set()  # who counts with another number of places
+        self.differ: set[str] = set()  # who divides by other numbers
         circle.rider, circle.ridden = self.rider, self.ridden
 
     # What spends asks.
 
-    def take(self, number: int, amount: float, now: float) -> bool:
+    def take(self, number: int, amount: float, now: float, key: Any = None) -> bool:
         """Whether so much of that budget may be spent now. Counts as need either way."""
+        bucket, late = self.wish(number, amount, now, key)
+        return bucket.take(amount, late)
+
+    def wish(self, number: int, amount: float, now: float, key: Any = None) -> tuple[Bucket, float]:
+        """That so much is wanted counts as need. The bucket it would come from, and the time by which that counts."""
         self.refresh(now)
-        budget = self.budgets[number]
-        budget.wanted += amount / FADE * 0.7
-        return budget.bucket.take(amount, self.late + now - self.ticked)  # the next tick counts that gap too
+        bucket = self.budgets[number].buckets[key]
+        bucket.wanted += amount / FADE * 0.7
+        return bucket, self.late + now - self.ticked  # the next tick counts that gap too
 
     def share(self, number: int, now: float) -> float:
         """The part of that budget which is ours to spend."""
         self.refresh(now)
-        return self.budgets[number].bucket.share
+        return self.budgets[number].share
 
     def change(self, number: int, most: float) -> None:
         """The budget itself is another from now on, by the settings."""
-        self.budgets[number].bucket.set(most, self.late)
+        self.budgets[number].buckets[None].set(most, self.late)
 
     # Time.
 
@@ -94,7 +138,9 @@
             self.lost()
         self.vouched = self.vouchers.until(now) - STEP if self.circle.epoch else 0.0
         for budget in self.budgets:
-            budget.wanted *= 0.5 ** (max(gap, 0.0) / FADE)
+            fades = 0.5 ** (max(gap, 0.0) / FADE)
+            for bucket in budget.buckets.values():
+                bucket.wanted *= fades
             self.settle(budget, now)
         if now - self.looked >= ASK or now < self.looked:
             self.looked = now
@@ -112,24 +158,29 @@
         if not 0.0 <= now - self.ticked <= STEP:
             self.tick(now)
 
-    def home(self, now: float) -> float:
-        return (1 - FLOOR) / self.places if now < self.vouched else 0.0
+    def home(self, budget: Budget, now: float) -> float:
+        return (1 - FLOOR) / budget.division.names if now < self.vouched else 0.0
 
     def settle(self, budget: Budget, now: float) -> None:
         """The share as it is now. Called before anything is spent, lent or said by it."""
-        home, lent = self.home(now), budget.loans.lent(self.late)
-        own = max(home - lent, 0.0)
-        share = FLOOR / self.places + own + budget.loans.borrowed(now)
-        budget.bucket.shared(share, self.late)
-        budget.need = min(budget.wanted / budget.bucket.rate, 1.0) if budget.bucket.rate > 0.0 else 0.0
+        own = max(self.home(budget, now) - budget.loans.lent(self.late), 0.0)
+        share = FLOOR / budget.division.processes + own + budget.loans.borrowed(now)
+        budget.shared(share, self.late)
+        budget.need = max((min(bucket.wanted / bucket.rate, 1.0) for bucket in budget.buckets.values()
+                           if bucket.rate > 0.0), default=0.0)
         budget.missing = max(min(1.2 * budget.need, 1.0) - share, 0.0)
         budget.spare = min(max(share - 1.1 * budget.need, 0.0), own)
 
+    def among(self, name: str, budget: Budget) -> bool:
+        """Whether that router spends it too."""
+        place = self.circle.roster.places.get(name)
+        return place is not None and budget.zone in ("", place.zone)
+
     def ask(self, number: int, budget: Budget, now: float) -> None:
         """Toward the need: ask for what is missing, have needed loans renewed, give back what is too much."""
         loans = budget.loans
         loans.forget(now)
-        missing = min(1.2 * budget.need, 1.0) - budget.bucket.share
+        missing = min(1.2 * budget.need, 1.0) - budget.share
         over = -missing - 0.1 * budget.need
         if over > LEAST and loans.had:
             for lender, serial in loans.give_back(over):
@@ -143,8 +194,8 @@
         missing -= sum(one.amount for serial, one in loans.asked.items() if serial not in loans.had)
         spares = sorted(((levels[number][1] * (0.5 + self.circle.chance.draw()), name)
                          for name, (when, levels) in self.told.items()
-                         if 0.0 <= now - when <= WORD and len(levels) > number and levels[number][1] > LEAST),
-                        reverse=True)
+                         if 0.0 <= now - when <= WORD and len(levels) > number and levels[number][1] > LEAST
+                         and self.among(name, budget)), reverse=True)
         for _, name in spares[:LENDERS]:
             levels = self.told[name][1]
             lacks, spare = levels[number]
@@ -159,7 +210,8 @@
         """To who lacks most, as far as we know: every datagram says what we can spare."""
         if budget.spare > LEAST:
             lacks, name = max(((levels[number][0], name) for name, (when, levels) in self.told.items()
-                               if 0.0 <= now - when <= WORD and len(levels) > number), default=(0.0, ""))
+                               if 0.0 <= now - when <= WORD and len(levels) > number and self.among(name, budget)),
+                              default=(0.0, ""))
             if lacks > LEAST and name in self.circle.entries:
                 self.told[name][1][number] = 0.0, self.told[name][1][number][1]  # until it says so again
                 self.circle.send(name, HELLO, 0, now)
@@ -176,19 +228,19 @@
         now = self.ticked
         answers, granted = self.stamps.pop(to, (0.0, False))
         words = self.words.pop(to, ([], [], []))
-        return riders.pack(self.places, now, answers, granted,
+        return riders.pack((self.division.names, self.division.processes), now, answers, granted,
                            [(round(one.missing, 4), round(one.spare, 4)) for one in self.budgets],
                            *(many[:riders.MOST] for many in words))
 
     def ridden(self, name: str, data: bytes, now: float) -> None:
         try:
-            places, stamp, answers, granted, levels, asked, lent, back = riders.read(data)
+            division, stamp, answers, granted, levels, asked, lent, back = riders.read(data)
         except riders.Unreadable:
             return
-        if places != self.places:  # it divides by another number: nothing of its shares and ours fits together
+        if division != (self.division.names, self.division.processes):  # nothing of its shares and ours fits together
             if name not in self.differ:
                 self.differ.add(name)
-                self.log("places_differ", name=name, places=places)
+                self.log("division_differs", name=name, names=division[0], processes=division[1])
             return
         self.differ.discard(name)
         self.refresh(now)
@@ -211,10 +263,10 @@
     def lend(self, name: str, life: int, number: int, serial: int, amount: float, now: float) -> None:
         budget = self.budgets[number]
         self.settle(budget, now)
-        if self.vouched - now < TIME * (1 + DRIFT):
+        if self.vouched - now < TIME * (1 + DRIFT) or not self.among(name, budget):
             return  # it would outlast what we have
         # Where we lack it ourselves, what is out is not renewed.
-        lent = budget.loans.renew(name, life, serial, self.late) if budget.need < budget.bucket.share else 0.0
+        lent = budget.loans.renew(name, life, serial, self.late) if budget.need < budget.share else 0.0
         if not lent:
             lent = budget.loans.lend(name, life, serial, min(amount, budget.spare), self.late)
         if lent:
@@ -228,4 +280,15 @@
         for table in (self.stamps, self.told, self.words):
             for name in set(table) - names:
                 del table[name]
+        for budget in self.budgets:
+            budget.division = self.division.within(self.circle.roster, budget.zone)
         self.tick(now)
+
+    def figures(self, now: float) -> dict[str, Any]:
+        """For operators: by what this router spends, and until when it is vouched for."""
+        self.refresh(now)
+        return {"vouched_s": round(max(self.vouched - now, 0.0), 1), "names": self.division.names,
+                "processes": self.division.processes, "differ": len(self.differ), "budgets": [
+                    {"zone": one.zone, "share": round(one.share, 4), "need": round(one.need, 4),
+                     "lent": round(one.loans.lent(self.late), 4), "borrowed": round(one.loans.borrowed(now), 4),
+                     "machines": len(one.buckets)} for one in self.budgets]}
--- a/wickhinge/shared/riders.py
+++ b/wickhinge/shared/riders.py
@@ -1,10 +1,10 @@
 """What a datagram between fellows carries of budgets: one MessagePack array, at most LONGEST bytes.
 
-    [places, stamp, answers, granted, [[lacks, spare] a budget], [[budget, number, amount] asked],
+    [[names, processes], stamp, answers, granted, [[lacks, spare] a budget], [[budget, number, amount] asked],
      [[budget, number, amount] granted], [[budget, number] given back]]
 
-`stamp` is the sender's own clock, which comes back as `answers` and tells it when it had asked; nobody else reads it.
-They and amounts are parts of a whole budget, 0 to 1.
+The first are the numbers by which the sender divides (purse.Division). `stamp` is its own clock, which comes back as
+`answers` and tells it when it had asked; nobody else reads it. Levels and amounts are parts of a whole budget, 0 to 1.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 LONGEST = 400
 MOST = 8  # of each kind in a datagram
 BUDGETS = 8
-BODY = tuple[int, float, float, bool, list[tuple[float, float]], list[tuple[int, int, float]],
+BODY = tuple[tuple[int, int], float, float, bool, list[tuple[float, float]], list[tuple[int, int, float]],
              list[tuple[int, int, float]], list[tuple[int, int]]]
 decoder = msgspec.msgpack.Decoder(BODY)
 encoder = msgspec.msgpack.Encoder()
@@ -30,8 +30,7 @@
     return encoder.encode(words)
 
 
-def read(data: bytes) -> tuple[int, float, float, bool, list[tuple[float, float]], list[tuple[int, int, float]],
-                               list[tuple[int, int, float]], list[tuple[int, int]]]:
+def read(data: bytes) -> BODY:
     """Raises Unreadable, also for numbers that no honest fellow sends."""
     try:
         words = decoder.decode(data)
