Real routers under load share cold limits; rosters and keys change while they run

Need: budgets stood in virtual time only, a roster or key could not change without a restart, and nobody could look at what a running router hears and holds.

Change: the rig has stand-in machines and clients, so drawn schedules on sockets judge what reached cold machines; a fault in which some have a roster without one name; SIGHUP reads roster and keys anew (also_key_file while the key changes), whole or not at all; wickhinge peers show [--all] asks running routers over their fellows' socket, with a cookie for each ask and at a bounded rate.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -1,21 +1,25 @@
 """Routers that know each other, measured: python -m bench.peers size|budget
 
     size     virtual: what a router sends a second, how soon a dead one is known, by the fleet's size
-    budget   virtual: drawn schedules against the budget's bound, and how much of it is used where the need is one's
+    budget   drawn schedules against what cold machines bear, with real processes behind relays and in virtual time, and
+             how much of it is used where the need is one router's
 
-The last line is one JSON object. Virtual time, the routers' own deciding code and codecs, one core.
+The last line is one JSON object. Virtual time is the routers' own deciding code and codecs on one core.
 """
 
 from __future__ import annotations
 
 import sys
+import tempfile
 import time
+from pathlib import Path
 from typing import Any
 
 import click
 import orjson
 
-from wickhinge.lab.many import play, trial
+from wickhinge.lab.many import judges, play, trial
+from wickhinge.lab.many.rig import Rig
 from wickhinge.lab.many.schedule import Fault, Schedule, draw
 
 
@@ -107,12 +111,23 @@
     return sum(amount for when, _name, amount in fleet.spent[0] if when > since) / (most / window * (50.0 - since))
 
 
-@main.command()
-@click.option("--seed", default=1000, show_default=True)
-@click.option("--count", default=200, show_default=True, help="Schedules drawn.")
-@click.option("--json", "_", is_flag=True)
-def budget(seed: int, count: int, _: bool) -> None:
-    """No schedule may spend more than the budget; where all hear each other little may stay unused."""
+def on_sockets_used(routers: int, seed: int, shared: bool, seconds: float = 16.0) -> list[float]:
+    """Of what a cold cache bears, in true time, where one router of its zone wants twice that and all hear each other;
+    and the worst window."""
+    told = Schedule(seed, routers, 1, (), routers, 18.0, seconds)
+    with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(
+            Path(folder), told, lambda process, now: 2.0 * (process.place == 0) * (now > 0.0), shared) as rig:
+        stands = rig.run().stands
+        if faults := rig.crashed() + stands.wrong:
+            raise click.ClickException("; ".join(faults))
+        sent = stands.sent[stands.caches[0].mark]
+        until = 18.0 + seconds
+        could = sum(stands.bears(18.0 + 0.1 * turn) / stands.span * 0.1 for turn in range(int(seconds * 10)))
+        return [sum(work for when, _, work in sent if 18.0 < when < until) / could,
+                judges.peak(sent, stands.bears, stands.span)]
+
+
+def virtual_budget(seed: int, count: int) -> dict[str, Any]:
     peaks, broken, gone, routers = [], 0, 0, 0
     for place in range(count):
         drawn = draw(seed + place)
@@ -126,10 +141,39 @@
     sizes = (2, 5, 9, 16)
     moved = {str(number): [round(used(number, seed + turn, ()), 3) for turn in range(2)] for number in sizes}
     kept = {str(number): [round(used(number, seed + turn, (alone,)), 3) for turn in range(2)] for number in sizes}
-    told({"virtual": True, "processes": routers, "schedules": count, "budget_peak": round(max(peaks), 4),
-          "used_share": min(map(min, moved.values())), "used_by_routers": moved, "used_share_alone": kept,
-          "gone_unfounded": gone, "broken": broken})
-    sys.exit(1 if broken else 0)
+    return {"processes": routers, "schedules": count, "budget_peak": round(max(peaks), 4),
+            "used_share": min(map(min, moved.values())), "used_by_routers": moved, "used_share_alone": kept,
+            "gone_unfounded": gone, "broken": broken}
+
+
+@main.command()
+@click.option("--seed", default=1000, show_default=True)
+@click.option("--count", default=100, show_default=True, help="Schedules drawn in virtual time.")
+@click.option("--sockets", default=6, show_default=True, help="Schedules drawn for real processes; 0: virtual only.")
+@click.option("--routers", default=5, show_default=True, help="Real processes of each, besides those started twice.")
+@click.option("--json", "_", is_flag=True)
+def budget(seed: int, count: int, sockets: int, routers: int, _: bool) -> None:
+    """No schedule may topple a cold machine; where all hear each other little of its limit may stay unused."""
+    answer = virtual = virtual_budget(seed, count)
+    if sockets:
+        peaks, broken, processes = [], 0, 0
+        for place in range(sockets):
+            drawn = draw(seed + place, routers)
+            found = trial.on_sockets(drawn)
+            peaks += found.peaks
+            broken += bool(found.faults)
+            processes += drawn.routers + sum(fault.kind in ("twin", "kill") for fault in drawn.faults)
+            click.echo(f"seed {drawn.seed}: peaks {[round(peak, 3) for peak in found.peaks]} {found.faults[:3]}",
+                       err=True)
+        runs = [(on_sockets_used(routers, seed + turn, True), on_sockets_used(routers, seed + turn, False))
+                for turn in range(2)]
+        answer = {"processes": processes, "schedules": sockets, "budget_peak": round(max(peaks), 4),
+                  "used_share": round(min(ours[0] for ours, _ in runs), 3),
+                  "used_shares": [round(ours[0], 3) for ours, _ in runs],
+                  "used_share_alone": [round(theirs[0], 3) for _, theirs in runs],
+                  "used_peak": round(max(ours[1] for ours, _ in runs), 4), "broken": broken, "virtual": virtual}
+    told(answer)
+    sys.exit(1 if answer["broken"] or virtual["broken"] else 0)
 
 
 if __name__ == "__main__":
--- a/wickhinge/__main__.py
+++ b/wickhinge/__main__.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from typing import Any
 
 from twisted.internet.main import installReactor
 
@@ -32,6 +33,8 @@
             return 2
     try:
         node = Node(config.read(os.environ), reactor, options=options)
+        if path:
+            node.reread = lambda: reread(path)
         node.start()
     except Malformed as problem:
         sys.stderr.write(f"{problem}\n")
@@ -46,6 +49,16 @@
     return 0 if node.unusable is None else unusable(node.unusable)
 
 
+def reread(path: str) -> Any:
+    """Our own settings anew. Raises Malformed with the faulty key."""
+    from wickhinge.options import Fault, load
+
+    try:
+        return load(path)
+    except Fault as problem:
+        raise Malformed(str(problem)) from None
+
+
 def unusable(problem: OSError) -> int:
     sys.stderr.write(f"config: field listen: {problem}\n")
     return 2
--- a/wickhinge/cli/__init__.py
+++ b/wickhinge/cli/__init__.py
@@ -3,7 +3,7 @@
 Exit codes: 0 done, 1 something is wrong with what was looked at, 2 wrong arguments, settings or directory.
 """
 
-from wickhinge.cli import lab
+from wickhinge.cli import lab, peers
 from wickhinge.cli.commands import main
 
-__all__ = ["lab", "main"]
+__all__ = ["lab", "main", "peers"]
--- a/wickhinge/lab/many/director.py
+++ b/wickhinge/lab/many/director.py
@@ -13,7 +13,8 @@
 
 
 class Director:
-    """Its players have processes that can `kill`, `stop` and `go_on`, and say `now`, `at`, `start` and `arrive`."""
+    """Its players have processes that can `kill`, `stop`, `go_on` and `reroster`, and say `now`, `at`, `start` and
+    `arrive`."""
 
     def __init__(self, schedule: Schedule) -> None:
         self.schedule = schedule
@@ -31,6 +32,14 @@
     def turn(self, process: Any, fault: Fault, on: bool) -> None:
         """Its clock runs or jumps as the fault says; nothing where that was arranged before the start."""
 
+    def rosters(self, fault: Fault) -> None:
+        """Whom it concerns reads its roster anew, as it is by all faults that are active now."""
+        for place in fault.one:
+            missing = {one for other in self.between.active if other.kind == "roster" and place in other.one
+                       for one in other.other}
+            for process in self.alive(place):
+                process.reroster(missing)
+
     def begin(self, fault: Fault) -> None:
         self.between.active.append(fault)
         until = fault.at_s + fault.for_s
@@ -45,6 +54,8 @@
                     self.starve(process, until)
                 elif fault.kind in ("fast", "slow", "jump"):
                     self.turn(process, fault, True)
+        if fault.kind == "roster":
+            self.rosters(fault)
         if fault.kind == "twin":
             self.start(fault.one[0])
         if fault.kind == "replay":
@@ -62,6 +73,8 @@
 
     def end(self, fault: Fault) -> None:
         self.between.active.remove(fault)
+        if fault.kind == "roster":
+            self.rosters(fault)
         for place in fault.one:
             found = self.alive(place)
             if fault.kind == "kill" and not found:
--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -125,6 +125,10 @@
                 (line.epoch, line.life, line.heard) != was):
             self.fleet.write(self, "believed", of=item.sender, epoch=item.epoch, life=item.life, counter=item.counter)
 
+    def reroster(self, missing: set[int]) -> None:
+        self.circle.reload(self.fleet.roster(self.name, missing), self.clock)
+        self.purse.reload(self.clock)
+
     def stop(self) -> None:
         self.stopped = True
 
@@ -155,9 +159,9 @@
     def now(self) -> float:
         return self.wheel.now
 
-    def roster(self, mine: str) -> Roster:
+    def roster(self, mine: str, missing: set[int] | frozenset[int] = frozenset()) -> Roster:
         return Roster([Place(name, ("127.0.0.1", place + 1), f"z{place % self.schedule.zones}")
-                       for place, name in enumerate(self.names)], mine)
+                       for place, name in enumerate(self.names) if place not in missing], mine)
 
     def write(self, process: Process, event: str, **fields: Any) -> None:
         self.history.append((self.now, process.name, process.number, event, fields))
--- a/wickhinge/lab/many/rig.py
+++ b/wickhinge/lab/many/rig.py
@@ -18,6 +18,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable
+from functools import partial
 from heapq import heappop, heappush
 from pathlib import Path
 from typing import Any
@@ -25,6 +26,7 @@
 from wickhinge.lab.many.director import Director
 from wickhinge.lab.many.play import foul
 from wickhinge.lab.many.schedule import Schedule
+from wickhinge.lab.many.stands import Client, Stands
 from wickhinge.peers import wire
 
 ROOT = Path(__file__).parents[3]
@@ -38,6 +40,13 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def replace_file(path: Path, text: str) -> None:
+    """Whole at every moment: whoever reads it may do so at any."""
+    made = path.with_suffix(".new")
+    made.write_text(text)
+    made.replace(path)
+
+
 def clock() -> float:
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
@@ -71,14 +80,15 @@
         folder.mkdir()
         self.log = folder / "log"
         conf = json.loads((ROOT / "example/config.json").read_text())
-        conf |= {"name": self.name, "listen": f"{HOST}:{free_port()}", "journal": f"{HOST}:{rig.nowhere}",
+        listen = HOST, free_port()
+        conf |= {"name": self.name, "listen": "{}:{}".format(*listen), "journal": f"{HOST}:{rig.nowhere}",
                  "limits": {"memory_mb": 64, "sockets": 128}, "seed": f"{rig.random.getrandbits(64):016x}"}
+        if rig.stands is not None:
+            conf |= {"known": rig.stands.known(rig.wall), "settings": rig.stands.settings(conf["settings"], place)}
         (folder / "config.json").write_text(json.dumps(conf))
-        roster = ", ".join(
-            f'{{name: "{name}", address: "{HOST}:{self.port if to == place else rig.ways[place, to]}", '
-            f'zone: "z{to % rig.schedule.zones}"}}' for to, name in enumerate(rig.names))
-        (folder / "o.cue").write_text(f'peers: {{mode: "on", key_file: "{rig.folder}/key", roster: [{roster}]}}\n')
-        env = {**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "WICKHINGE_OPTIONS": str(folder / "o.cue")}
+        self.options = folder / "o.cue"
+        self.write(set())
+        env = {**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "WICKHINGE_OPTIONS": str(self.options)}
         turns = rig.turns.get(place, []) if number <= len(rig.names) else []
         command = ["wickhinge.lab.many.launch", json.dumps(turns)] if turns else ["wickhinge"]
         with open(self.log, "wb") as log:
@@ -86,15 +96,40 @@
                                           preexec_fn=with_us)
         self.began = clock()
         self.ended: float | None = None
+        self.halts: list[list[float]] = []  # when it stood still, on the rig's clock: from, to
+        if rig.stands is not None:
+            rig.stands.clients.append(Client(rig.stands, self, listen))
+
+    def write(self, missing: set[int]) -> None:
+        """Its settings, with a roster on which some do not stand."""
+        rig = self.rig
+        roster = ", ".join(
+            f'{{name: "{name}", address: "{HOST}:{self.port if to == self.place else rig.ways[self.place, to]}", '
+            f'zone: "z{to % rig.schedule.zones}"}}' for to, name in enumerate(rig.names) if to not in missing)
+        text = f'peers: {{mode: "on", key_file: "{rig.folder}/key", roster: [{roster}]}}\n'
+        if rig.shared and rig.stands is not None:  # the list's zones are the stand-ins'
+            text += f'shared: {{mode: "on", names: {len(rig.names)}, processes: {rig.schedule.places}}}\n'
+        replace_file(self.options, text)
+
+    def reroster(self, missing: set[int]) -> None:
+        self.write(missing)
+        self.signal(signal.SIGHUP)
+
+    def steady(self, since: float, until: float) -> bool:
+        """Whether nothing was done to it then."""
+        return self.ended is None and all(to < since - 0.5 or at > until for at, to in self.halts)
 
     def signal(self, number: int) -> None:
         if self.child.poll() is None:
             self.child.send_signal(number)
 
     def stop(self) -> None:
+        self.halts.append([self.rig.now, 1e9])
         self.signal(signal.SIGSTOP)
 
     def go_on(self) -> None:
+        for halt in self.halts[-1:]:
+            halt[1] = min(halt[1], self.rig.now)
         self.signal(signal.SIGCONT)
 
     def kill(self) -> None:
@@ -109,9 +144,11 @@
 class Rig(Director):
     """with Rig(folder, schedule) as rig: rig.run()"""
 
-    def __init__(self, folder: Path, schedule: Schedule) -> None:
+    def __init__(self, folder: Path, schedule: Schedule, needs: Callable[[Any, float], float] | None = None,
+                 shared: bool = True) -> None:
+        """needs: what clients ask of cold machines (Stands), none without; shared: whether limits are dealt."""
         super().__init__(schedule)
-        self.folder = folder
+        self.folder, self.shared = folder, shared
         self.selector = selectors.DefaultSelector()
         self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.serial = 0
@@ -120,7 +157,9 @@
         self.seen: list[tuple[float, int, bytes]] = []  # when, from which place, what was said, before anything broke
         self.out = bound_socket()
         self.turns: dict[int, list[list[float]]] = defaultdict(list)
-        self.zero = 0.0
+        self.zero = clock()
+        self.wall = time.time()  # Unix seconds at zero
+        self.stands = Stands(self, needs) if needs is not None else None
         with socket.socket() as away:
             away.bind((HOST, 0))
             self.nowhere = away.getsockname()[1]  # where no journal service is
@@ -135,6 +174,8 @@
                 process.kill()
         for one in [*self.sockets, self.out]:
             one.close()
+        if self.stands is not None:
+            self.stands.close()
         self.selector.close()
 
     @property
@@ -163,7 +204,7 @@
                     made = bound_socket()
                     self.sockets.append(made)
                     self.ways[one, to] = made.getsockname()[1]
-                    self.selector.register(made, selectors.EVENT_READ, (one, to))
+                    self.selector.register(made, selectors.EVENT_READ, partial(self.heard, made, one, to))
 
     def heard(self, made: socket.socket, one: int, to: int) -> None:
         for _ in range(64):
@@ -194,7 +235,8 @@
     def run(self) -> Rig:
         """Returns when the schedule and the calm after it are over."""
         self.open()
-        self.zero = clock() + 2.5  # processes start within it where the machine is idle; faults come 3 s later at least
+        # Processes start within it where the machine is idle; faults come 3 s later at least.
+        self.zero, self.wall = clock() + 2.5, time.time() + 2.5
         for fault in self.schedule.faults:
             if fault.kind in ("fast", "slow", "jump"):
                 for place in fault.one:
@@ -214,7 +256,8 @@
         while self.now < until:
             wait = min([until, *(one[0] for one in self.due[:1])]) - self.now
             for key, _ in self.selector.select(max(wait, 0.0)):
-                self.heard(key.fileobj, *key.data)
+                if key.fileobj.fileno() >= 0:  # an earlier one of these may have closed it
+                    key.data()
             while self.due and self.due[0][0] <= self.now:
                 _, _, call, args = heappop(self.due)
                 call(*args)
--- a/wickhinge/lab/many/schedule.py
+++ b/wickhinge/lab/many/schedule.py
@@ -11,7 +11,8 @@
 PROCESS = ("kill", "pause", "twin", "starve")
 CLOCK = ("fast", "slow", "jump")
 FOUL = ("replay", "lie")
-KINDS = CUTS + WIRE + PROCESS + CLOCK + FOUL
+ROSTER = ("roster",)  # `one` have a roster on which `other` does not stand yet
+KINDS = CUTS + WIRE + PROCESS + CLOCK + FOUL + ROSTER
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -56,7 +57,7 @@
     routers = routers or rand.choice((1, 2, 2, 3, 3, 4, 5, 5, 7, 9))
     faults = []
     for _ in range(rand.randint(1, most) if routers > 1 else 1):
-        kind = rand.choice([one for one in kinds if routers > 1 or one in PROCESS + CLOCK])
+        kind = rand.choice([one for one in kinds if routers > 1 or one in PROCESS + CLOCK] or ["pause"])
         at, lasts = round(rand.uniform(3.0, 25.0), 3), round(rand.choice((0.4, 1.0, 3.0, 5.0, 12.0)), 3)
         places = list(range(routers))
         rand.shuffle(places)
@@ -75,6 +76,8 @@
             one = (places[0],)
         elif kind in ("fast", "slow"):
             amount = rand.choice((0.01, 0.05))
+        elif kind == "roster":
+            other, one = (places[0],), tuple(places[1:1 + side])
         elif kind == "jump":
             amount = rand.choice((0.5, 2.0, 3600.0))
         faults.append(Fault(kind, at, lasts, one, other, amount))
--- /dev/null
+++ b/wickhinge/lab/many/stands.py
@@ -0,0 +1,217 @@
+"""What a rig's routers talk to: one cold cache a zone, a cold parent and an origin, and clients that ask and judge.
+
+In the rig's own loop, over the router's own codecs. A machine holds all and answers after WORK seconds, however many it
+is asked at once; what reached it, and when, is written down before it is read what was asked.
+"""
+
+from __future__ import annotations
+
+import random
+import selectors
+import socket
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any
+
+from wickhinge.decide import Cold
+from wickhinge.net import msgpack, resp
+from wickhinge.net.buffers import Body, Pool
+
+HOST = "127.0.0.1"
+WORK = 0.1  # seconds of sending for each visit
+WEIGHT = 10.0  # of a cold cache; a parent's is twice that, since parents topple at half of it
+WARM = 600.0
+AGE = 60.0  # of the cold machines when the rig's time begins: looked at, not filled
+LIMITS = Cold(4.0, 3.0, 0.2, WARM)
+PATIENCE = 3.0
+SLACK = 0.25  # past its patience, on a machine that plays the whole fleet
+KEYS = 40
+
+
+class Link:
+    """One stream's end in the loop. What it cannot send at once ends it: nothing here is long."""
+
+    def __init__(self, stands: Stands, made: socket.socket, take: Callable[[Link, bytes], None],
+                 ended: Callable[[Link], None] = lambda link: None) -> None:
+        self.stands, self.socket, self.take, self.ended = stands, made, take, ended
+        self.open = True
+        made.setblocking(False)
+        stands.register(made, self.read)
+
+    def read(self) -> None:
+        try:
+            data = self.socket.recv(1 << 18)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if data:
+            self.take(self, data)
+        else:
+            self.close()
+
+    def send(self, data: bytes) -> None:
+        if self.open:
+            try:
+                if self.socket.send(data) == len(data):
+                    return
+            except OSError:
+                pass
+            self.close()
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.stands.forget(self.socket)
+            self.ended(self)
+
+
+class Machine:
+    def __init__(self, stands: Stands, mark: int, zone: str, kind: str) -> None:
+        self.stands, self.mark, self.zone, self.kind = stands, mark, zone, kind
+        self.listener = socket.create_server((HOST, 0), backlog=128)
+        self.listener.setblocking(False)
+        self.port = self.listener.getsockname()[1]
+        stands.register(self.listener, self.accept)
+
+    def accept(self) -> None:
+        try:
+            made, _ = self.listener.accept()
+        except OSError:
+            return
+        stream = resp.Stream(Pool(1 << 20, lambda: None, lambda: None))
+        Link(self.stands, made, lambda link, data: self.asked(link, stream, data))
+
+    def asked(self, link: Link, stream: resp.Stream, data: bytes) -> None:
+        for items in stream.feed(data):
+            told = [b"".join(item.views()) if isinstance(item, Body) else item for item in items]
+            if told[0] == b"REQ":
+                self.stands.sent[self.mark].append((self.stands.rig.now, "", WORK))
+                note = f"etag=1,made={int(time.time() * 1000)},detail=h,ttfb=1".encode()
+                self.stands.rig.at(self.stands.rig.now + WORK, link.send, resp.pack(told[1], b"OK", note, b"x" * 64))
+            elif told[0] != b"STOP":
+                link.send(resp.pack(told[1], b"UP", b"use=util:0.1;x1:0.2", b""))
+
+
+class Client:
+    """Asks one process as often as its place needs; each visit has one answer in time, where nothing is done to the
+    process meanwhile."""
+
+    def __init__(self, stands: Stands, process: Any, address: tuple[str, int]) -> None:
+        self.stands, self.process, self.address = stands, process, address
+        self.random = random.Random(f"{stands.rig.schedule.seed} {process.name} {process.number}")
+        self.link: Link | None = None
+        self.calls = 0
+        self.open: dict[int, float] = {}
+        self.connect()
+
+    def connect(self) -> None:
+        if self.process.ended is not None:
+            return
+        made = socket.socket()
+        made.setblocking(False)
+        made.connect_ex(self.address)
+        stream = msgpack.Stream(300_000)
+        self.link = Link(self.stands, made, lambda link, data: self.answered(stream, data), self.lost)
+        self.plan()
+
+    def lost(self, link: Link) -> None:
+        self.stands.cut += len(self.open)  # judged where it happens to visits in the router's own tests
+        self.open.clear()
+        self.link = None
+        self.stands.rig.at(self.stands.rig.now + 0.1, self.connect)
+
+    def plan(self) -> None:
+        rate = self.stands.rate(self.process)
+        wait = self.random.expovariate(rate) if rate > 0 else 0.2
+        self.stands.rig.at(self.stands.rig.now + min(wait, 0.2), self.ask, self.link, wait <= 0.2 and rate > 0)
+
+    def ask(self, link: Link | None, now: bool) -> None:
+        if link is None or link is not self.link or self.process.ended is not None:
+            return
+        if now and len(self.open) < 24:
+            self.calls += 1
+            self.open[self.calls] = self.stands.rig.now
+            key = self.process.place << 20 | self.random.randrange(KEYS)
+            fields = {"rid": f"{self.random.getrandbits(63):016x}", "budget": str(int(PATIENCE * 1000)),
+                      "obj": f"{key:016x}", "block": "0", "family": "1"}
+            link.send(msgpack.pack([0, self.calls, "pages", [fields, b""]]))
+        self.plan()
+
+    def answered(self, stream: msgpack.Stream, data: bytes) -> None:
+        for _, call, error, _result in stream.feed(data):
+            since = self.open.pop(call, None)
+            now = self.stands.rig.now
+            if since is None:
+                self.stands.wrong.append(f"{now:.3f} {self.process.name}: a second answer to visit {call}")
+                continue
+            late = now - since > PATIENCE + SLACK
+            if late and self.process.steady(since, now):
+                self.stands.late += 1
+            self.stands.answers["served" if error is None else str(error[0])] += 1
+
+
+class Stands:
+    """Machines of a rig, and a client for each of its processes. needs: (process, now) to a zone's limit's multiple."""
+
+    def __init__(self, rig: Any, needs: Callable[[Any, float], float]) -> None:
+        self.rig, self.needs = rig, needs
+        self.sent: dict[int, list[tuple[float, str, float]]] = defaultdict(list)
+        self.answers: dict[str, int] = defaultdict(int)
+        self.wrong: list[str] = []
+        self.late = self.cut = 0
+        self.sockets: set[socket.socket] = set()
+        self.clients: list[Client] = []
+        self.zones = [f"z{place}" for place in range(rig.schedule.zones)]
+        self.caches = [Machine(self, 0xA0 + place, zone, "box") for place, zone in enumerate(self.zones)]
+        self.parent = Machine(self, 0xB0, "hub", "parent")
+        self.origin = Machine(self, 0xC0, "hub", "origin")
+
+    def register(self, made: socket.socket, call: Callable[[], None]) -> None:
+        self.sockets.add(made)
+        self.rig.selector.register(made, selectors.EVENT_READ, call)
+
+    def forget(self, made: socket.socket) -> None:
+        self.sockets.discard(made)
+        self.rig.selector.unregister(made)
+        made.close()
+
+    def close(self) -> None:
+        for made in list(self.sockets):
+            self.forget(made)
+
+    def bears(self, when: float) -> float:
+        """Seconds of work in LIMITS.span over which a cold machine topples then."""
+        return LIMITS.multiple * (LIMITS.floor + (1 - LIMITS.floor) * (AGE + when) / WARM) * WEIGHT * LIMITS.span
+
+    span = LIMITS.span
+
+    def cold(self) -> dict[int, list[tuple[float, str, float]]]:
+        """What reached the cold machines: (when, "", seconds of work) by their marks."""
+        return {one.mark: self.sent[one.mark] for one in (*self.caches, self.parent)}
+
+    def rate(self, process: Any) -> float:
+        """Visits a second that are wanted there."""
+        return self.needs(process, self.rig.now) * self.bears(self.rig.now) / LIMITS.span / WORK
+
+    def settings(self, settings: dict[str, Any], place: int) -> dict[str, Any]:
+        """The platform's settings for the router at that place, from those of the example."""
+        zones, count = len(self.zones), self.rig.schedule.routers
+        tariffs = [{**settings["classes"][0], "hardLimitMs": int(PATIENCE * 1000)},
+                   settings["classes"][1]]
+        rules = {"fallMultiple": LIMITS.multiple, "fallMs": LIMITS.span * 1000, "coldFrom": LIMITS.floor,
+                 "coldMs": WARM * 1000}
+        family = {"zoneBalancers": [len(range(zone, count, zones)) for zone in range(zones)] + [0],
+                  "upperFallMultiple": LIMITS.multiple / 2, "parentFloor": LIMITS.floor,
+                  "parentWarmsInMs": WARM * 1000}
+        return settings | {"classes": tariffs, "zones": [*self.zones, "hub"], "locality": self.zones[place % zones],
+                           "rules": settings["rules"] | rules, "familyInfo": settings["familyInfo"] | family}
+
+    def known(self, born: float) -> dict[str, Any]:
+        """The list, with the cold machines' start AGE before the time that the rig's begins, in Unix seconds."""
+        hosts = [{"host": f"s-{one.mark:08x}", "dial": f"{HOST}:{one.port}", "site": one.zone, "class": one.kind,
+                  "block": 0, "health": "ready", "share": WEIGHT * (1 if one.kind == "box" else 2),
+                  "born_ms": int((born - AGE) * 1000) if one is not self.origin else 0}
+                 for one in (*self.caches, self.parent, self.origin)]
+        return {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}
--- a/wickhinge/lab/many/trial.py
+++ b/wickhinge/lab/many/trial.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import tempfile
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -30,13 +32,26 @@
                  len(judges.unfounded(fleet.history, schedule)), fleet.carried)
 
 
+TURN = 7.0  # seconds after which needs move on to the next router
+
+
+def needs(schedule: Schedule) -> Callable[[Any, float], float]:
+    """What each place wants of its zone's cold machine's limit, drawn from the schedule's seed."""
+    rand = random.Random(schedule.seed * 31 + 7)
+    wanted = [rand.choice((0.0, 0.1, 0.5, 1.3)) for _ in range(schedule.routers)]
+    return lambda process, now: wanted[(process.place + int(max(now, 0.0) / TURN)) % schedule.routers]
+
+
 def on_sockets(schedule: Schedule) -> Trial:
-    """In real time. Budgets are not spent there yet."""
+    """In real time, under load: clients ask for more than the cold machines bear."""
     from wickhinge.lab.many.rig import Rig
 
-    with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(Path(folder), schedule) as rig:
-        history = rig.run().history()
-        return Trial(judges.together(history, schedule) + rig.believed() + rig.crashed(), [],
+    with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(
+            Path(folder), schedule, needs(schedule)) as rig:
+        history, stands = rig.run().history(), rig.stands
+        return Trial(judges.together(history, schedule) + rig.believed() + rig.crashed() + stands.wrong
+                     + judges.toppled(stands.cold(), stands.bears, stands.span),
+                     [judges.peak(sent, stands.bears, stands.span) for sent in stands.cold().values()],
                      len(judges.unfounded(history, schedule)), len(rig.seen))
 
 
--- a/wickhinge/net/fellows.py
+++ b/wickhinge/net/fellows.py
@@ -7,16 +7,18 @@
 
 from __future__ import annotations
 
+import os
 import time
 from typing import Any
 
+import msgspec
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import DatagramProtocol
 
 from wickhinge.decide import Chance
 from wickhinge.fields import Malformed, endpoint
 from wickhinge.options import keys
-from wickhinge.peers import wire
+from wickhinge.peers import desk, wire
 from wickhinge.peers.circle import STATES, Circle, Item
 from wickhinge.peers.roster import Place, Roster, Unusable
 
@@ -35,14 +37,22 @@
 
     noisy = False
 
-    def __init__(self, node: Any, roster: Roster, key: bytes, seed: int) -> None:
-        self.node, self.key, self.closed = node, key, False
+    def __init__(self, node: Any, roster: Roster, keys: list[bytes], seed: int) -> None:
+        """keys: the first is ours; what comes under the others is read too, while the fleet changes its key."""
+        self.node, self.keys, self.closed = node, keys, False
         self.after, self.log = node.deadlines.after, node.log.event
         self.unreadable = self.unsent = self.left = self.taken = 0
         self.circle = Circle(roster, Chance(seed), clock(), self.send, lambda event, **told: self.log(
             f"peers_{event}", **told))
         self.seen: Any = None  # of the last view that the log was told
         self.purse: Any = None  # where the settings switch `shared` on
+        self.secret = os.urandom(32)
+        self.seat(roster.mine.name)
+
+    def seat(self, name: str) -> None:
+        self.desks = [desk.Desk(name, key, self.secret, clock()) for key in self.keys]
+        for one in self.desks:
+            one.words["peers"] = lambda more: msgspec.json.encode(self.shown())
 
     def share(self, division: Any) -> None:
         """Cold machines' limits are asked of the fleet's budgets from now on."""
@@ -79,7 +89,7 @@
 
     def send(self, item: Item) -> None:
         try:
-            self.transport.write(wire.pack(self.key, item), self.circle.roster.places[item.to].address)
+            self.transport.write(wire.pack(self.keys[0], item), self.circle.roster.places[item.to].address)
         except OSError:  # full, or no way there: as lost on the way, which is what all above reckons with
             self.unsent += 1
 
@@ -88,12 +98,31 @@
         if self.taken > BUSY or self.closed:
             self.left += 1
             return
-        try:
-            item = wire.read(self.key, datagram)
-        except wire.Unreadable:
-            self.unreadable += 1
+        if datagram[:3] == desk.ASK:
+            self.asked(datagram, addr)
+            return
+        for key in self.keys:
+            try:
+                item = wire.read(key, datagram)
+            except wire.Unreadable:
+                continue
+            self.circle.heard(item, clock())
+            return
+        self.unreadable += 1
+
+    def asked(self, datagram: bytes, addr: Any) -> None:
+        for one in self.desks:
+            try:
+                answers = one.heard(datagram, addr, clock())
+            except wire.Unreadable:
+                continue
+            for answer in answers:
+                try:
+                    self.transport.write(answer, addr)
+                except OSError:
+                    self.unsent += 1
             return
-        self.circle.heard(item, clock())
+        self.unreadable += 1
 
     def connectionRefused(self) -> None:
         pass  # nobody listens there just now
@@ -109,12 +138,43 @@
                     circle.entries.items())[:SHOWN]},
                 **({} if self.purse is None else {"shared": self.purse.figures(now)})}
 
+    def shown(self) -> dict[str, Any]:
+        """For `wickhinge peers show`: the figures, and all fellows one by one."""
+        now, circle, told = clock(), self.circle, self.figures()
+        told.pop("states")
+        fellows = [{"name": name, "zone": circle.roster.places[name].zone, "state": STATES[entry.state],
+                    "epoch": entry.epoch, "since_s": round(now - entry.since, 1) if entry.state else None,
+                    "word_s": round(now - entry.word, 1) if entry.word > 0 else None,
+                    "roster": circle.others_rosters.get(name, circle.roster.version) == circle.roster.version}
+                   for name, entry in sorted(circle.entries.items())]
+        return {"name": circle.roster.mine.name, "zone": circle.roster.mine.zone,
+                "roster": f"{circle.roster.version:016x}", "settled": circle.epoch > 0, **told, "fellows": fellows}
+
+    def reload(self, options: Any) -> None:
+        """Another roster and other keys from now on; shares move by the roster at once. Raises Malformed, and then
+        nothing has changed."""
+        roster, keys = told_by(options, self.circle.roster.mine.name)
+        if roster.mine.address != self.circle.roster.mine.address:
+            raise Malformed("peers.roster: our own address changes at a restart only")
+        if self.purse is not None:
+            division = divided(options, roster, self.node.router.fleet.zone)
+            if division != self.purse.division:
+                raise Malformed(f"shared.names, shared.processes: are {self.purse.division.names} and "
+                                f"{self.purse.division.processes} until a restart, not {division.names} and "
+                                f"{division.processes}")
+        self.keys = keys
+        self.seat(roster.mine.name)
+        self.circle.reload(roster, clock())
+        if self.purse is not None:
+            self.purse.reload(clock())
+        self.log("peers_reload", names=len(roster), roster=f"{roster.version:016x}", keys=len(keys))
+
     def close(self) -> None:
         self.closed = True
         self.port.stopListening()
 
 
-def make(options: Any, name: str, node: Any) -> Fellows:
+def told_by(options: Any, name: str) -> tuple[Roster, list[bytes]]:
     """Raises Malformed with the faulty key."""
     found = options.peers
     places = []
@@ -127,14 +187,26 @@
         roster = Roster(places, name)
     except Unusable as problem:
         raise Malformed(f"peers.roster: {problem}") from None
-    made = Fellows(node, roster, keys.read("peers.key_file", found.key_file), node.seed ^ 0xFE110)
+    also = [keys.read("peers.also_key_file", found.also_key_file)] if found.also_key_file else []
+    return roster, [keys.read("peers.key_file", found.key_file), *also]
+
+
+def divided(options: Any, roster: Roster, zone: str) -> Any:
+    """The Division. Raises Malformed where the roster's zones are not the platform's."""
+    from wickhinge.shared.purse import Division
+
+    mine = roster.mine
+    if mine.zone != zone and any(one.zone for one in roster.places.values()):
+        raise Malformed(f"peers.roster: {mine.name} stands in zone {mine.zone!r}, the platform's settings say "
+                        f"{zone!r}: caches' limits are dealt among a zone's routers")
+    names = options.shared.names or len(roster)
+    return Division(names, options.shared.processes or names + SPARE)
+
+
+def make(options: Any, name: str, node: Any) -> Fellows:
+    """Raises Malformed with the faulty key."""
+    roster, found = told_by(options, name)
+    made = Fellows(node, roster, found, node.seed ^ 0xFE110)
     if options.shared.mode == "on":
-        from wickhinge.shared.purse import Division
-
-        zones = {one.zone for one in places}
-        if roster.mine.zone != node.router.fleet.zone and zones != {""}:
-            raise Malformed(f"peers.roster: {name} stands in zone {roster.mine.zone!r}, the platform's settings say "
-                            f"{node.router.fleet.zone!r}: caches' limits are dealt among a zone's routers")
-        names = options.shared.names or len(roster)
-        made.share(Division(names, options.shared.processes or names + SPARE))
+        made.share(divided(options, roster, node.router.fleet.zone))
     return made
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -41,6 +41,7 @@
         self.log = Log(descriptor, config.name(conf), Deadlines.now)
         self.deadlines = Deadlines(reactor, self.fault)
         self.leaving = self.started = False
+        self.reread: Callable[[], Any] = lambda: None  # our own settings, as the file has them now
         self.unusable: OSError | None = None  # why the address could not be had in the end
         memory, sockets = config.limits(conf)
         self.collect_over = memory * 700  # in KB: 0.7 of the limit
@@ -214,11 +215,14 @@
         self.deadlines.after(REPORT, self.report)
 
     def reload(self) -> None:
-        """On SIGHUP. Only the journal's address may change while running; a faulty file changes nothing."""
+        """On SIGHUP. The journal's address, and the fellows' roster and keys, may change while running; a faulty file
+        changes nothing."""
         if self.leaving:
             return
         try:
             address = config.journal(config.read(os.environ))
+            if self.fellows is not None:
+                self.fellows.reload(self.reread())
         except Malformed as problem:
             self.log.event("reload_failed", why=str(problem))
             return
--- a/wickhinge/options/records.py
+++ b/wickhinge/options/records.py
@@ -59,6 +59,7 @@
 class Peers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     mode: str
     key_file: str
+    also_key_file: str  # read, never written under
     roster: list[Fellow]
 
 
--- a/wickhinge/options/schema.cue
+++ b/wickhinge/options/schema.cue
@@ -59,6 +59,8 @@
 	// talk between instances over UDP: only where the installation allows it
 	mode:     *"off" | "on"
 	key_file: string | *""
+	// what comes under this one is read too, while the fleet changes its key
+	also_key_file: string | *""
 	roster:   [...#Fellow] | *[]
 }
 
--- a/wickhinge/peers/circle.py
+++ b/wickhinge/peers/circle.py
@@ -40,6 +40,7 @@
 REMEMBER = 2.5  # seconds for which an answer about our own name counts, while we ask
 REPLACED = 2.0  # seconds after which a life is gone that is silent while another asks for its name, at its address
 LEAP = 1 << 16  # a count that rises by more in one piece of hearsay is no honest one
+LEFT = 1024  # names that left whose lines are kept
 SAY_AGAIN = 0.1  # seconds at least between two answers to one whom we don't know
 
 
@@ -113,6 +114,7 @@
                  log: Callable[..., None] = lambda *a, **k: None) -> None:
         self.chance, self.send_item, self.log = chance, send, log
         self.lines: dict[str, Line] = {}
+        self.left: dict[str, Line] = {}  # of names that are not on the roster any more, the latest LEFT
         self.entries: dict[str, Entry] = {}
         self.others_rosters: dict[str, int] = {}
         self.order: list[str] = []
@@ -142,7 +144,16 @@
     def reload(self, roster: Roster, now: float) -> None:
         """Another roster from now on; who stands in both keeps what is known of it."""
         self.roster = roster
-        for table in (self.lines, self.entries, self.others_rosters, self.said, self.accused):
+        # A name may come back, also by a roster that was put back. Without its line our counters would begin anew, of
+        # which it believes none, and a datagram of before would be believed a second time.
+        for name in sorted(set(self.lines) - set(roster.others)):
+            self.left[name] = self.lines.pop(name)
+        for name in roster.others:
+            if name in self.left:
+                self.lines[name] = self.left.pop(name)
+        while len(self.left) > LEFT:
+            del self.left[next(iter(self.left))]
+        for table in (self.entries, self.others_rosters, self.said, self.accused):
             for name in set(table) - set(roster.others):
                 del table[name]
         self.suspected &= set(roster.others)
