Routers tell each other what they saw of machines, and what they have out at them

Need: a router of a large fleet sees an answer a second of a cache, learns a bad one late, and takes the others for as loaded as itself, wrong by as much as loads differ (seen on sockets: the one with all the load avoided a cache as crowded).

Change, off by default: shared.judgements, own evidence only, two witnesses, own eyes first, at most a third of a location's caches under others' word, a sick router known to others and to itself; shared.counts, a maximum for each name by (epoch, life, number), passed on in the zone, stale after 3 s, who is not heard guessed as before.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -1,8 +1,9 @@
-"""Routers that know each other, measured: python -m bench.peers size|budget
+"""Routers that know each other, measured: python -m bench.peers size|budget|judge
 
     size     virtual: what a router sends a second, how soon a dead one is known, by the fleet's size
     budget   drawn schedules against what cold machines bear, with real processes behind relays and in virtual time, and
              how much of it is used where the need is one router's
+    judge    real processes: what is late while a cache or a router's link is bad, with words of others and alone
 
 The last line is one JSON object. Virtual time is the routers' own deciding code and codecs on one core.
 """
@@ -21,6 +22,7 @@
 from wickhinge.lab.many import judges, play, trial
 from wickhinge.lab.many.rig import Rig
 from wickhinge.lab.many.schedule import Fault, Schedule, draw
+from wickhinge.lab.many.stands import WORK, Scene
 
 
 def told(answer: dict[str, Any]) -> None:
@@ -116,7 +118,7 @@
     and the worst window."""
     told = Schedule(seed, routers, 1, (), routers, 18.0, seconds)
     with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(
-            Path(folder), told, lambda process, now: 2.0 * (process.place == 0) * (now > 0.0), shared) as rig:
+            Path(folder), told, Scene(lambda process, now: 2.0 * (process.place == 0) * (now > 0.0)), shared) as rig:
         stands = rig.run().stands
         if faults := rig.crashed() + stands.wrong:
             raise click.ClickException("; ".join(faults))
@@ -146,6 +148,76 @@
             "gone_unfounded": gone, "broken": broken}
 
 
+PROMISED = 1.0  # seconds, as the example's settings promise pages
+BOXES = 6
+BAD = 0x100  # the first cache's mark
+SINCE, LASTS = 10.0, 14.0  # of the trouble
+
+
+def bad_cache(number: int, place: int, now: float) -> float:
+    return 1.5 if number == 0 and SINCE < now < SINCE + LASTS else WORK
+
+
+def sick_router(number: int, place: int, now: float) -> float:
+    return 1.5 if place == 0 and SINCE < now < SINCE + LASTS else WORK
+
+
+def judged(work: Any, seed: int, judgements: bool, faults: tuple[Fault, ...], rate: float) -> dict[str, Any]:
+    """Five routers of one zone, each with few visits a second: what was late while the trouble lasted, who acted."""
+    told = Schedule(seed, 5, 1, faults, 5, SINCE + LASTS, 3.0)
+    with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(
+            Path(folder), told, Scene(lambda process, now: rate, False, BOXES, work), True, judgements) as rig:
+        stands = rig.run().stands
+        if wrong := rig.crashed() + stands.wrong:
+            raise click.ClickException("; ".join(wrong))
+        history = rig.history()
+    sick = work is sick_router
+    during = [took for when, took, place in stands.visits if SINCE < when < SINCE + LASTS and not (sick and place == 0)]
+    late = sum(took is None or took > PROMISED for took in during)
+    acts: dict[str, float] = {}
+    wrongly = set()
+    for when, name, _, event, more in history:
+        if event in ("seen", "told") and more["verdict"] != "well" and when > SINCE:
+            if int(more["machine"], 16) == BAD and not sick:
+                acts.setdefault(name, when)
+            elif event == "told":
+                wrongly.add((name, more["machine"]))
+    first = min(acts.values(), default=0.0)
+    return {"visits": len(during), "late": late / max(len(during), 1), "wrongly": len(wrongly),
+            "spread": [when - first for when in acts.values()], "acted": len(acts)}
+
+
+@main.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--plays", default=2, show_default=True, help="Of each scene, with and without words.")
+@click.option("--rate", default=10.0, show_default=True, help="Visits a second at each router.")
+@click.option("--json", "_", is_flag=True)
+def judge(seed: int, plays: int, rate: float, _: bool) -> None:
+    """Real processes: a bad cache, a router whose own link is sick, a cut beside a bad cache; with words and alone."""
+    cut = (Fault("cut", SINCE - 1.0, LASTS, (0, 1), (2, 3, 4)),)
+    scenes = {"bad_cache": (bad_cache, ()), "sick_router": (sick_router, ()), "bad_cache_cut": (bad_cache, cut)}
+    rows, spreads, wrongly, worse = {}, [], 0, 0
+    for name, (work, faults) in scenes.items():
+        ours, alone = [], []
+        for turn in range(plays):
+            found = judged(work, seed + turn, True, faults, rate)
+            ours.append(found["late"])
+            wrongly = max(wrongly, found["wrongly"])
+            spreads += found["spread"] if not faults else []
+            alone.append(judged(work, seed + turn, False, faults, rate)["late"])
+            click.echo(f"{name}: {found}, alone {alone[-1]:.4f}", err=True)
+        rows[name] = {"late_share": [round(one, 4) for one in ours],
+                      "late_share_alone": [round(one, 4) for one in alone]}
+        worse += sum(ours) / plays > sum(alone) / plays + 0.02
+    spreads.sort()
+    bad = rows["bad_cache"]
+    told({"sockets": True, "processes": 5, "plays": plays, "late_share": max(bad["late_share"]),
+          "late_share_alone": max(bad["late_share_alone"]), "scenes": rows,
+          "spread_p99_ms": round(1000 * spreads[int(0.99 * (len(spreads) - 1))]) if spreads else None,
+          "shunned_wrongly": wrongly, "shunned_bound": 5 * max(BOXES // 3, 1), "worse_than_alone": worse})
+    sys.exit(1 if worse else 0)
+
+
 @main.command()
 @click.option("--seed", default=1000, show_default=True)
 @click.option("--count", default=100, show_default=True, help="Schedules drawn in virtual time.")
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -134,7 +134,7 @@
 
 class Cache:
     def __init__(self, listing: Listing, chance: Chance, now: float) -> None:
-        self.chance, self.others = chance, 0.0  # others: transfers of other routers here, guessed
+        self.chance, self.others, self.told = chance, 0.0, 0.0  # others: their transfers, guessed or told
         self.mark, self.zone, self.kind, self.cell = listing.cache, listing.zone, listing.kind, listing.cell
         self.salt, self.weight, self.state, self.started = mix(mix(listing.cache)), 1.0, "ready", -1e9
         self.begin(now)
@@ -198,8 +198,8 @@
                  origin_kind: str | None, weighed: bool, edge: Cold, upper: Cold) -> None:
         self.chance, self.zone, self.routers, self.weighed = chance, zone, max(routers, 1), weighed
         self.parent_kind, self.origin_kind, self.edge, self.upper = parent_kind, origin_kind, edge, upper
-        self.known, self.mine, self.parents, self.origin = {}, [], [], None  # known: by the list's ids
-        self.weight, self.share, self.pending, self.dealt = 0.0, 1.0, 0.0, None  # of caches; traffic; out
+        self.known, self.mine, self.parents, self.origin, self.dealt, self.told = {}, [], [], None, None, 0
+        self.weight, self.share, self.pending = 0.0, 1.0, 0.0  # of caches here; of all traffic; out at once
 
     def listed(self, listings: list[Listing], whole: bool, now: float) -> None:
         """Heeded at once, as sources too: what drains or is gone leaves the lists that sends choose from."""
@@ -232,11 +232,11 @@
             return weight / log(((mix(salt, cache.salt) >> 11) + 0.5) / (1 << 53)), cache.mark
         return sorted(caches, key=score)
 
-    def count(self) -> None:
-        """Pooled over the location: where a hundred routers share a load, one cache's own count is chance."""
+    def count(self) -> None:  # pooled: where a hundred share a load, one's own count is chance
         self.pending += 0.1 * (sum(len(cache.pending) for cache in self.mine) - self.pending)
-        for cache in self.mine:
-            cache.others = (self.routers - 1) * self.pending * cache.weight / self.weight
+        for cache in self.mine:  # told by how many, and how much: nobody where routers share nothing
+            cache.others = (self.routers - 1 - self.told) * self.pending * cache.weight / self.weight
+            cache.others += cache.told
 
     def room(self, cache: Cache, visit: Visit, now: float) -> bool:
         cold = self.upper if (upper := cache.kind == self.parent_kind) else self.edge
--- a/wickhinge/lab/many/rig.py
+++ b/wickhinge/lab/many/rig.py
@@ -26,7 +26,7 @@
 from wickhinge.lab.many.director import Director
 from wickhinge.lab.many.play import foul
 from wickhinge.lab.many.schedule import Schedule
-from wickhinge.lab.many.stands import Client, Stands
+from wickhinge.lab.many.stands import Client, Scene, Stands
 from wickhinge.peers import wire
 
 ROOT = Path(__file__).parents[3]
@@ -108,7 +108,9 @@
             f'zone: "z{to % rig.schedule.zones}"}}' for to, name in enumerate(rig.names) if to not in missing)
         text = f'peers: {{mode: "on", key_file: "{rig.folder}/key", roster: [{roster}]}}\n'
         if rig.shared and rig.stands is not None:  # the list's zones are the stand-ins'
-            text += f'shared: {{mode: "on", names: {len(rig.names)}, processes: {rig.schedule.places}}}\n'
+            text += (f'shared: {{mode: "on", names: {len(rig.names)}, processes: {rig.schedule.places}, '
+                     f'judgements: "{"on" if rig.judgements else "off"}", '
+                     f'counts: "{"on" if rig.counts else "off"}"}}\n')
         replace_file(self.options, text)
 
     def reroster(self, missing: set[int]) -> None:
@@ -144,11 +146,12 @@
 class Rig(Director):
     """with Rig(folder, schedule) as rig: rig.run()"""
 
-    def __init__(self, folder: Path, schedule: Schedule, needs: Callable[[Any, float], float] | None = None,
-                 shared: bool = True) -> None:
-        """needs: what clients ask of cold machines (Stands), none without; shared: whether limits are dealt."""
+    def __init__(self, folder: Path, schedule: Schedule, scene: Scene | None = None, shared: bool = True,
+                 judgements: bool = False, counts: bool = False) -> None:
+        """scene: machines and what clients ask, none without; shared: whether limits are dealt; judgements: whether
+        routers tell each other of machines; counts: and of what they have out there."""
         super().__init__(schedule)
-        self.folder, self.shared = folder, shared
+        self.folder, self.shared, self.judgements, self.counts = folder, shared, judgements, counts
         self.selector = selectors.DefaultSelector()
         self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.serial = 0
@@ -159,7 +162,7 @@
         self.turns: dict[int, list[list[float]]] = defaultdict(list)
         self.zero = clock()
         self.wall = time.time()  # Unix seconds at zero
-        self.stands = Stands(self, needs) if needs is not None else None
+        self.stands = Stands(self, scene) if scene is not None else None
         with socket.socket() as away:
             away.bind((HOST, 0))
             self.nowhere = away.getsockname()[1]  # where no journal service is
@@ -272,9 +275,11 @@
             if process.ended is not None:
                 found.append((process.ended - self.zero, process.name, process.number, "killed", {}))
             shift = time.time() - clock() + self.zero
-            found += [(event["t"] - shift, process.name, process.number, event["event"].removeprefix("peers_"),
-                       {name: value for name, value in event.items() if name not in ("t", "event", "router")})
-                      for event in process.events() if event["event"].startswith("peers_")]
+            for event in process.events():
+                package, _, name = event["event"].partition("_")
+                if package in ("peers", "shared"):
+                    found.append((event["t"] - shift, process.name, process.number, name, {
+                        key: value for key, value in event.items() if key not in ("t", "event", "router")}))
         return sorted(found, key=lambda one: one[:3])
 
     def crashed(self) -> list[str]:
--- a/wickhinge/lab/many/stands.py
+++ b/wickhinge/lab/many/stands.py
@@ -1,7 +1,7 @@
-"""What a rig's routers talk to: one cold cache a zone, a cold parent and an origin, and clients that ask and judge.
+"""What a rig's routers talk to: caches, a parent and an origin, and clients that ask and judge.
 
-In the rig's own loop, over the router's own codecs. A machine holds all and answers after WORK seconds, however many it
-is asked at once; what reached it, and when, is written down before it is read what was asked.
+In the rig's own loop, over the router's own codecs. A machine holds all and answers after as long as the scene says,
+however many it is asked at once; what reached it, and when, is written down before it is read what was asked.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from wickhinge.decide import Cold
@@ -29,6 +30,18 @@
 KEYS = 40
 
 
+@dataclass
+class Scene:
+    """cold: one cold cache a zone and a cold parent, asked for `needs(process, now)` times what the cache bears, a
+    multiple; else `boxes` warm ones a zone, asked for `needs` visits a second. work: seconds of an answer, by the
+    cache's number in its zone, the place of the router that asks, and the time."""
+
+    needs: Callable[[Any, float], float]
+    cold: bool = True
+    boxes: int = 1
+    work: Callable[[int, int, float], float] = lambda number, place, now: WORK
+
+
 class Link:
     """One stream's end in the loop. What it cannot send at once ends it: nothing here is long."""
 
@@ -68,8 +81,8 @@
 
 
 class Machine:
-    def __init__(self, stands: Stands, mark: int, zone: str, kind: str) -> None:
-        self.stands, self.mark, self.zone, self.kind = stands, mark, zone, kind
+    def __init__(self, stands: Stands, mark: int, zone: str, kind: str, number: int = -1) -> None:
+        self.stands, self.mark, self.zone, self.kind, self.number = stands, mark, zone, kind, number
         self.listener = socket.create_server((HOST, 0), backlog=128)
         self.listener.setblocking(False)
         self.port = self.listener.getsockname()[1]
@@ -87,9 +100,12 @@
         for items in stream.feed(data):
             told = [b"".join(item.views()) if isinstance(item, Body) else item for item in items]
             if told[0] == b"REQ":
-                self.stands.sent[self.mark].append((self.stands.rig.now, "", WORK))
+                now = self.stands.rig.now
+                self.stands.sent[self.mark].append((now, "", WORK))
+                place = int(resp.fields(told[2]).get("path", "0"), 16) >> 20  # as clients number their objects
+                work = self.stands.scene.work(self.number, place, now) if self.number >= 0 else WORK
                 note = f"etag=1,made={int(time.time() * 1000)},detail=h,ttfb=1".encode()
-                self.stands.rig.at(self.stands.rig.now + WORK, link.send, resp.pack(told[1], b"OK", note, b"x" * 64))
+                self.stands.rig.at(now + work, link.send, resp.pack(told[1], b"OK", note, b"x" * 64))
             elif told[0] != b"STOP":
                 link.send(resp.pack(told[1], b"UP", b"use=util:0.1;x1:0.2", b""))
 
@@ -150,13 +166,15 @@
             if late and self.process.steady(since, now):
                 self.stands.late += 1
             self.stands.answers["served" if error is None else str(error[0])] += 1
+            self.stands.visits.append((since, now - since if error is None else None, self.process.place))
 
 
 class Stands:
-    """Machines of a rig, and a client for each of its processes. needs: (process, now) to a zone's limit's multiple."""
+    """Machines of a rig, and a client for each of its processes."""
 
-    def __init__(self, rig: Any, needs: Callable[[Any, float], float]) -> None:
-        self.rig, self.needs = rig, needs
+    def __init__(self, rig: Any, scene: Scene) -> None:
+        self.rig, self.scene = rig, scene
+        self.visits: list[tuple[float, float | None, int]] = []  # when, what it took where served, the router's place
         self.sent: dict[int, list[tuple[float, str, float]]] = defaultdict(list)
         self.answers: dict[str, int] = defaultdict(int)
         self.wrong: list[str] = []
@@ -164,7 +182,8 @@
         self.sockets: set[socket.socket] = set()
         self.clients: list[Client] = []
         self.zones = [f"z{place}" for place in range(rig.schedule.zones)]
-        self.caches = [Machine(self, 0xA0 + place, zone, "box") for place, zone in enumerate(self.zones)]
+        self.caches = [Machine(self, 0x100 + 0x10 * place + number, zone, "box", number)
+                       for place, zone in enumerate(self.zones) for number in range(scene.boxes)]
         self.parent = Machine(self, 0xB0, "hub", "parent")
         self.origin = Machine(self, 0xC0, "hub", "origin")
 
@@ -193,7 +212,8 @@
 
     def rate(self, process: Any) -> float:
         """Visits a second that are wanted there."""
-        return self.needs(process, self.rig.now) * self.bears(self.rig.now) / LIMITS.span / WORK
+        wanted = self.scene.needs(process, self.rig.now)
+        return wanted * self.bears(self.rig.now) / LIMITS.span / WORK if self.scene.cold else wanted
 
     def settings(self, settings: dict[str, Any], place: int) -> dict[str, Any]:
         """The platform's settings for the router at that place, from those of the example."""
@@ -212,6 +232,6 @@
         """The list, with the cold machines' start AGE before the time that the rig's begins, in Unix seconds."""
         hosts = [{"host": f"s-{one.mark:08x}", "dial": f"{HOST}:{one.port}", "site": one.zone, "class": one.kind,
                   "block": 0, "health": "ready", "share": WEIGHT * (1 if one.kind == "box" else 2),
-                  "born_ms": int((born - AGE) * 1000) if one is not self.origin else 0}
+                  "born_ms": int((born - AGE) * 1000) if self.scene.cold and one is not self.origin else 0}
                  for one in (*self.caches, self.parent, self.origin)]
         return {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}
--- a/wickhinge/lab/many/trial.py
+++ b/wickhinge/lab/many/trial.py
@@ -45,9 +45,10 @@
 def on_sockets(schedule: Schedule) -> Trial:
     """In real time, under load: clients ask for more than the cold machines bear."""
     from wickhinge.lab.many.rig import Rig
+    from wickhinge.lab.many.stands import Scene
 
     with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(
-            Path(folder), schedule, needs(schedule)) as rig:
+            Path(folder), schedule, Scene(needs(schedule)), judgements=True, counts=True) as rig:
         history, stands = rig.run().history(), rig.stands
         return Trial(judges.together(history, schedule) + rig.believed() + rig.crashed() + stands.wrong
                      + judges.toppled(stands.cold(), stands.bears, stands.span),
--- a/wickhinge/net/fellows.py
+++ b/wickhinge/net/fellows.py
@@ -46,6 +46,8 @@
             f"peers_{event}", **told))
         self.seen: Any = None  # of the last view that the log was told
         self.purse: Any = None  # where the settings switch `shared` on
+        self.judge: Any = None  # and `shared.judgements`
+        self.counts: Any = None  # and `shared.counts`
         self.secret = os.urandom(32)
         self.seat(roster.mine.name)
 
@@ -54,15 +56,27 @@
         for one in self.desks:
             one.words["peers"] = lambda more: msgspec.json.encode(self.shown())
 
-    def share(self, division: Any) -> None:
-        """Cold machines' limits are asked of the fleet's budgets from now on."""
+    def share(self, division: Any, judgements: bool, counts: bool) -> None:
+        """Cold machines' limits are asked of the fleet's budgets from now on; judgements: and machines told of;
+        counts: and what is out there."""
         from wickhinge.shared import cold
+        from wickhinge.shared.counts import Counts
+        from wickhinge.shared.judge import Judge
         from wickhinge.shared.purse import Purse
-
-        self.purse = Purse(self.circle, division, cold.budgets(self.circle.roster.mine.zone), clock(),
-                           lambda event, **told: self.log(f"shared_{event}", **told))
+        from wickhinge.shared.riding import Riding
+
+        def log(event: str, **told: Any) -> None:
+            self.log(f"shared_{event}", **told)
+
+        fleet = self.node.router.fleet
+        self.purse = Purse(self.circle, division, cold.budgets(self.circle.roster.mine.zone), clock(), log)
+        if judgements:
+            self.judge = Judge(self.circle, fleet, self.node.probe, log)
+        if counts:
+            self.counts = Counts(self.circle, fleet, clock())
+        Riding(self.circle, [self.purse, self.judge, self.counts])
         room = cold.Colds(self.purse).room
-        self.node.router.fleet.dealt = lambda *asked: room(*asked, clock())
+        fleet.dealt = lambda *asked: room(*asked, clock())
 
     def start(self) -> None:
         """Raises OSError where our address of the roster cannot be had: another process has the name here."""
@@ -81,6 +95,10 @@
         self.circle.tick(now)
         if self.purse is not None:
             self.purse.tick(now)
+        if self.counts is not None:
+            self.counts.tick(now)
+        if self.judge is not None:
+            self.judge.tick(now, self.node.deadlines.now())
         seen = self.circle.view(now).brief()
         if seen != self.seen:
             self.seen = seen
@@ -136,7 +154,9 @@
                 "doubt": circle.doubt, "sent": circle.sent, "unreadable": self.unreadable, "unsent": self.unsent,
                 "left": self.left, "states": {name: STATES[entry.state] for name, entry in sorted(
                     circle.entries.items())[:SHOWN]},
-                **({} if self.purse is None else {"shared": self.purse.figures(now)})}
+                **({} if self.purse is None else {"shared": self.purse.figures(now)}),
+                **({} if self.judge is None else {"judgements": self.judge.figures(now)}),
+                **({} if self.counts is None else {"counts": self.counts.figures(now)})}
 
     def shown(self) -> dict[str, Any]:
         """For `wickhinge peers show`: the figures, and all fellows one by one."""
@@ -167,6 +187,8 @@
         self.circle.reload(roster, clock())
         if self.purse is not None:
             self.purse.reload(clock())
+        if self.judge is not None:
+            self.judge.reload()
         self.log("peers_reload", names=len(roster), roster=f"{roster.version:016x}", keys=len(keys))
 
     def close(self) -> None:
@@ -208,5 +230,6 @@
     roster, found = told_by(options, name)
     made = Fellows(node, roster, found, node.seed ^ 0xFE110)
     if options.shared.mode == "on":
-        made.share(divided(options, roster, node.router.fleet.zone))
+        made.share(divided(options, roster, node.router.fleet.zone), options.shared.judgements == "on",
+                   options.shared.counts == "on")
     return made
--- a/wickhinge/options/records.py
+++ b/wickhinge/options/records.py
@@ -67,6 +67,8 @@
     mode: str
     names: int
     processes: int
+    judgements: str
+    counts: str
 
 
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/wickhinge/options/schema.cue
+++ b/wickhinge/options/schema.cue
@@ -71,6 +71,10 @@
 	names: int & >=0 & <=5000 | *0
 	// processes that run at once at most, names and those started twice or not ended yet; 0: names and 2
 	processes: int & >=0 & <=10000 | *0
+	// what routers saw of machines themselves, told to each other as evidence
+	judgements: *"off" | "on"
+	// how many forwards each router of a zone has out at its caches
+	counts: *"off" | "on"
 }
 
 store:     #Store
--- /dev/null
+++ b/wickhinge/shared/judge.py
@@ -0,0 +1,267 @@
+"""What other routers say of machines, weighed: evidence with a witness and an age, never an order.
+
+A router says what it saw itself (`own`), to its zone's routers of caches and to all of parents: at once where that
+changes, and with each datagram that goes anyway. What it does with others' words, and all that it does:
+
+- Two witnesses at least, more than say the machine is well, none of them sick, each word FADE old at most.
+- LOST: one failure of our own is enough from now on, and some of us look at once. Nobody is taken out by hearsay.
+- SLOW: what the machine is believed to bear, beside its fellows, is lowered to the middle of what they say, where we
+  have few answers of our own; it drifts back as every such belief does, and own answers move it from then on. Who was
+  told says nothing of it himself, so that no word feeds on its echo.
+- COLD: a start that the list has not told, and we did not see, counts from when they saw it.
+- At most SHARE of a location's caches (one at least) stand under others' word at a time.
+
+Who finds more than half of its machines bad that others find well has a sick link: its words do not count, here and,
+as it hears the same of itself, there. Nothing here waits or sends more than PUSH datagrams a second. Without words
+nothing is done at all: no router is worse than alone for want of them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from wickhinge.peers.circle import HELLO, Circle
+from wickhinge.shared import words
+from wickhinge.shared.words import COLD, LOST, SLOW, WELL, Word
+
+LOOK = 0.25  # seconds from one look at the machines to the next
+FADE = 6.0  # seconds after which nobody's word counts
+FRESH = 3.0  # seconds for which our own evidence goes before others'
+WITNESSES = 2
+SHARE = 1 / 3  # of a location's caches, at most under others' word at a time
+BEARS = 0.5  # of what its fellows bear of what they should, below which a machine is called slow
+ENOUGH = 6.0  # answers of our own, half of them forgotten each FRESH, that go before others' word
+FEW = 3.0  # without which we say nothing of its pace
+SICK = 3  # machines that must be judged before a router can be called sick
+LOOKERS = 3.0  # of the location's routers that look at a machine called lost, each LOOK
+PUSH = 16.0  # datagrams a second that go only to tell of a change
+MACHINES = 1024  # of whom words are kept
+
+
+@dataclass(slots=True)
+class Seen:
+    """Our own eyes on one machine."""
+
+    cache: Any
+    verdict: int = WELL
+    amount: float = 0.0
+    when: float = -1e9  # of the evidence
+    heard: float = -1e9  # by `policy`'s time: its last answer as it was at the last look
+    answers: float = 0.0  # looks that found a new one, half forgotten each FRESH
+    lost: bool = False
+    under: float = -1e9  # since when it stands under others' word, -1e9 for not
+    warned: float = -1e9  # when others last called it lost
+
+
+class Judge:
+    def __init__(self, circle: Circle, fleet: Any, look: Callable[[Any], None],
+                 log: Callable[..., None] = lambda *a, **k: None) -> None:
+        """fleet: decide.Fleet; look(cache) probes one machine."""
+        self.circle, self.fleet, self.look, self.log = circle, fleet, look, log
+        self.seen: dict[int, Seen] = {}
+        self.told: dict[int, dict[str, tuple[float, Word]]] = {}  # by machine and witness: when it was seen, the word
+        self.looked = -1e9
+        self.push, self.pushed = PUSH, 0.0
+        self.sick = False  # we ourselves, by what the others say
+        self.acted = 0
+        self.unreadable = 0
+
+    # Our own eyes.
+
+    def own(self, seen: Seen, pace: float, gap: float, now: float, policy_now: float) -> None:
+        """What we have seen of it ourselves since the last look, `gap` ago. pace: the middle of what its fellows bear
+        of what they should; policy_now: the time by which `policy` counts."""
+        cache, was = seen.cache, seen.verdict
+        seen.answers = seen.answers * 0.5 ** (gap / FRESH) + (cache.heard > seen.heard)
+        seen.heard = cache.heard
+        if cache.lost:
+            seen.verdict, seen.amount, seen.when = LOST, 0.0, now
+        elif seen.lost and policy_now - cache.started < 2 * LOOK:
+            seen.verdict, seen.amount, seen.when = COLD, 0.0, now  # the list has not told
+        elif seen.verdict == COLD and policy_now - cache.started < FADE:
+            seen.amount, seen.when = max(policy_now - cache.started, 0.0), now
+        elif now - seen.under <= FADE:
+            seen.verdict, seen.when = WELL, -1e9  # what we believe is what we were told
+        elif seen.answers >= FEW and cache.fit < BEARS * pace * cache.best:
+            seen.verdict, seen.amount, seen.when = SLOW, cache.fit / cache.best / pace, now
+        elif policy_now - cache.heard <= FRESH:
+            seen.verdict, seen.amount, seen.when = WELL, 0.0, now - max(policy_now - cache.heard, 0.0)
+        elif now - seen.when > FADE:
+            seen.verdict, seen.amount = WELL, 0.0
+        seen.lost = cache.lost
+        if seen.verdict != was and not self.sick:
+            self.log("seen", machine=f"{cache.mark:08x}", verdict=words.VERDICTS[seen.verdict])
+            self.tell(seen, now)
+
+    def tell(self, seen: Seen, now: float) -> None:
+        """At once, to those whom it concerns, in an order of chance, as far as PUSH allows."""
+        self.push = min(self.push + max(now - self.pushed, 0.0) * PUSH, PUSH)
+        self.pushed = now
+        for name in self.circle.shuffled([name for name in self.circle.entries if self.concerns(name, seen.cache)]):
+            if self.push < 1.0:
+                return
+            self.push -= 1.0
+            self.circle.send(name, HELLO, 0, now)
+
+    def concerns(self, name: str, cache: Any) -> bool:
+        place = self.circle.roster.places.get(name)
+        return place is not None and (
+            cache.kind == self.fleet.parent_kind or place.zone == self.circle.roster.mine.zone)
+
+    # Time.
+
+    def tick(self, now: float, policy_now: float) -> None:
+        gap = now - self.looked
+        if 0.0 <= gap < LOOK:
+            return
+        gap, self.looked = min(max(gap, 0.0), FADE), now
+        machines = {cache.mark: cache for cache in (*self.fleet.mine, *self.fleet.parents)}
+        for mark in [mark for mark, seen in self.seen.items() if machines.get(mark) is not seen.cache]:
+            del self.seen[mark]
+        paces = {True: self.pace(self.fleet.mine), False: self.pace(self.fleet.parents)}
+        for mark, cache in machines.items():
+            self.own(self.seen.setdefault(mark, Seen(cache, heard=cache.heard, lost=cache.lost)),
+                     paces[cache in self.fleet.mine], gap, now, policy_now)
+        for mark in list(self.told):
+            found = {name: told for name, told in self.told[mark].items() if 0.0 <= now - told[0] <= FADE}
+            if found and mark in machines:
+                self.told[mark] = found
+            else:
+                del self.told[mark]
+        self.doubt_ourselves()
+        self.act(now, policy_now)
+
+    @staticmethod
+    def pace(caches: list[Any]) -> float:
+        """The middle of what they bear of what they should."""
+        return sorted(cache.fit / cache.best for cache in caches)[len(caches) // 2] if caches else 1.0
+
+    def doubt_ourselves(self) -> None:
+        bad = [mark for mark, seen in self.seen.items() if seen.verdict != WELL]
+        well = [mark for mark in bad if sum(word.verdict == WELL for _, word in self.told.get(mark, {}).values()) >= 2]
+        sick = len(self.seen) >= SICK and 2 * len(bad) > len(self.seen) and 2 * len(well) > len(bad)
+        if sick != self.sick:
+            self.sick = sick
+            self.log("sick" if sick else "sound", bad=len(bad), well_to_others=len(well))
+
+    def sick_witnesses(self) -> set[str]:
+        """Who finds more than half of our machines bad that we, or two others, find well."""
+        if len(self.seen) < SICK:
+            return set()
+        bad: dict[str, int] = {}
+        for mark, found in self.told.items():
+            well = sum(word.verdict == WELL for _, word in found.values())
+            ours = self.seen[mark].verdict == WELL and self.looked - self.seen[mark].when <= FRESH
+            if ours or well >= 2:
+                for name, (_, word) in found.items():
+                    bad[name] = bad.get(name, 0) + (word.verdict != WELL)
+        return {name for name, count in bad.items() if 2 * count > len(self.seen)}
+
+    def heard_of(self, mark: int, sick: set[str]) -> tuple[int, list[tuple[float, Word]]]:
+        """The verdict that enough others share, WELL for none, and their words."""
+        found = [(when, word) for name, (when, word) in self.told.get(mark, {}).items() if name not in sick]
+        well = sum(word.verdict == WELL for _, word in found)
+        for verdict in (COLD, LOST, SLOW):
+            said = [one for one in found if one[1].verdict == verdict]
+            if len(said) >= WITNESSES and len(said) > well:
+                return verdict, said
+        return WELL, []
+
+    def act(self, now: float, policy_now: float) -> None:
+        sick = self.sick_witnesses()
+        caches = [seen for seen in self.seen.values() if seen.cache in self.fleet.mine]
+        room = max(int(len(caches) * SHARE), 1) - sum(now - seen.under <= FADE for seen in caches)
+        judged = [(len(said), mark, verdict, said) for mark in self.told
+                  for verdict, said in [self.heard_of(mark, sick)] if verdict != WELL]
+        for _, mark, verdict, said in sorted(judged, key=lambda one: (-one[0], one[1])):
+            seen = self.seen[mark]
+            cache = seen.cache
+            if verdict == LOST:
+                if not cache.lost and seen.when < min(when for when, _ in said):
+                    cache.strikes = max(cache.strikes, 1.0)
+                    if now - seen.warned > FADE:
+                        self.log("told", machine=f"{mark:08x}", verdict="lost", witnesses=len(said))
+                    seen.warned = now
+                    if self.circle.chance.draw() * self.fleet.routers < LOOKERS:
+                        self.acted += 1
+                        self.look(cache)
+                continue
+            edge = cache in self.fleet.mine
+            under = now - seen.under <= FADE
+            if edge and not under and room < 1:
+                continue
+            if self.weigh(seen, verdict, said, now, policy_now) and not under:
+                self.acted += 1
+                room -= edge
+                seen.under = now
+                self.log("told", machine=f"{mark:08x}", verdict=words.VERDICTS[verdict], witnesses=len(said))
+
+    def weigh(self, seen: Seen, verdict: int, said: list[tuple[float, Word]], now: float, policy_now: float) -> bool:
+        """Whether others' word changes what is believed of it."""
+        cache = seen.cache
+        if verdict == COLD:
+            # By those who saw it: the latest of the starts that two at least agree on.
+            starts = sorted(when - word.amount for when, word in said)
+            started = policy_now - (now - starts[-WITNESSES])
+            if cache.lost or cache.started > started - FADE:
+                return False  # we know of that start, or see for ourselves
+            cache.begin(policy_now)
+            cache.started = started
+            return True
+        if seen.answers >= ENOUGH:
+            return False
+        pace = self.pace(self.fleet.mine if cache in self.fleet.mine else self.fleet.parents)
+        middle = sorted(word.amount for _, word in said)[len(said) // 2] * pace * cache.best
+        if middle >= cache.fit:
+            return False
+        cache.fit = max(middle, 0.3)
+        return True
+
+    # Datagrams.
+
+    def rider(self, to: str) -> bytes:
+        if self.sick:
+            return b""
+        now = self.looked
+        said = []
+        for seen in self.seen.values():
+            if seen.verdict == WELL and seen.cache.mark not in self.told or not self.concerns(to, seen.cache):
+                continue  # nobody asks
+            if 0.0 <= now - seen.when <= FADE:
+                said.append(Word(seen.cache.mark, seen.verdict, round(min(seen.amount, words.LONGEST), 3),
+                                 round(now - seen.when, 2)))
+        if len(said) > words.MOST:  # in turn, by chance: a storm is told over some datagrams
+            said = [said[int(self.circle.chance.draw() * len(said))] for _ in range(words.MOST)]
+        return words.pack(said)
+
+    def ridden(self, name: str, data: bytes, now: float) -> None:
+        try:
+            found = words.read(data)
+        except words.Unreadable:
+            self.unreadable += 1
+            return
+        for word in found:
+            if word.mark not in self.seen or word.age > FADE:
+                continue  # not one of ours
+            if word.mark in self.told or len(self.told) < MACHINES:
+                when = now - word.age
+                known = self.told.setdefault(word.mark, {}).get(name)
+                if known is None or when >= known[0]:
+                    self.told[word.mark][name] = when, word
+
+    def reload(self) -> None:
+        """The circle's roster is another: who left is no witness."""
+        for found in self.told.values():
+            for name in set(found) - set(self.circle.roster.places):
+                del found[name]
+
+    def figures(self, now: float) -> dict[str, Any]:
+        sick = self.sick_witnesses()
+        return {"sick": self.sick, "sick_fellows": sorted(sick)[:16], "acted": self.acted,
+                "unreadable": self.unreadable, "machines": {
+                    f"s-{mark:08x}": {"own": words.VERDICTS[self.seen[mark].verdict], "under": now - self.seen[
+                        mark].under <= FADE, **{word: sum(told.verdict == number for _, told in found.values())
+                                                for number, word in enumerate(words.VERDICTS)}}
+                    for mark, found in sorted(self.told.items())[:64] if mark in self.seen}}
