--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -7,8 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wickhinge.lab.many import judges, play, schedule
+from wickhinge.decide import Chance
+from wickhinge.lab.many import judges, play, schedule, trial
 from wickhinge.lab.many.schedule import Fault, Schedule
+from wickhinge.peers.circle import Circle
+from wickhinge.peers.roster import Place, Roster
 from wickhinge.shared import riders
 from wickhinge.shared.bucket import Bucket
 from wickhinge.shared.loans import TIME, Loans
@@ -166,6 +169,33 @@
     assert judges.all_of(played.history, drawn) == [], schedule.text(drawn)
 
 
+FOUND = {
+    "a loan to one of two processes of a name was used by both": Schedule(1015, 2, 1, (
+        Fault("twin", 13.519, 12.0, (1,)), Fault("lie", 14.517, 2.5, (0,)),
+        Fault("jump", 20.698, 0.625, (0,), (), 3600.0)), 3, 25.519, 14.0),
+    "alone on a roster two processes each held all": Schedule(1019, 1, 1, (
+        Fault("twin", 7.712, 0.5, (0,)),), 2, 8.212, 13.0),
+    "a name whose count was invented by three liars stayed gone for good": Schedule(30484, 9, 2, (
+        Fault("loss", 4.447, 12.0, (1, 3), (), 0.275), Fault("double", 5.063, 12.0, (0,), (), 0.715),
+        Fault("lie", 6.547, 12.0, (3, 4, 7)), Fault("twin", 11.582, 1.0, (3,)),
+        Fault("kill", 15.01, 5.0, (2,))), 10, 20.01, 21.0)}
+
+
+@pytest.mark.parametrize("what", FOUND)
+def test_what_drawn_schedules_once_found_stays_mended(what):
+    assert trial.virtual(FOUND[what]).faults == []
+
+
+def test_a_name_that_left_while_it_was_asked_about_ours_is_asked_no_more():
+    circle = Circle(Roster([Place(f"n{one}", ("127.0.0.1", one + 1), "") for one in range(3)], "n0"), Chance(1), 0.0,
+                    lambda item: None)
+    circle.told["n1"] = circle.told["n2"] = (1, 5, 1, 0.0)
+    circle.reload(Roster([Place(f"n{one}", ("127.0.0.1", one + 1), "") for one in (0, 2)], "n0"), 0.1)
+    for turn in range(60):
+        circle.tick(0.2 + turn * 0.1)
+    assert set(circle.told) <= {"n2"}
+
+
 def used(routers, wants, plants=()):
     fleet = play.Fleet(Schedule(5, routers, 1, (), routers, 20.0, 5.0), plants)
     fleet.wants = wants
--- a/wickhinge/peers/circle.py
+++ b/wickhinge/peers/circle.py
@@ -41,6 +41,7 @@
 REPLACED = 2.0  # seconds after which a life is gone that is silent while another asks for its name, at its address
 LEAP = 1 << 16  # a count that rises by more in one piece of hearsay is no honest one
 LEFT = 1024  # names that left whose lines are kept
+FORGED = 64  # counts that a datagram overtaken by others may be behind; a name refutes a few times a second at most
 SAY_AGAIN = 0.1  # seconds at least between two answers to one whom we don't know
 
 
@@ -136,8 +137,8 @@
         self.suspected: set[str] = set()
         self.telling: set[str] = set()  # of whom there is news that has not gone out often enough
         self.roster = roster
-        self.reload(roster, now)
         self.born(now)
+        self.reload(roster, now)
 
     # The roster and our own life.
 
@@ -153,7 +154,7 @@
                 self.lines[name] = self.left.pop(name)
         while len(self.left) > LEFT:
             del self.left[next(iter(self.left))]
-        for table in (self.entries, self.others_rosters, self.said, self.accused):
+        for table in (self.entries, self.others_rosters, self.said, self.accused, self.told, self.larger):
             for name in set(table) - set(roster.others):
                 del table[name]
         self.suspected &= set(roster.others)
@@ -363,7 +364,8 @@
         self.own(item.sender, item.known, now)
         for piece in item.news:
             self.hear(piece, item.sender, now)
-        if item.rider:
+        # Two processes under one name may hear the same datagrams: what is given to one life is no other's.
+        if item.rider and item.known[1] == self.life:
             self.ridden(item.sender, item.rider, now)
         self.answer(item, now)
         if verdict == ADOPTED and self.again(item.sender, now):
@@ -398,7 +400,9 @@
         if (item.epoch, item.life) > (entry.epoch, entry.life):
             self.believe(entry, item.epoch, item.life, item.count, ALIVE, now)
         elif (item.epoch, item.life) == (entry.epoch, entry.life) and (
-                item.count > entry.count or entry.state == UNKNOWN):
+                item.count > entry.count or entry.state == UNKNOWN or entry.count - item.count > FORGED):
+            # Only a name itself raises its count: one that is far over its own word was another's invention, which
+            # the name could not even refute.
             self.believe(entry, item.epoch, item.life, item.count, ALIVE, now)
 
     def answer(self, item: Item, now: float) -> None:
--- a/wickhinge/shared/purse.py
+++ b/wickhinge/shared/purse.py
@@ -159,7 +159,11 @@
             self.tick(now)
 
     def home(self, budget: Budget, now: float) -> float:
-        return (1 - FLOOR) / budget.division.names if now < self.vouched else 0.0
+        """Alone on the roster nobody vouches for one life of the name, so all its processes divide."""
+        if now >= self.vouched:
+            return 0.0
+        alone = len(self.circle.roster) == 1
+        return (1 - FLOOR) / (budget.division.processes if alone else budget.division.names)
 
     def settle(self, budget: Budget, now: float) -> None:
         """The share as it is now. Called before anything is spent, lent or said by it."""
