One seal of a datagram, one rate, one reader of the roster; what nobody reads is gone

The operators' exchange checked magic, length and key beside wire.read, word for word: both call wire.unsealed; one Unreadable and one way to decode for all that rides. The desk and the judge each had a rate of their own: peers.rate. The command line read peers.roster's addresses beside the router: peers.roster.places, whose fault now names the router too. Judge: one meaning of a location's cache, by its kind and not by a search of the list each look; one count of who finds a machine well.

--- a/wickhinge/cli/peers.py
+++ b/wickhinge/cli/peers.py
@@ -20,10 +20,11 @@
     """Routers that know each other."""
 
 
-def roster(path: str | None) -> tuple[bytes, dict[str, tuple[tuple[str, int], str]]]:
-    """The key, and of each name its address and zone."""
-    from wickhinge.fields import Malformed, endpoint
+def roster(path: str | None) -> tuple[bytes, dict[str, tuple[str, int]]]:
+    """The key, and of each name its address."""
+    from wickhinge.fields import Malformed
     from wickhinge.options import Fault, keys, load
+    from wickhinge.peers.roster import places
 
     path = path or os.environ.get("WICKHINGE_OPTIONS")
     if not path:
@@ -31,15 +32,12 @@
     try:
         found = load(path).peers
         key = keys.read("peers.key_file", found.key_file)
+        addresses = {one.name: one.address for one in places(found.roster)}
     except (Fault, Malformed) as problem:
         fail(str(problem))
-    if not found.roster:
+    if not addresses:
         fail(f"{path}: peers.roster: is empty")
-    places = {one.name: (endpoint(one.address), one.zone) for one in found.roster}
-    for name, (address, _) in places.items():
-        if address is None:
-            fail(f"{path}: peers.roster: the address of {name} is not one as 127.0.0.1:7071")
-    return key, places
+    return key, addresses
 
 
 def asked(key: bytes, name: str, address: tuple[str, int]) -> dict[str, Any]:
@@ -77,7 +75,7 @@
         fail(f"{router} is not on the roster")
     if every:
         with ThreadPoolExecutor(AT_ONCE) as many:
-            found = list(many.map(lambda name: brief(asked(key, name, places[name][0])), places))
+            found = list(many.map(lambda name: brief(asked(key, name, places[name])), places))
         if as_json:
             click.echo(orjson.dumps({"routers": found}).decode())
         else:
@@ -85,7 +83,7 @@
                 click.echo(", ".join(f"{name} {value}" for name, value in line.items() if value is not None))
         sys.exit(0 if all(line["well"] for line in found) else WRONG)
     name = router or next(iter(places))
-    told = asked(key, name, places[name][0])
+    told = asked(key, name, places[name])
     if "error" in told:
         fail(told["error"], WRONG)
     if as_json:
--- a/wickhinge/lab/many/rig.py
+++ b/wickhinge/lab/many/rig.py
@@ -98,7 +98,7 @@
         self.ended: float | None = None
         self.halts: list[list[float]] = []  # when it stood still, on the rig's clock: from, to
         if rig.stands is not None:
-            rig.stands.clients.append(Client(rig.stands, self, listen))
+            Client(rig.stands, self, listen)
 
     def write(self, missing: set[int]) -> None:
         """Its settings, with a roster on which some do not stand."""
--- a/wickhinge/lab/many/stands.py
+++ b/wickhinge/lab/many/stands.py
@@ -133,8 +133,7 @@
         self.plan()
 
     def lost(self, link: Link) -> None:
-        self.stands.cut += len(self.open)  # judged where it happens to visits in the router's own tests
-        self.open.clear()
+        self.open.clear()  # judged where it happens to visits in the router's own tests
         self.link = None
         self.stands.rig.at(self.stands.rig.now + 0.1, self.connect)
 
@@ -165,7 +164,6 @@
             late = now - since > PATIENCE + SLACK
             if late and self.process.steady(since, now):
                 self.stands.late += 1
-            self.stands.answers["served" if error is None else str(error[0])] += 1
             self.stands.visits.append((since, now - since if error is None else None, self.process.place))
 
 
@@ -176,11 +174,9 @@
         self.rig, self.scene = rig, scene
         self.visits: list[tuple[float, float | None, int]] = []  # when, what it took where served, the router's place
         self.sent: dict[int, list[tuple[float, str, float]]] = defaultdict(list)
-        self.answers: dict[str, int] = defaultdict(int)
         self.wrong: list[str] = []
-        self.late = self.cut = 0
+        self.late = 0
         self.sockets: set[socket.socket] = set()
-        self.clients: list[Client] = []
         self.zones = [f"z{place}" for place in range(rig.schedule.zones)]
         self.caches = [Machine(self, 0x100 + 0x10 * place + number, zone, "box", number)
                        for place, zone in enumerate(self.zones) for number in range(scene.boxes)]
--- a/wickhinge/net/fellows.py
+++ b/wickhinge/net/fellows.py
@@ -16,11 +16,11 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from wickhinge.decide import Chance
-from wickhinge.fields import Malformed, endpoint
+from wickhinge.fields import Malformed
 from wickhinge.options import keys
 from wickhinge.peers import desk, wire
 from wickhinge.peers.circle import STATES, Circle, Item
-from wickhinge.peers.roster import Place, Roster, Unusable
+from wickhinge.peers.roster import Roster, Unusable, places
 
 TICK = 0.05
 BUSY = 256  # datagrams in a tick that are looked at; the others are counted
@@ -199,14 +199,8 @@
 def told_by(options: Any, name: str) -> tuple[Roster, list[bytes]]:
     """Raises Malformed with the faulty key."""
     found = options.peers
-    places = []
-    for place, one in enumerate(found.roster):
-        address = endpoint(one.address)
-        if address is None:
-            raise Malformed(f"peers.roster[{place}].address: is not an address as 127.0.0.1:7071")
-        places.append(Place(one.name, address, one.zone))
     try:
-        roster = Roster(places, name)
+        roster = Roster(places(found.roster), name)
     except Unusable as problem:
         raise Malformed(f"peers.roster: {problem}") from None
     also = [keys.read("peers.also_key_file", found.also_key_file)] if found.also_key_file else []
--- a/wickhinge/peers/desk.py
+++ b/wickhinge/peers/desk.py
@@ -19,7 +19,8 @@
 
 import msgspec
 
-from wickhinge.peers.wire import LONGEST, MAC, Unreadable, mac
+from wickhinge.peers.rate import Rate
+from wickhinge.peers.wire import Unreadable, decoded, sealed, unsealed
 
 ASK, PART = b"WP?", b"WP!"
 COOKIE = 16
@@ -51,18 +52,12 @@
 
 
 def pack(key: bytes, magic: bytes, told: Ask | Part) -> bytes:
-    data = magic + encoder.encode(told)
-    return data + mac(key, data)
+    return sealed(key, magic, encoder.encode(told))
 
 
 def read(key: bytes, magic: bytes, data: bytes) -> Any:
     """Raises Unreadable."""
-    if len(data) > LONGEST or data[:3] != magic or not hmac.compare_digest(data[-MAC:], mac(key, data[:-MAC])):
-        raise Unreadable("not under our key")
-    try:
-        return (asks if magic == ASK else parts).decode(data[3:-MAC])
-    except msgspec.MsgspecError as problem:
-        raise Unreadable(str(problem)) from None
+    return decoded(asks if magic == ASK else parts, unsealed(key, magic, data))
 
 
 class Desk:
@@ -71,7 +66,7 @@
     def __init__(self, name: str, key: bytes, secret: bytes, now: float) -> None:
         self.name, self.key, self.secret = name, key, secret
         self.words: dict[str, Callable[[bytes], bytes]] = {}
-        self.left, self.filled = RATE, now
+        self.rate = Rate(RATE, now)
 
     def cookie(self, sender: Any, number: int, slot: int) -> bytes:
         text = f"{sender!r} {number} {slot}".encode()
@@ -85,7 +80,7 @@
         slot = int(now / SLOT)
         mine = self.cookie(sender, ask.number, slot)
         if not any(hmac.compare_digest(ask.cookie, one) for one in (mine, self.cookie(sender, ask.number, slot - 1))):
-            return [pack(self.key, PART, Part(ask.number, mine, 0, 0))] if self.may(1, now) else []
+            return [pack(self.key, PART, Part(ask.number, mine, 0, 0))] if self.rate.take(1, now) else []
         answers = self.words.get(ask.word)
         if answers is None:
             more = msgspec.json.encode({"error": f"{ask.word} is nothing that this router answers"})
@@ -94,19 +89,11 @@
         if len(more) > EACH * PARTS:
             more = msgspec.json.encode({"error": f"an answer of {len(more)} bytes is longer than {EACH * PARTS}"})
         pieces = [more[start:start + EACH] for start in range(0, len(more), EACH)] or [b""]
-        if not self.may(len(pieces), now):
+        if not self.rate.take(len(pieces), now):
             return []
         return [pack(self.key, PART, Part(ask.number, ask.cookie, place, len(pieces), piece))
                 for place, piece in enumerate(pieces, 1)]
 
-    def may(self, count: int, now: float) -> bool:
-        self.left = min(self.left + max(now - self.filled, 0.0) * RATE, RATE)
-        self.filled = now
-        if self.left < count:
-            return False
-        self.left -= count
-        return True
-
 
 class Asking:
     """The operator's side of one ask: what to send now, and what came back. number: drawn anew for each."""
--- a/wickhinge/peers/roster.py
+++ b/wickhinge/peers/roster.py
@@ -5,6 +5,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
+from typing import Any
+
+from wickhinge.fields import Malformed, endpoint
 
 
 class Unusable(Exception):
@@ -18,6 +21,17 @@
     zone: str
 
 
+def places(told: Iterable[Any]) -> list[Place]:
+    """Out of the settings' peers.roster. Raises Malformed with the faulty key."""
+    found = []
+    for number, one in enumerate(told):
+        address = endpoint(one.address)
+        if address is None:
+            raise Malformed(f"peers.roster[{number}].address: of {one.name} is not an address as 127.0.0.1:7071")
+        found.append(Place(one.name, address, one.zone))
+    return found
+
+
 class Roster:
     """version: the same number wherever the same names stand in the same zones, whatever their order."""
 
--- a/wickhinge/peers/wire.py
+++ b/wickhinge/peers/wire.py
@@ -10,6 +10,7 @@
 
 import hmac
 from hashlib import blake2b
+from typing import Any
 
 import msgspec
 
@@ -28,28 +29,43 @@
     """Not such a datagram, or not under the key; the text names the fault."""
 
 
+def decoded(decoder: Any, data: bytes) -> Any:
+    """Raises Unreadable."""
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError as problem:
+        raise Unreadable(str(problem)) from None
+
+
 def mac(key: bytes, data: bytes) -> bytes:
     return blake2b(data, digest_size=MAC, key=key[:64]).digest()
 
 
+def sealed(key: bytes, magic: bytes, body: bytes) -> bytes:
+    """A datagram of any kind."""
+    return magic + body + mac(key, magic + body)
+
+
+def unsealed(key: bytes, magic: bytes, data: bytes) -> bytes:
+    """Its body. Raises Unreadable where it is not of that kind, or not under the key."""
+    if len(data) > LONGEST or data[:3] != magic or not hmac.compare_digest(data[-MAC:], mac(key, data[:-MAC])):
+        raise Unreadable("not under our key")
+    return data[3:-MAC]
+
+
 def pack(key: bytes, item: Item) -> bytes:
     """At most LONGEST bytes."""
     news, rider = item.news, item.rider
     while True:
-        data = MAGIC + encoder.encode((
+        data = sealed(key, MAGIC, encoder.encode((
             item.to, item.sender, item.epoch, item.life, item.counter, item.token, item.echo, item.roster, item.count,
-            item.known, item.kind, item.serial, item.about, news, rider))
-        if len(data) + MAC <= LONGEST or not (news or rider):
-            return data + mac(key, data)
+            item.known, item.kind, item.serial, item.about, news, rider)))
+        if len(data) <= LONGEST or not (news or rider):
+            return data
         news, rider = (news, b"") if rider else (news[:-1], b"")
 
 
 def read(key: bytes, data: bytes) -> Item:
     """Raises Unreadable."""
-    if len(data) > LONGEST or data[:3] != MAGIC or not hmac.compare_digest(data[-MAC:], mac(key, data[:-MAC])):
-        raise Unreadable("not under our key")
-    try:
-        body = decoder.decode(data[3:-MAC])
-    except msgspec.MsgspecError as problem:
-        raise Unreadable(str(problem)) from None
+    body = decoded(decoder, unsealed(key, MAGIC, data))
     return Item(*body[:13], tuple(body[13]), body[14])
--- a/wickhinge/shared/cold.py
+++ b/wickhinge/shared/cold.py
@@ -38,10 +38,9 @@
 
     def __init__(self, cache: Any, most: float, window: float, processes: int, late: float) -> None:
         self.cache = cache
-        cache.credit = min(cache.credit, 0.0)
-        held = cache.credit
+        credit = min(cache.credit, 0.0)
         super().__init__(most, window, PIECES * most / processes, processes, SPAN, late)
-        cache.credit = held
+        cache.credit = credit
         self.wished = late
 
     @property
@@ -88,7 +87,6 @@
     def sweep(self, late: float) -> None:
         """Machines that nobody here wants to send to hold no bucket; a new one starts empty."""
         self.swept = late
-        for budget in self.purse.budgets:
-            for mark in [mark for mark, held in budget.buckets.items()
-                         if isinstance(held, Held) and late - held.wished > IDLE]:
+        for budget in self.purse.budgets[self.first:self.first + 2]:
+            for mark in [mark for mark, held in budget.buckets.items() if late - held.wished > IDLE]:
                 del budget.buckets[mark]
--- a/wickhinge/shared/counts.py
+++ b/wickhinge/shared/counts.py
@@ -22,6 +22,7 @@
 from xxhash import xxh32_intdigest
 
 from wickhinge.peers.circle import ALIVE, HELLO, SUSPECT, Circle
+from wickhinge.peers.wire import Unreadable, decoded
 
 BEAT = 0.25  # seconds from one tally of our own to the next, each told to one of the zone
 STALE = 3.0  # seconds after which a tally counts no more
@@ -44,20 +45,13 @@
     out: list[int]
 
 
-class Unreadable(Exception):
-    """Not such tallies; the text names the fault."""
-
-
 decoder = msgspec.msgpack.Decoder(list[Tally])
 encoder = msgspec.msgpack.Encoder()
 
 
 def read(data: bytes) -> list[Tally]:
     """Raises Unreadable, also for counts that no honest fellow has."""
-    try:
-        found = decoder.decode(data)
-    except msgspec.MsgspecError as problem:
-        raise Unreadable(str(problem)) from None
+    found = decoded(decoder, data)
     for one in found:
         if len(found) > PASSED + 1 or len(one.out) > MACHINES or not all(0 <= count <= MOST for count in one.out):
             raise Unreadable("more than there can be")
--- a/wickhinge/shared/judge.py
+++ b/wickhinge/shared/judge.py
@@ -19,11 +19,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from wickhinge.peers.circle import HELLO, Circle
+from wickhinge.peers.rate import Rate
 from wickhinge.shared import words
 from wickhinge.shared.words import COLD, LOST, SLOW, WELL, Word
 
@@ -57,6 +58,10 @@
     why: int = WELL  # which word that is
 
 
+def finding_well(found: Iterable[tuple[float, Word]]) -> int:
+    return sum(word.verdict == WELL for _, word in found)
+
+
 class Judge:
     def __init__(self, circle: Circle, fleet: Any, look: Callable[[Any], None],
                  log: Callable[..., None] = lambda *a, **k: None) -> None:
@@ -65,7 +70,7 @@
         self.seen: dict[int, Seen] = {}
         self.told: dict[int, dict[str, tuple[float, Word]]] = {}  # by machine and witness: when it was seen, the word
         self.looked = -1e9
-        self.push, self.pushed = PUSH, 0.0
+        self.push = Rate(PUSH, 0.0)
         self.sick = False  # we ourselves, by what the others say
         self.acted = 0
         self.unreadable = 0
@@ -76,6 +81,7 @@
         """What we have seen of it ourselves since the last look, `gap` ago. pace: the middle of what its fellows bear
         of what they should; policy_now: the time by which `policy` counts."""
         cache, was = seen.cache, seen.verdict
+        heard = now - max(policy_now - cache.heard, 0.0)
         seen.answers = seen.answers * 0.5 ** (gap / FRESH) + (cache.heard > seen.heard)
         seen.heard = cache.heard
         if cache.lost:
@@ -86,12 +92,11 @@
             seen.amount, seen.when = max(policy_now - cache.started, 0.0), now
         elif now - seen.under <= FADE:
             # What we believe is what we were told; but an answer of its own tells that it is not lost.
-            heard = now - max(policy_now - cache.heard, 0.0)
             seen.verdict, seen.when = WELL, heard if seen.why == LOST and heard > seen.under - REST else -1e9
         elif seen.answers >= FEW and cache.fit < BEARS * pace * cache.best:
             seen.verdict, seen.amount, seen.when = SLOW, cache.fit / cache.best / pace, now
         elif policy_now - cache.heard <= FRESH:
-            seen.verdict, seen.amount, seen.when = WELL, 0.0, now - max(policy_now - cache.heard, 0.0)
+            seen.verdict, seen.amount, seen.when = WELL, 0.0, heard
         elif now - seen.when > FADE:
             seen.verdict, seen.amount = WELL, 0.0
         seen.lost = cache.lost
@@ -101,18 +106,19 @@
 
     def tell(self, seen: Seen, now: float) -> None:
         """At once, to those whom it concerns, in an order of chance, as far as PUSH allows."""
-        self.push = min(self.push + max(now - self.pushed, 0.0) * PUSH, PUSH)
-        self.pushed = now
         for name in self.circle.shuffled([name for name in self.circle.entries if self.concerns(name, seen.cache)]):
-            if self.push < 1.0:
+            if not self.push.take(1, now):
                 return
-            self.push -= 1.0
             self.circle.send(name, HELLO, 0, now)
 
     def concerns(self, name: str, cache: Any) -> bool:
         place = self.circle.roster.places.get(name)
         return place is not None and (
-            cache.kind == self.fleet.parent_kind or place.zone == self.circle.roster.mine.zone)
+            not self.edge(cache) or place.zone == self.circle.roster.mine.zone)
+
+    def edge(self, cache: Any) -> bool:
+        """Whether it is a cache of our location, and no parent."""
+        return cache.kind != self.fleet.parent_kind
 
     # Time.
 
@@ -127,7 +133,7 @@
         paces = {True: self.pace(self.fleet.mine), False: self.pace(self.fleet.parents)}
         for mark, cache in machines.items():
             self.own(self.seen.setdefault(mark, Seen(cache, heard=cache.heard, lost=cache.lost)),
-                     paces[cache in self.fleet.mine], gap, now, policy_now)
+                     paces[self.edge(cache)], gap, now, policy_now)
         for mark in list(self.told):
             found = {name: told for name, told in self.told[mark].items() if 0.0 <= now - told[0] <= FADE}
             if found and mark in machines:
@@ -144,7 +150,7 @@
 
     def doubt_ourselves(self) -> None:
         bad = [mark for mark, seen in self.seen.items() if seen.verdict != WELL]
-        well = [mark for mark in bad if sum(word.verdict == WELL for _, word in self.told.get(mark, {}).values()) >= 2]
+        well = [mark for mark in bad if finding_well(self.told.get(mark, {}).values()) >= WITNESSES]
         sick = len(self.seen) >= SICK and 2 * len(bad) > len(self.seen) and 2 * len(well) > len(bad)
         if sick != self.sick:
             self.sick = sick
@@ -156,9 +162,8 @@
             return set()
         bad: dict[str, int] = {}
         for mark, found in self.told.items():
-            well = sum(word.verdict == WELL for _, word in found.values())
             ours = self.seen[mark].verdict == WELL and self.looked - self.seen[mark].when <= FRESH
-            if ours or well >= 2:
+            if ours or finding_well(found.values()) >= WITNESSES:
                 for name, (_, word) in found.items():
                     bad[name] = bad.get(name, 0) + (word.verdict != WELL)
         return {name for name, count in bad.items() if 2 * count > len(self.seen)}
@@ -167,7 +172,7 @@
         """The verdict that enough others share, WELL for none, and their words. Who believes that it is just back from
         being lost had lost it: where they do not agree on that, it counts as lost."""
         found = [(when, word) for name, (when, word) in self.told.get(mark, {}).items() if name not in sick]
-        well = sum(word.verdict == WELL for _, word in found)
+        well = finding_well(found)
         for verdict, verdicts in ((COLD, (COLD,)), (LOST, (LOST, COLD)), (SLOW, (SLOW,))):
             said = [one for one in found if one[1].verdict in verdicts]
             if len(said) >= WITNESSES and len(said) > well:
@@ -178,13 +183,13 @@
         sick = self.sick_witnesses()
         room = {}
         for edge in (True, False):
-            tier = [seen for seen in self.seen.values() if (seen.cache in self.fleet.mine) is edge]
+            tier = [seen for seen in self.seen.values() if self.edge(seen.cache) is edge]
             room[edge] = max(int(len(tier) * SHARE), 1) - sum(now - seen.under <= FADE for seen in tier)
         judged = [(len(said), mark, verdict, said) for mark in self.told
                   for verdict, said in [self.heard_of(mark, sick)] if verdict != WELL]
         for _, mark, verdict, said in sorted(judged, key=lambda one: (-one[0], one[1])):
             seen = self.seen[mark]
-            edge, under = seen.cache in self.fleet.mine, now - seen.under <= FADE
+            edge, under = self.edge(seen.cache), now - seen.under <= FADE
             if not under and room[edge] < 1 or not self.weigh(seen, verdict, said, now, policy_now):
                 continue
             self.acted += 1
@@ -216,7 +221,7 @@
             return True
         if seen.answers >= ENOUGH:
             return False
-        pace = self.pace(self.fleet.mine if cache in self.fleet.mine else self.fleet.parents)
+        pace = self.pace(self.fleet.mine if self.edge(cache) else self.fleet.parents)
         middle = sorted(word.amount for _, word in said)[len(said) // 2] * pace * cache.best
         if middle >= cache.fit:
             return False
--- a/wickhinge/shared/riders.py
+++ b/wickhinge/shared/riders.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from wickhinge.peers.wire import Unreadable, decoded
+
 LONGEST = 400
 MOST = 8  # of each kind in a datagram
 BUDGETS = 8
@@ -22,20 +24,13 @@
 encoder = msgspec.msgpack.Encoder()
 
 
-class Unreadable(Exception):
-    """Not such words; the text names the fault."""
-
-
 def pack(*words: object) -> bytes:
     return encoder.encode(words)
 
 
 def read(data: bytes) -> BODY:
     """Raises Unreadable, also for numbers that no honest fellow sends."""
-    try:
-        words = decoder.decode(data)
-    except msgspec.MsgspecError as problem:
-        raise Unreadable(str(problem)) from None
+    words = decoded(decoder, data)
     levels, *lists = words[4:]
     if len(levels) > BUDGETS or any(len(one) > MOST for one in lists):
         raise Unreadable("more than a datagram holds")
--- a/wickhinge/shared/words.py
+++ b/wickhinge/shared/words.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from wickhinge.peers.wire import Unreadable, decoded
+
 WELL, SLOW, LOST, COLD = range(4)
 VERDICTS = ("well", "slow", "lost", "cold")
 MOST = 14
@@ -23,10 +25,6 @@
     age: float
 
 
-class Unreadable(Exception):
-    """Not such words; the text names the fault."""
-
-
 decoder = msgspec.msgpack.Decoder(list[Word])
 encoder = msgspec.msgpack.Encoder()
 
@@ -37,10 +35,7 @@
 
 def read(data: bytes) -> list[Word]:
     """Raises Unreadable, also for numbers that no honest fellow says."""
-    try:
-        found = decoder.decode(data)
-    except msgspec.MsgspecError as problem:
-        raise Unreadable(str(problem)) from None
+    found = decoded(decoder, data)
     if len(found) > MOST:
         raise Unreadable("more than a datagram holds")
     for word in found:
