Crossings: what waits unwritten is taken back when a drain, purge or final answer overtakes it

Line.put/drain: a request queued for a connection that comes up late, or takes no more, was written whatever had been told meanwhile: to a cache that drains (grace 500 ms, connections may take as long), with an age that a purge had made too old, after its client left or its visit was answered where the settings bar cancelling. Forwards.overtaken, Door.recall. 2. Line.dataReceived: an id answered once was used again on the same connection, so a second answer some milliseconds late ended the next forward: an exclusive visit refused twice and run once went out a third time; a second MISS ended its fill. Node.settle: nothing open was taken for nothing to come; a request unread in a socket, or a connection in the listener, was lost with the program, and so was what came in the last 20 ms. Node.busy, Node.end, Opening.untaken, Clients.unread. 4. Client.throttle: held back after a bad request, or while the pool is full, a client was not read at all, so its abort or close was not seen. It is read on, new requests wait, 8 KiB at most; their time runs on. 5. Clients.turn_away hung up on a silent client whose request lay unread; Client.count took a ping for a request. 6. Settings: STOP was written where cancelling is barred, a refusing source probed where probes are, and a rule of falls with a multiple or span of 0 kept every visit from a cold machine.

--- /dev/null
+++ b/tests/stand.py
@@ -0,0 +1,136 @@
+"""A router whose machines and journal service are the test itself: every byte, accept and close waits for its word."""
+
+import json
+import os
+import socket
+from contextlib import ExitStack
+
+from test_sockets import PATIENT, ROOT, Client, Process, free
+
+from wickhinge.net import journal, resp
+from wickhinge.net.buffers import Pool
+
+KINDS = {"box": 0, "parent": 1, "origin": 2}
+SERVED = "etag=00000000000000aa,made=1764576000123"
+
+
+def at(place):
+    return "{}:{}".format(*place.getsockname())
+
+
+def host(place, kind, made):
+    return {"host": f"s-{0xA1 + place:08x}", "dial": at(made), "block": 0, "site": "here" if kind == "box" else "hub",
+            "class": kind, "health": "ready", "share": 4, "born_ms": 0}
+
+
+class Asked:
+    """A request as it came to a machine, and the connection that it came on."""
+
+    def __init__(self, line, id_, fields, body):
+        self.line, self.id, self.fields, self.body = line, id_, resp.fields(fields), body
+
+    def answer(self, word, told="-", body=b""):
+        self.line.socket.sendall(resp.pack(self.id, word.encode(), told.encode(), body))
+
+
+class Line:
+    def __init__(self, made):
+        self.socket, self.stream, self.had = made, resp.Stream(Pool(99, lambda: None, lambda: None)), []
+        made.settimeout(PATIENT)
+
+    def next(self, within=PATIENT):
+        """The next REQ; None for the end of the connection, or where none came within so long."""
+        self.socket.settimeout(within)
+        while True:
+            for items in self.had:
+                if items[0] == b"REQ":
+                    self.had = self.had[self.had.index(items) + 1:]
+                    body = b"".join(items[3].views()) if not isinstance(items[3], bytes) else items[3]
+                    return Asked(self, items[1], items[2], body)
+            self.had = []
+            try:
+                data = self.socket.recv(65536)
+            except TimeoutError:
+                return None
+            if not data:
+                return None
+            self.had += self.stream.feed(data)
+
+
+    def words(self):
+        """All that came, to the end of the connection."""
+        data = b""
+        while piece := self.socket.recv(65536):
+            data += piece
+        return [items[0] for items in self.stream.feed(data)]
+
+
+class Stand:
+    def __init__(self, folder, machines=("box", "origin"), change=lambda conf: None):
+        self.stack = ExitStack()
+        base = free(1)
+        self.places = [self.listening() for _ in machines]
+        self.service = self.listening()
+        conf = json.loads((ROOT / "example/config.json").read_text())
+        hosts = [host(place, kind, made) for place, (kind, made) in enumerate(zip(machines, self.places, strict=True))]
+        self.kinds, self.number, self.address = machines, 1, ("127.0.0.1", base)
+        conf |= {"listen": f"127.0.0.1:{base}", "journal": at(self.service),
+                 "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}}
+        conf["settings"]["limits"]["probes"] = False
+        change(conf["settings"])
+        (folder / "config.json").write_text(json.dumps(conf))
+        self.router = Process("-m", "wickhinge", env={**os.environ, "RELAY_CONFIG": str(folder / "config.json")})
+        self.stack.callback(self.router.close)
+        self.journal = self.take(self.service)
+        assert int.from_bytes(self.journal.recv(8)) == 1
+        self.tell(0)
+        self.router.wait('"event":"open"')
+
+    def listening(self, backlog=64):
+        made = self.stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=backlog))
+        made.settimeout(PATIENT)
+        return made
+
+    def take(self, place):
+        made = self.stack.enter_context(place.accept()[0])
+        made.settimeout(PATIENT)
+        return made
+
+    def line(self, place):
+        """The next connection to a machine."""
+        return Line(self.take(self.places[place]))
+
+    def shut(self, place):
+        """No connection to a machine comes up from now on, though none is refused; the call that ends it gives the
+        router's, which has tried again and again meanwhile."""
+        self.places[place].listen(0)
+        fillers = [self.stack.enter_context(socket.socket()) for _ in range(4)]
+        for one in fillers:
+            one.setblocking(False)
+            one.connect_ex(self.places[place].getsockname())
+
+        def end():
+            self.places[place].listen(64)
+            ours = {one.getsockname() for one in fillers}
+            while (made := self.take(self.places[place])).getpeername() in ours:
+                pass
+            return Line(made)
+
+        return end
+
+    def tell(self, kind, payload=b""):
+        self.number += kind != 0
+        self.journal.sendall((9 + len(payload)).to_bytes(4) + self.number.to_bytes(8) + bytes((kind,)) + payload)
+
+    def drain(self, place):
+        self.tell(2, journal.RECORD.pack(0xA1 + place, 0x7F000001, self.places[place].getsockname()[1], 1,
+                                         self.kinds[place] != "box", KINDS[self.kinds[place]], 0, 4000, 0))
+        self.router.wait("draining")
+
+    def client(self):
+        made = Client(self.address)
+        self.stack.callback(made.socket.close)
+        return made
+
+    def close(self):
+        self.stack.close()
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,389 @@
+"""Two events that cross, each order forced: docs/notes/crossings.md lists the pairs. On sockets the machines and the
+journal service are the test; what has to happen first is waited for, never hoped for."""
+
+import gc
+import json
+import os
+import socket
+import time
+from types import SimpleNamespace
+
+import pytest
+from helpers import end, router, take, tariff
+from stand import SERVED, Stand, host
+from test_sockets import ROOT, Client
+from wires import line
+
+from wickhinge.fields import Malformed
+from wickhinge.interface import Outcome
+from wickhinge.net import config, journal, msgpack, resp
+from wickhinge.net.accept import HOLD, OPEN, Clients
+from wickhinge.net.accept import Client as Taken
+from wickhinge.net.ends import End
+from wickhinge.net.forwards import Forwards, Sent
+from wickhinge.net.visits import Door
+
+OBJECT = 0xAA
+
+
+@pytest.fixture
+def stand(tmp_path):
+    made = []
+
+    def build(*told, **more):
+        made.append(Stand(tmp_path, *told, **more))
+        return made[0]
+
+    yield build
+    for one in made:
+        one.close()
+
+
+def slow(conf, **limits):
+    """Connections may take long to come up."""
+    conf["limits"] |= {"connectTimeoutMs": 9000, **limits}
+
+
+def answered(client, call):
+    kind, _, error, _ = client.answer(call)
+    return kind == 1 and error is None
+
+
+def test_what_waits_for_a_connection_does_not_go_to_a_machine_that_drains_meanwhile(stand):
+    made = stand(change=slow)
+    late, client = made.shut(0), made.client()
+    call = client.ask()
+    assert client.ping()  # read after it
+    made.drain(0)
+    made.line(1).next().answer("OK", SERVED, b"x")
+    assert answered(client, call)
+    connection = late()
+    assert client.ping()
+    made.router.close()
+    assert connection.next() is None
+
+
+def test_what_waits_for_a_connection_goes_with_the_age_that_a_purge_told_meanwhile_allows(stand):
+    made = stand(change=slow)
+    late, client = made.shut(0), made.client()
+    call = client.ask(budget="6000")
+    assert client.ping()
+    made.tell(3, journal.OBJECT.pack(OBJECT, int(time.time() * 1000) - 1))
+    made.router.wait('"event":"purge"')
+    asked = late().next()
+    assert int(asked.fields["maxage"]) < 2000  # without a purge it is not named: the fresh time of the tariff
+    asked.answer("OK", SERVED, b"x")
+    assert answered(client, call)
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("leaves", ["abort", "close"])
+def test_what_waits_for_a_connection_is_not_sent_when_its_client_has_left(stand, cancel, leaves):
+    made = stand(change=lambda conf: slow(conf, cancel=cancel))
+    late, client, other = made.shut(0), made.client(), made.client()
+    call = client.ask()
+    assert client.ping()
+    if leaves == "abort":
+        client.socket.sendall(msgpack.pack([2, "abort", [call]]))
+        assert client.ping()
+    else:
+        client.socket.close()
+        made.router.wait('"event":"client_lost"')
+    connection = late()
+    assert other.ping() and other.ping()
+    made.router.close()
+    assert connection.next() is None
+
+
+def test_a_second_refusal_under_the_same_id_is_not_taken_for_that_of_a_second_forward(stand):
+    """Refused twice and run once, an exclusive visit would be sent a third time."""
+    made = stand(change=lambda conf: conf["classes"][1].update(onTimeMs=2900))
+    client = made.client()
+    call = client.ask("results", b"mark")
+    first = made.line(1)
+    asked = first.next()
+    asked.answer("BUSY")
+    again = made.line(1).next()  # on another connection
+    assert again.id == asked.id
+    asked.answer("BUSY")
+    for place in (first, again.line):
+        assert place.next(0.9) is None  # nothing waits longer: what waits is looked at each 0.7 s
+    again.answer("OK", "-", b"mark")
+    assert answered(client, call)
+
+
+def test_a_second_miss_is_not_the_answer_of_the_fill_that_followed_the_first(stand):
+    made = stand(change=lambda conf: conf["limits"].update(mayDuplicate=False))
+    client = made.client()
+    call = client.ask()
+    box = made.line(0)
+    asked = box.next()
+    asked.answer("MISS")
+    fill = box.next()
+    assert "src" in fill.fields
+    asked.answer("MISS")
+    fill.answer("OK", SERVED, b"x")
+    assert answered(client, call)
+    made.router.close()
+    assert box.next() is None
+
+
+def test_where_nothing_may_be_given_up_no_word_of_it_goes_out(stand):
+    made = stand(change=lambda conf: conf["limits"].update(cancel=False))
+    client = made.client()
+    calls = [client.ask(budget=budget) for budget in ("1200", "1500")]
+    for call in calls:  # the first has run out at the machine, too, when the second is answered
+        assert client.answer(call)[2][0] == "Overloaded"
+    box = made.line(0)
+    made.router.close()
+    assert box.words() == [b"REQ", b"REQ"]
+
+
+# The end of the program, in one process and with the clock turned by hand.
+
+
+class Ended:
+    """A node that has been told to leave, its machines and its clients real sockets."""
+
+    def __init__(self, monkeypatch):
+        from wickhinge.net.deadlines import Deadlines
+        from wickhinge.net.loop import Reactor
+        from wickhinge.net.router import Node
+
+        self.ahead, self.stopped = 0.0, []
+        monkeypatch.setattr(Deadlines, "now", staticmethod(lambda: time.time() + self.ahead))
+        conf = json.loads((ROOT / "example/config.json").read_text())
+        with socket.create_server(("127.0.0.1", 0)) as place:
+            self.address = place.getsockname()
+        self.box = socket.create_server(("127.0.0.1", 0))
+        self.box.settimeout(5.0)
+        hosts = [host(0, "origin", self.box)]
+        conf |= {"listen": "{}:{}".format(*self.address), "journal": "127.0.0.1:9",
+                 "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}}
+        self.reactor = Reactor()
+        self.node = Node(conf, self.reactor, os.open(os.devnull, os.O_WRONLY))
+        monkeypatch.setattr(self.reactor, "stop", lambda: self.stopped.append(True))
+        self.node.start()
+        self.node.opening.begin("test")
+
+    def turn(self, count=5):
+        for _ in range(count):
+            self.node.deadlines.fire()
+            self.reactor.iterate(0.01)
+
+    def close(self):
+        gc.enable()
+        self.node.journal.close()
+        self.node.opening.port.stopListening()
+        self.box.close()
+
+
+@pytest.fixture
+def ended(monkeypatch):
+    made = Ended(monkeypatch)
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("connected", [True, False])
+def test_a_request_unread_when_nothing_is_open_is_still_answered(ended, connected):
+    """With little CPU the end comes due before what lies in a socket, or a connection in the listener, is looked at."""
+    client = Client(ended.address) if connected else None
+    ended.turn()
+    ended.node.leave()
+    ended.ahead = 1.0
+    client = client or Client(ended.address)
+    call = client.ask("results", b"mark")
+    ended.node.deadlines.fire()
+    ended.ahead = 2.0
+    ended.node.deadlines.fire()
+    assert not ended.stopped
+    ended.turn()
+    machine = ended.box.accept()[0]
+    machine.settimeout(5.0)
+    rid = resp.Stream(ended.node.pool).feed(machine.recv(65536))[0][1]
+    machine.sendall(resp.pack(rid, b"OK", b"-", b"mark"))
+    ended.turn()
+    assert client.answer(call)[2] is None
+    ended.ahead = 4.0
+    ended.turn(10)
+    assert ended.stopped
+
+
+def test_what_no_machine_answers_before_the_kill_is_given_up(ended):
+    client = Client(ended.address)
+    calls = [client.ask("results", b"mark"), client.ask("pages")]
+    ended.turn()
+    ended.node.leave()
+    ended.ahead = ended.node.last + 0.01
+    ended.turn(10)
+    assert [client.answer(call)[2][0] for call in calls] == ["Abandoned", "Overloaded"]
+    assert ended.stopped
+
+
+# Clients, without a socket.
+
+
+class Peer:
+    """A client's connection and what the visits hear of it."""
+
+    def __init__(self):
+        self.now, self.soon, self.taken, self.gone, self.calls = 100.0, [], [], [], []
+        clock = SimpleNamespace(now=lambda: self.now, after=lambda delay, call, *told: self.soon.append(call))
+        visits = SimpleNamespace(take=self.take, gone=self.gone.append)
+        self.clients = Clients(visits, clock, 9, lambda *_, **more: None)
+        self.made = Taken(self.clients)
+        self.made.transport = self.made.socket = SimpleNamespace(
+            pauseProducing=lambda: self.calls.append("pause"), resumeProducing=lambda: self.calls.append("resume"),
+            setTcpNoDelay=lambda on: None, getHandle=lambda: self.made.transport, sendmsg=lambda views: 1 << 20,
+            abortConnection=lambda: self.calls.append("abort"))
+        self.made.connectionMade()
+
+    def take(self, client, call, method, fields, body, waited):
+        from wickhinge.net.visits import Bad
+
+        if method == "bad":
+            raise Bad("bad")
+        self.taken.append((call, round(waited, 3)))
+        return call
+
+    def ask(self, *calls, method="pages", body=b""):
+        self.made.dataReceived(b"".join(msgpack.pack([0, call, method, [{"rid": "a"}, body]]) for call in calls))
+
+    def abort(self, call):
+        self.made.dataReceived(msgpack.pack([2, "abort", [call]]))
+
+    def let(self, after):
+        self.now += after
+        for call in self.soon[:]:
+            call()
+
+
+@pytest.mark.parametrize("hold", ["bad", "full"])
+def test_who_is_held_back_is_seen_to_give_up_and_to_leave(hold):
+    """Unread, what it had open would still be sent on long after it left."""
+    peer = Peer()
+    peer.ask(1, 2)
+    if hold == "bad":
+        peer.ask(9, method="bad")
+    else:
+        peer.clients.pause()
+    peer.ask(3, 4, 5)
+    peer.abort(1)
+    peer.abort(4)
+    assert [call for call, _ in peer.taken] == [1, 2] and peer.gone == [1] and "pause" not in peer.calls
+    assert peer.made.unread()  # so nobody hangs up on it, and the program does not end
+    peer.now += 0.2
+    peer.clients.resume() if hold == "full" else peer.let(2 * HOLD)
+    assert [call for call, _ in peer.taken] == [1, 2, 3, 5] and peer.taken[-1][1] >= 0.2  # its time ran on
+    peer.ask(9, method="bad")
+    peer.ask(6)
+    peer.made.connectionLost(SimpleNamespace(getErrorMessage=lambda: "closed"))
+    peer.let(5.0)
+    assert peer.gone == [1, 2, 3, 5] and len(peer.taken) == 4
+
+
+def test_what_is_read_in_a_hold_is_bounded():
+    peer = Peer()
+    peer.ask(9, method="bad")
+    peer.ask(1, body=b"x" * 9000)
+    assert peer.calls == ["pause"]
+    peer.let(5.0)
+    assert peer.calls == ["pause", "resume"] and [call for call, _ in peer.taken] == [1]
+    peer.ask(10, method="bad")
+    peer.ask(*range(20, 20 + OPEN))
+    assert "abort" in peer.calls and not peer.made.later
+
+
+def test_a_ping_beside_as_many_requests_as_may_be_open_harms_none():
+    peer = Peer()
+    data = [msgpack.pack([0, call, "pages", [{"rid": "a"}]]) for call in range(OPEN)]
+    peer.made.dataReceived(b"".join(data) + msgpack.pack([0, 99, "ping", [{}]]))
+    assert len(peer.taken) == OPEN and "abort" not in peer.calls
+
+
+@pytest.mark.parametrize("since, fails", [(3.0, False), (5.0, True)])
+def test_one_that_asked_while_the_router_stood_still_is_not_hung_up_on_for_its_silence(since, fails):
+    peer = Peer()
+    peer.made.unread = lambda: True  # it lies in the socket
+    peer.now += since
+    peer.clients.swept = peer.now - 0.25
+    peer.clients.sweep()
+    assert ("abort" in peer.calls) is fails
+
+
+# Connections to machines, without a socket.
+
+
+@pytest.mark.parametrize("room", [0, 4])
+def test_what_is_not_wholly_written_when_its_visit_is_over_never_becomes_a_request(room):
+    made, ends, soon, _ = line(room)
+    forwards = Forwards(made.caches, made.caches.deadlines, 0.25, [].append)
+    made.caches.ended = ends.__setitem__
+    number = forwards.slots.put(Sent(SimpleNamespace(), None, None, 0.0))
+    sent = forwards.slots.get(number)
+    sent.line, sent.tag = made, b"a"
+    made.send(b"a", number, resp.pack(b"REQ", b"a", b"-", b""))
+    forwards.recall(number)
+    assert (not made.queue) is (room == 0)  # begun, it may go on after a drain was told: its first byte went before
+    forwards.recall(number, True)
+    made.socket.room = 1 << 20
+    made.resumeProducing()
+    made.resumeProducing()
+    assert len(made.socket.data) == room and (End.RECALLED in [told[-1] for _, told in soon])
+
+
+def test_an_answer_under_an_id_that_still_waits_here_is_none():
+    made, ends, _, _ = line(0)
+    made.send(b"a", 1, b"x")
+    made.dataReceived(resp.pack(b"a", b"BUSY", b"-", b""))
+    assert ends == {} and made.open == {b"a": 1} and made.queue
+
+
+def test_an_id_is_not_used_again_where_a_late_answer_came_for_it():
+    made, *_ = line()
+    made.send(b"a", 1, b"x")
+    made.stop(b"a", 100.0)
+    made.dataReceived(resp.pack(b"a", b"OK", b"-", b""))  # and once more, some milliseconds later
+    assert b"a" in made.left
+
+
+@pytest.mark.parametrize("word, again", [(b"MISS", True), (b"BUSY", False), (b"ERR", False), (b"VOID", False)])
+def test_after_what_answer_a_visit_may_come_again_on_the_same_connection(word, again):
+    made, *_ = line()
+    forwards = Forwards(made.caches, made.caches.deadlines, 0.25, [].append)
+    forwards.ended = lambda *_: None
+    door = Door(SimpleNamespace(taken=1), None, 1, "a", tariff(), 0.0)
+    number = forwards.slots.put(Sent(door, None, None, 0.0))
+    forwards.slots.get(number).line, forwards.slots.get(number).tag = made, b"a"
+    assert forwards.answered(number, word, b"-", None)
+    assert (b"a" not in made.left) is again
+
+
+# Settings in which something is not allowed, or 0.
+
+
+def test_where_probes_are_not_allowed_a_source_that_refused_is_not_asked_either():
+    made = router(probes=False)
+    visit, caller = take(made)
+    end(caller, Outcome.MISS, 100.1)
+    end(caller, Outcome.FULL, 100.2)
+    assert made.outside.probes == []
+
+
+@pytest.mark.parametrize("multiple, span", [(0.0, 1.0), (4.0, 0.0)])
+def test_where_no_load_topples_a_cold_machine_none_is_kept_from_it(multiple, span):
+    made = router(boxes=1)
+    made.fleet.edge.__init__(multiple, span, 0.2, 10.0)
+    made.fleet.mine[0].started = 99.9
+    for number in range(20):
+        _, caller = take(made, key=number)
+        assert caller.forwards[0].cache is made.fleet.mine[0]
+
+
+@pytest.mark.parametrize("field", ["connectTimeoutMs", "connIdleMs", "maxStreams"])
+def test_times_and_streams_of_0_are_faults_that_name_their_key(field):
+    with pytest.raises(Malformed, match=field):
+        config.times({"settings": {"limits": {field: 0}}})
+
+
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,12 +13,13 @@
 from twisted.internet import error
 from twisted.python import log
 from twisted.python.failure import Failure
+from wires import Wire, line, pool
 
 from wickhinge.fields import Malformed
 from wickhinge.interface import Outcome
 from wickhinge.net import config, journal, msgpack, resp
 from wickhinge.net.accept import Clients
-from wickhinge.net.buffers import SIZE, Body, Pool
+from wickhinge.net.buffers import SIZE, Body
 from wickhinge.net.caches import Caches, Line
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.ends import OUTCOMES, WORDS, End, unconnected
@@ -28,12 +29,6 @@
 from wickhinge.net.visits import Door, Visits
 
 
-def pool(limit=8):
-    told = []
-    made = Pool(limit, lambda: told.append("stop"), lambda: told.append("go"))
-    return made, told
-
-
 def plain(items):
     return [b"".join(item.views()) if isinstance(item, Body) else item for item in items]
 
@@ -182,7 +177,7 @@
     never = {end for end, outcome in OUTCOMES.items()
              if outcome in (Outcome.UNREACHED, Outcome.UNSENT, Outcome.FULL, Outcome.MISS, Outcome.MOOT)}
     assert never == {End.REFUSED, End.NO_CONNECT, End.RESET_NEW, End.NO_DESCRIPTOR, End.LOST_UNWRITTEN,
-                     End.BUSY, End.MISS, End.VOID}
+                     End.RECALLED, End.BUSY, End.MISS, End.VOID}
     assert b"".join(NOTES) == b"hfojsrblnx"
 
 
@@ -219,42 +214,6 @@
     assert called == ["a", "b", "next turn"] and len({id(call.__func__) for _, call in clock.timers}) == 1
 
 
-class Wire:
-    """A socket with room for so many bytes, and the transport over it."""
-
-    def __init__(self, room=1 << 20):
-        self.room, self.data, self.calls = room, b"", []
-
-    def send(self, data):
-        if not self.room:
-            raise BlockingIOError
-        piece = bytes(data[: self.room])
-        self.data, self.room = self.data + piece, self.room - len(piece)
-        return len(piece)
-
-    def recv(self, size, flags):
-        raise BlockingIOError
-
-    def __getattr__(self, name):
-        return lambda *told: self.calls.append(name)
-
-
-def line(room=1 << 20):
-    """A connection that is up, its machine and the deadlines' calls; ends tells what became of numbers."""
-    soon, ends, now = [], {}, [100.0]
-    clock = SimpleNamespace(now=lambda: now[0], after=lambda delay, call, *told: soon.append((call, told)),
-                            soon=lambda call, *told: soon.append((call, told)), waited=lambda _: 0.0)
-    caches = Caches(None, clock, pool()[0], 0.4, 15.0, 100, 50, lambda *_, **more: None, [].append)
-    caches.ended = ends.__setitem__
-    caches.answered = lambda number, *_: ends.setdefault(number, "answered") == "answered"
-    caches.listed(1, "1", ("127.0.0.1", 1))
-    made = Line(caches.machines[1])
-    made.machine.lines.append(made)
-    made.transport = made.socket = Wire(room)
-    made.up = True
-    return made, ends, soon, now
-
-
 @pytest.mark.parametrize("room, written", [(0, b""), (4, b"*1\r\n")])
 def test_what_is_given_up_before_the_socket_took_it_is_never_sent_on(room, written):
     """Held by the transport it went out after its visit's final answer, while the router stood still."""
@@ -287,7 +246,7 @@
     for name, table, since in (("silent", clients.silent, silent), ("idle", clients.idle, idle)):
         if since is not None:
             made = Named()
-            made.open, made.out, made.ended = (), (), False
+            made.open, made.out, made.later, made.ended = (), (), (), False
             made.unread = lambda since=since: since < 0
             made.close = made.fail = lambda *_, gone=made, what=name: (
                 ended.append(what), clients.forget(gone))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -415,7 +415,8 @@
     world = begun()
     heap, (buffers, _) = Heap(), pool(100)
     faults, sent = [], []
-    machine = SimpleNamespace(send=lambda tag, number, payload: sent.append((tag, number, payload)) or object())
+    line = SimpleNamespace(leave=lambda tag: None, unwritten=())
+    machine = SimpleNamespace(send=lambda tag, number, payload: sent.append((tag, number, payload)) or line)
     caches = SimpleNamespace(machines={mark: machine for mark in [1, 2, 3, 4, 100, 101, 200]})
     forwards = Forwards(caches, heap, 0.25, faults.append)
     made = router()
--- /dev/null
+++ b/tests/wires.py
@@ -0,0 +1,48 @@
+"""A connection to a machine without a socket."""
+
+from types import SimpleNamespace
+
+from wickhinge.net.buffers import Pool
+from wickhinge.net.caches import Caches, Line
+
+
+def pool(limit=8):
+    told = []
+    made = Pool(limit, lambda: told.append("stop"), lambda: told.append("go"))
+    return made, told
+
+
+class Wire:
+    """A socket with room for so many bytes, and the transport over it."""
+
+    def __init__(self, room=1 << 20):
+        self.room, self.data, self.calls = room, b"", []
+
+    def send(self, data):
+        if not self.room:
+            raise BlockingIOError
+        piece = bytes(data[: self.room])
+        self.data, self.room = self.data + piece, self.room - len(piece)
+        return len(piece)
+
+    def recv(self, size, flags):
+        raise BlockingIOError
+
+    def __getattr__(self, name):
+        return lambda *told: self.calls.append(name)
+
+
+def line(room=1 << 20):
+    """A connection that is up, its machine and the deadlines' calls; ends tells what became of numbers."""
+    soon, ends, now = [], {}, [100.0]
+    clock = SimpleNamespace(now=lambda: now[0], after=lambda delay, call, *told: soon.append((call, told)),
+                            soon=lambda call, *told: soon.append((call, told)), waited=lambda _: 0.0)
+    caches = Caches(None, clock, pool()[0], 0.4, 15.0, 100, 50, lambda *_, **more: None, [].append)
+    caches.ended = ends.__setitem__
+    caches.answered = lambda number, *_: ends.setdefault(number, "answered") == "answered"
+    caches.listed(1, "1", ("127.0.0.1", 1))
+    made = Line(caches.machines[1])
+    made.machine.lines.append(made)
+    made.transport = made.socket = Wire(room)
+    made.up = True
+    return made, ends, soon, now
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -110,6 +110,7 @@
 
     def __init__(self, multiple: float, span: float, floor: float, warm: float) -> None:
         self.multiple, self.span, self.floor, self.warm = multiple, span, floor, warm
+        self.rule = multiple > 0.0 < span  # else no load topples them
         self.usual = 0.0  # work a second that this router sends to a warm machine of the tier
 
     def part(self, cache: Cache, now: float) -> float:
@@ -240,7 +241,7 @@
 
     def room(self, cache: Cache, visit: Visit, now: float) -> bool:
         cold = self.upper if (upper := cache.kind == self.parent_kind) else self.edge
-        if cache is self.origin or (part := cold.part(cache, now)) >= 1.0:
+        if cache is self.origin or not cold.rule or (part := cold.part(cache, now)) >= 1.0:
             return True
         if self.weighed and self.dealt:  # the routers' true shares in place of a guess, where they talk
             return self.dealt(cache, upper, cold, part, visit.router.mean(visit.tariff))
@@ -479,11 +480,13 @@
 class Router:
     def __init__(self, outside: Outside, chance: Chance, fleet: Fleet, shelf: Shelf, purges: Purges,
                  joins: bool, direct: bool, flow: float, most_forwards: int, second_copies: bool,
-                 cancel: bool, probes: bool, follows: bool, ask_within: float, longest_wait: float) -> None:
+                 cancel: bool, probes: bool, loads: bool, follows: bool, ask_within: float,
+                 longest_wait: float) -> None:
         self.outside, self.chance, self.fleet, self.shelf = outside, chance, fleet, shelf
         self.purges, self.joins, self.direct, self.flow = purges, joins, direct, flow
         self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
         self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
+        self.loads = probes and loads  # probes bring the machines' load
         self.ask_again = ask_within / 8 or 1.0  # a failed call is made up for before the list counts as old
         self.means, self.queue, self.copies = {}, [], None  # by tariffs; visits that wait; of our own, if any
         self.fills, self.gain = 0, 0.1 * min(fleet.routers, 3)  # of one sample: larger where few are seen
@@ -545,7 +548,8 @@
             source.answered(now)
         elif note is Note.SOURCE_LOST:
             source.failed(now, Outcome.UNREACHED)
-        elif note is None and outcome in (Outcome.ERROR, Outcome.FULL) and now - source.asked > 1.0:
+        elif note is None and outcome in (Outcome.ERROR, Outcome.FULL) and (
+                self.probes and now - source.asked > 1.0):
             source.asked = now  # refused or dead? Nothing tells, so it is asked itself
             self.outside.probe(source)
         self.serve(now)
@@ -560,7 +564,7 @@
         return max(LINK * (self.fills + 1) * self.link_load / max(self.link_fills, 1.0), 1.0)
 
     def round(self, now: float) -> None:
-        for cache in self.fleet.mine if self.probes else ():
+        for cache in self.fleet.mine if self.loads else ():
             # Three a cache by all routers of the location, by chance: more cost more than they tell.
             if self.chance.draw() * self.fleet.routers < 3:
                 self.outside.probe(cache)
--- a/wickhinge/lab/play.py
+++ b/wickhinge/lab/play.py
@@ -24,8 +24,8 @@
     topples a machine times its capacity, over which seconds, its pace at first, seconds until it is warm."""
     fleet = Fleet(chance, zone, routers, "parent", "origin", True, Cold(*cold), Cold(*cold))
     return Router(outside, chance, fleet, Shelf(fleet.routers), Purges(6.0), joins=False, direct=True, flow=1000.0,
-                  most_forwards=6, second_copies=True, cancel=True, probes=False, follows=False, ask_within=0.0,
-                  longest_wait=0.5)
+                  most_forwards=6, second_copies=True, cancel=True, probes=True, loads=False, follows=False,
+                  ask_within=0.0, longest_wait=0.5)
 
 
 class Asked:
--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol
@@ -22,7 +23,9 @@
 SWEEP = 0.25
 UNREAD = 0.25  # seconds after connecting in which a request may lie unread while the router pauses
 FAULTS = 32  # kinds of faults told apart between two reports
-HOLD, HELD = 0.05, 1.0  # seconds in which nothing is read after a bad request, doubled for each, and the most
+HOLD, HELD = 0.05, 1.0  # seconds in which nothing is begun after a bad request, doubled for each, and the most
+LATER = 8192  # bytes read of a client in a hold, past which it is not read either
+LOOKED = 8  # connections looked at for one to hang up on
 
 
 class Client(Protocol):
@@ -31,7 +34,9 @@
         self.stream = msgpack.Stream()
         self.open: dict[int, Any] = {}
         self.out: deque[bytes | Body] = deque()
-        self.full = self.held = self.ended = False
+        self.later: deque[tuple[list[Any], float]] = deque()  # requests read in a hold, and when
+        self.kept = 0  # bytes read in it
+        self.full = self.held = self.ended = self.paused = False
         self.moved = self.until = 0.0
         self.bad = 0
         self.socket: Any = None
@@ -45,6 +50,8 @@
     def dataReceived(self, data: bytes) -> None:
         try:
             messages = self.stream.feed(data)
+            if self.held:
+                self.kept += len(data)
             if len(messages) > 1:
                 self.count(messages)
             for message in messages:
@@ -56,8 +63,9 @@
 
     def count(self, messages: list[Any]) -> None:
         """Hundreds at once are refused whole, before the first of them costs a cache anything."""
-        kinds = [message[0] for message in messages if type(message) is list and message]
-        if len(self.open) + kinds.count(0) - kinds.count(2) > OPEN:
+        asked = [message[0] for message in messages
+                 if type(message) is list and len(message) > 2 and message[2] != "ping"]
+        if len(self.open) + len(self.later) + asked.count(0) - asked.count(2) > OPEN:
             raise msgpack.Unreadable(f"more than {OPEN} requests open")
 
     def message(self, message: Any) -> None:
@@ -69,20 +77,27 @@
             raise msgpack.Unreadable("a message that is no request and no abort")
         call, first = message[1], params[0]
         if kind == 0 and len(message) == 4 and type(call) is int and type(first) is dict:
-            if call in self.open or type(message[2]) is not str or len(self.open) >= OPEN:
+            if message[2] == "ping":
+                self.write(msgpack.pack([1, call, None, [not self.clients.leaving, {}]]))
+                return
+            if (call in self.open or any(call == other[1] for other, _ in self.later)
+                    or type(message[2]) is not str or len(self.open) + len(self.later) >= OPEN):
                 raise msgpack.Unreadable("a request with an id in use, one too many, or with no method")
-            self.request(call, message[2], first, params)
+            if self.held:
+                self.later.append((message, self.clients.deadlines.now()))
+            else:
+                self.request(call, message[2], params)
         elif kind == 2 and call == "abort" and type(first) is int:
             door = self.open.pop(first, None)
             if door is not None:
                 self.clients.visits.gone(door)
+            else:
+                self.later = deque(item for item in self.later if item[0][1] != first)
         else:
             raise msgpack.Unreadable("a message that is no request and no abort")
 
-    def request(self, call: int, method: str, fields: dict[Any, Any], params: list[Any]) -> None:
-        if method == "ping":
-            self.write(msgpack.pack([1, call, None, [not self.clients.leaving, {}]]))
-            return
+    def request(self, call: int, method: str, params: list[Any], waited: float = 0.0) -> None:
+        fields = params[0]
         try:
             body = params[1] if len(params) > 1 else b""
             if len(params) > 2 or type(body) is not bytes:
@@ -91,7 +106,7 @@
                 if type(name) is not str or type(fields[name]) is not str:
                     raise Bad(f"field {name!s:.40} is not a string")
             self.open[call] = None
-            door = self.clients.visits.take(self, call, method, fields, body)
+            door = self.clients.visits.take(self, call, method, fields, body, waited)
         except Bad as problem:
             self.open.pop(call, None)
             self.clients.bad(str(problem))
@@ -184,18 +199,29 @@
             self.clients.deadlines.after(STUCK - still, self.check)
 
     def throttle(self) -> None:
-        """Its answers are bounded by what it may have open, so one that reads slowly is still read: held back
-        for that, its requests would run out unseen."""
-        hold = self.clients.paused or self.until > self.clients.deadlines.now()
-        if hold != self.held and not self.ended:
-            self.held = hold
-            transport = self.transport
-            (transport.pauseProducing if hold else transport.resumeProducing)()
+        """In a hold it is read on and nothing new is begun: unread, one that leaves or gives a request up is not
+        seen to, and what waits for it would still be sent on. Its answers are bounded by what it may have open, so
+        one that reads slowly is no reason for a hold: its requests would run out."""
+        if self.ended:
+            return
+        now = self.clients.deadlines.now()
+        self.held = self.clients.paused or self.until > now
+        while self.later and not self.held:
+            message, since = self.later.popleft()
+            self.request(message[1], message[2], message[3], now - since)
+            self.held = self.clients.paused or self.until > now
+        if not self.later:
+            self.kept = 0
+        pause = self.held and self.kept > LATER
+        if pause != self.paused and not self.ended:
+            self.paused = pause
+            (self.transport.pauseProducing if pause else self.transport.resumeProducing)()
 
     # Ends.
 
     def unread(self) -> bool:
-        return waiting(self.socket) is True
+        """Whether something of it was not looked at yet: closed now, that request would be lost."""
+        return bool(self.later) or waiting(self.socket) is True
 
     def close(self) -> None:
         """Nothing is open here; a request on its way crosses the close and is sent again."""
@@ -218,6 +244,7 @@
             return
         self.ended = True
         self.clients.forget(self)
+        self.later.clear()
         doors, self.open = self.open, {}
         for door in doors.values():
             if door is not None:
@@ -249,9 +276,10 @@
         it goes after those that had their answer."""
         if len(self.all) >= self.most:
             old = self.silent and self.deadlines.now() - next(iter(self.silent.values())) > UNREAD
-            for table in (self.silent if old else self.idle, self.idle, self.half, self.silent):
-                if table:
-                    self.turn_away(next(iter(table)))
+            tables = (self.silent if old else self.idle, self.idle, self.half, self.silent)
+            first = next((table for table in tables if table), {})
+            for other in list(islice(first, LOOKED)):
+                if self.turn_away(other):
                     break
         self.all.add(client)
         if len(self.all) > self.most:
@@ -272,7 +300,7 @@
         self.settle(client)
 
     def settle(self, client: Client) -> None:
-        if client.open or client.out or client.ended or client in self.silent:
+        if client.open or client.later or client.out or client.ended or client in self.silent:
             self.idle.pop(client, None)
         elif client not in self.idle:
             self.idle[client] = self.deadlines.now()
@@ -282,24 +310,25 @@
         # Where this router itself stood still or stopped reading, what was sent to it lies unread.
         lists = ((self.silent, FIRST), (self.half, FIRST), (self.idle, IDLE))
         for table, most in () if self.paused or now - self.swept > 2 * SWEEP else lists:
-            while table:
-                client, since = next(iter(table.items()))
+            for client, since in list(table.items()):
                 if now - since < most:
                     break
-                self.turn_away(client)
+                self.turn_away(client, now - since >= 2 * most)
         self.swept = now
         self.deadlines.after(SWEEP, self.sweep)
 
-    def turn_away(self, client: Client) -> None:
+    def turn_away(self, client: Client, must: bool = False) -> bool:
+        """Not one that has asked, or asked again, while the router stood still; must: it had time twice over."""
+        if client.unread() and not must:
+            if self.idle.pop(client, None) is not None:
+                self.settle(client)
+            return False
         self.closed += 1
-        if client in self.idle and client.unread():
-            # Asked again while the router stood still: closed now, that request would be lost.
-            del self.idle[client]
-            self.settle(client)
-        elif client in self.idle:
+        if client in self.idle:
             client.close()
         else:
             client.fail("half a request" if client in self.half else "no request")
+        return True
 
     def forget(self, client: Client) -> None:
         self.all.discard(client)
@@ -330,5 +359,15 @@
         for client in list(self.all):
             client.throttle()
 
+    def begin_all(self) -> None:
+        """The router ends: holds too."""
+        self.paused = False
+        for client in list(self.all):
+            client.until = 0.0
+            client.throttle()
+
+    def unread(self) -> bool:
+        return any(client.unread() for client in self.all)
+
     def unwritten(self) -> bool:
         return any(client.out or client.full for client in self.all)
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -22,7 +22,7 @@
 EARLY = 0.8  # of the caches' idle time: a request sent into their close would count as lost
 STALL = 0.4  # seconds in which more of an answer under way has to come
 DOUBT = 0.3  # seconds of silence after a request; given up sooner by its client, it tells nothing
-LEFT = 256  # ids given up on a connection that are remembered
+LEFT = 256  # ids given up or answered on a connection that are remembered
 
 
 class Line(Protocol):
@@ -34,7 +34,7 @@
         self.open: dict[bytes, int] = {}  # what is out here, by its id on the wire
         self.unwritten: set[bytes] = set()
         self.queue: deque[tuple[bytes, bytes]] = deque()
-        self.left: dict[bytes, None] = {}  # given up here: a late answer may still come under such an id
+        self.left: dict[bytes, None] = {}  # over here: a late or a second answer may still come under such an id
         self.up = self.down = self.writing = self.doubted = self.closing = False
         self.watched = False
         self.begun = self.cut = self.held = False  # begun: of the queue's first, some has been written
@@ -123,12 +123,21 @@
                 self.queue = deque(item for item in self.queue if item[0] != tag)
             self.unwritten.discard(tag)
         elif not self.down:
-            self.left[tag] = None
-            if len(self.left) > LEFT:
-                del self.left[next(iter(self.left))]
-            self.put(b"", resp.pack(b"STOP", tag))
+            self.leave(tag)
+            if self.caches.stops:
+                self.put(b"", resp.pack(b"STOP", tag))
         self.settle()
 
+    def leave(self, tag: bytes) -> None:
+        """No request goes under this id here again: what still comes under it could be taken for its answer."""
+        self.left[tag] = None
+        if len(self.left) > LEFT:
+            del self.left[next(iter(self.left))]
+
+    def waits(self, tag: bytes) -> bool:
+        """Whether none of a request has been written yet: its connection is not up, or takes no more."""
+        return tag in self.unwritten and not (self.begun and self.queue[0][0] == tag)
+
     def dataReceived(self, data: bytes) -> None:
         self.heard = self.caches.deadlines.now()
         try:
@@ -138,9 +147,9 @@
             return
         for items in arrays:
             body = items[3] if len(items) > 3 else None
-            number = self.open.pop(items[0], None)
+            # Of a request that still waits here it is no answer: a second one to what had its id before.
+            number = None if self.waits(items[0]) else self.open.pop(items[0], None)
             if number is None:
-                self.left.pop(items[0], None)
                 self.caches.lates += 1
                 if isinstance(body, Body):
                     body.release()
@@ -148,7 +157,10 @@
             self.unwritten.discard(items[0])
             word = items[1] if len(items) > 1 else b""
             told = items[2] if len(items) > 2 else b"-"
-            if not self.caches.answered(number, word, told, body):
+            fits = self.caches.answered(number, word, told, body)
+            if fits is None:
+                self.open[items[0]] = number
+            elif not fits:
                 self.over(End.UNREADABLE, f"an answer {word!r:.20} with {told!r:.60}")
         if self.stream.busy() and not self.watched:
             self.watched = True
@@ -278,9 +290,10 @@
         self.reactor, self.deadlines, self.pool = reactor, deadlines, pool
         self.connect_within, self.idle, self.streams, self.most = connect_within, EARLY * idle, streams, most
         self.log, self.fault = log, fault
+        self.stops = True  # whether a request may be given up by word; else its budget tells
         self.machines: dict[int, Machine] = {}
         self.paused = False
-        self.answered: Callable[..., bool] = lambda *_: True
+        self.answered: Callable[..., bool | None] = lambda *_: True
         self.ended: Callable[..., None] = lambda *_: None
         self.lates = 0
 
--- a/wickhinge/net/ends.py
+++ b/wickhinge/net/ends.py
@@ -29,6 +29,7 @@
     UNREADABLE = "an answer that could not be read"
     SILENT = "no answer in time"
     STOPPED = "stopped by us"
+    RECALLED = "taken back before any of it was written"
     CUT = "cut by us within a request that was given up"
     CLOSED_IDLE = "closed while idle"
     CLOSED_BY_US = "closed by us"
@@ -52,6 +53,7 @@
     End.UNREADABLE: Outcome.BROKEN,
     End.SILENT: Outcome.TIMED_OUT,
     End.STOPPED: Outcome.WITHDRAWN,
+    End.RECALLED: Outcome.UNSENT,
     End.CUT: Outcome.BROKEN,
     End.CLOSED_IDLE: None,  # nothing was open: no failure of the cache at all
     End.CLOSED_BY_US: None,
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -19,13 +19,14 @@
 class Sent:
     """One forward on its way; for a probe there is no door and no forward, only the cache."""
 
-    __slots__ = ("door", "forward", "cache", "line", "tag", "since", "offered")
+    __slots__ = ("door", "forward", "cache", "line", "tag", "since", "offered", "fills")
 
     def __init__(self, door: Any, forward: Any, cache: Any, since: float) -> None:
         self.door, self.forward, self.cache, self.since = door, forward, cache, since
         self.offered: Any = None  # the copy whose tag goes with it: the client's (its tag), or one of our own
         self.line: Any = None
         self.tag = b""
+        self.fills = False  # a miss is filled there: it cannot end as one
 
 
 class Forwards:
@@ -55,6 +56,7 @@
             words = (("coalesce", join), ("shallow", held_only), ("freshen", renew))
             fields += ",flags=" + "+".join(word for word, on in words if on)
         sent = Sent(door, forward, cache, self.deadlines.now())
+        sent.fills = source is not None and source is not cache and not held_only
         if door.cached:
             sent.offered = door.cached
             fields += f",have={door.cached}"
@@ -92,19 +94,47 @@
         self.halt(number)
         self.deadlines.soon(self.ended, number, End.STOPPED)
 
+    def recall(self, number: int, whole: bool = False) -> None:
+        """Not sent after all where it still waits for its connection. whole: also where it has begun to go; the
+        rest would make it a request, sent after its visit was over."""
+        sent = self.slots.get(number)
+        if sent is None or sent.line is None or sent.tag not in sent.line.unwritten:
+            return
+        if whole or sent.line.waits(sent.tag):
+            sent.line.stop(sent.tag, sent.since)
+            self.deadlines.soon(self.ended, number, End.RECALLED)
+
+    def overtaken(self, holds: Callable[[Sent], bool]) -> None:
+        """Something was told that forms a bar to what was decided before it. A send counts from its first byte, and
+        a connection may come up, or take more, long after the bar's grace."""
+        for machine in self.caches.machines.values():
+            for number in [line.open[tag] for line in machine.lines for tag in line.unwritten if tag in line.open]:
+                sent = self.slots.get(number)
+                if sent is not None and sent.door is not None and not holds(sent):
+                    self.recall(number)
+
     def halt(self, number: int) -> None:
         sent = self.slots.get(number)
         if sent is not None and sent.line is not None:
             sent.line.stop(sent.tag, sent.since)
 
-    def answered(self, number: int, word: bytes, told: bytes, body: Any) -> bool:
-        """False for a word that does not fit what was asked: nothing on that connection can be trusted."""
+    def answered(self, number: int, word: bytes, told: bytes, body: Any) -> bool | None:
+        """False for a word that does not fit what was asked: nothing on that connection can be trusted. None for one
+        that is not the answer: the look's miss once more, as its fill goes under the same id."""
         end, sent = WORDS.get(word, End.UNREADABLE), self.slots.get(number)
+        if end is End.MISS and sent is not None and sent.fills:
+            if body is not None:
+                body.release()
+            return None
         if sent is not None and (
                 (end in PROBED) != (sent.door is None)
                 or end is End.SAME and (sent.offered is None or b"made=" not in told)
                 or end is End.SERVED and sent.door is not None and not sent.door.fits(told, body)):
             end = End.UNREADABLE
+        if sent is not None and sent.line is not None and end not in (End.MISS, End.SERVED):
+            # The visit may come again to this machine. A second answer, some milliseconds late, would then end that
+            # forward while it runs; refused twice and run once, an exclusive visit would be sent a second time.
+            sent.line.leave(sent.tag)
         self.ended(number, end, b"-" if end is End.UNREADABLE else told, body)
         return end is not End.UNREADABLE
 
--- a/wickhinge/net/opening.py
+++ b/wickhinge/net/opening.py
@@ -10,6 +10,7 @@
 
 import socket
 from collections.abc import Callable
+from select import POLLIN, poll
 from typing import Any
 
 from wickhinge.net.journal import QUIET
@@ -69,6 +70,14 @@
         self.open = True
         self.log("open", why=why, waited_ms=round((self.deadlines.now() - self.since) * 1000))
 
+    def untaken(self) -> bool:
+        """Whether a connection waits to be taken: the system has accepted it, so what came on it counts as ours."""
+        if self.port is None:
+            return False
+        look = poll()
+        look.register(self.port.fileno(), POLLIN)
+        return bool(look.poll(0))
+
     def leave(self) -> bool:
         """SIGTERM. Whether clients may have come: one that never opened has nothing to wait for."""
         if self.socket is not None:
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -29,6 +29,7 @@
 LINGER = 0.75  # seconds after SIGTERM in which clients still come
 LAST = 0.45  # after the longest patience, whatever is open is given up on: SIGKILL comes 0.25 s later
 LONGEST = 3.0  # and counts no longer patience than this
+LATEST = 0.1  # after that the program ends, whatever is open
 REPORT = 5.0
 # Objects more than at the last walk, 5 MB of them: by the peak alone a second walk came only past a limit of 32 MB.
 CIRCLES = 25_000
@@ -55,6 +56,7 @@
         self.kinds = settings.names(conf_settings, "shapes")
         self.seed = config.seed(conf)
         self.router, tariffs = settings.build(conf_settings, self.seed, self)
+        self.caches.stops = self.router.cancel
         self.last = min(max(tariff.patience for tariff in tariffs.values()), LONGEST) + LAST
         self.visits = Visits(self.forwards, self.deadlines, self.pool, tariffs, self.log.event, self.fault)
         self.forwards.router = self.visits.router = self.router
@@ -159,11 +161,14 @@
         for mark, machine in list(self.caches.machines.items()):
             if mark not in self.router.fleet.known and not (self.members is not None and self.members.knows(mark)):
                 machine.leave()
+        self.forwards.overtaken(lambda sent: sent.cache.state == "ready" == sent.forward.source.state)
         self.log.event("list", whole=whole, machines=[
             [f"{m[0]:08x}", m[2], m[3], m[4], m[7]] for m in machines])
 
     def told_purge(self, key: int | None, group: int, stamp: float) -> None:
         self.router.purges.told(key, group, stamp / 1000.0, self.deadlines.now())
+        self.forwards.overtaken(lambda sent: sent.forward.visit.group != group if key is None
+                                else sent.forward.visit.item.key != key)
         if self.copies is not None:  # of those known at the start the numbers are not told
             self.copies.store.purge(key, group, stamp / 1000.0, self.journal.last + 1 if self.started else 0)
         if self.members is not None:
@@ -248,10 +253,7 @@
         self.leave()
 
     def settle(self, last: float) -> None:
-        now = self.deadlines.now()
-        if now >= last:
-            self.visits.give_up()
-        if now < last + 0.1 and (self.visits.open() or self.clients.unwritten()):
+        if self.busy(last):
             self.deadlines.after(0.01, self.settle, last)
             return
         self.log.event("stop", open=self.visits.open(), taken=self.visits.taken)
@@ -264,7 +266,25 @@
             self.copies.store.close()
         for machine in list(self.caches.machines.values()):
             machine.hang_up()
-        # One turn more, so that what is written last leaves the transports.
-        self.deadlines.after(0.02, self.reactor.stop)
+        # Some turns more, so that what is written last leaves the transports, and what came meanwhile is answered.
+        self.deadlines.after(0.02, self.end, last)
+
+    def busy(self, last: float) -> bool:
+        """Whether a client still has something to get, or to be read: with little CPU a request may lie unread, or its
+        connection untaken, at the moment when nothing is open."""
+        now = self.deadlines.now()
+        if now >= last:
+            self.clients.begin_all()
+            self.visits.give_up()
+        return now < last + LATEST and bool(self.visits.open() or self.clients.unwritten() or self.clients.unread()
+                                            or self.opening.untaken())
+
+    def end(self, last: float) -> None:
+        """The machines are hung up on: who still comes is denied."""
+        self.visits.give_up()
+        if self.busy(last):
+            self.deadlines.after(0.01, self.end, last)
+            return
+        self.reactor.stop()
 
 
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -90,8 +90,14 @@
         client, self.client = self.client, None
         if client is not None:
             tell(client)
+        self.recall()
         self.settle()
 
+    def recall(self) -> None:
+        """It is over: what of it still waits to be written is not sent, also where nothing may be withdrawn."""
+        for number in list(self.out.values()):
+            self.visits.forwards.recall(number, True)
+
     def fits(self, told: bytes, body: Any) -> bool:
         """Whether this can be the answer: a copy carries its tag and its age."""
         return body is not None and (self.tariff.passes_on or b"etag=" in told and b"made=" in told)
@@ -124,14 +130,15 @@
         self.taken = 0
         self.answers: dict[str, int] = {}
 
-    def take(self, client: Any, call: int, method: str, fields: dict[str, str], body: bytes) -> Door:
+    def take(self, client: Any, call: int, method: str, fields: dict[str, str], body: bytes,
+             held: float = 0.0) -> Door:
+        """held: seconds since it was read; besides, it may have waited for that as long as deadlines lately did."""
         now = self.deadlines.now()
         tariff = self.tariffs.get(method)
         if tariff is None:
             raise Bad("method names no tariff")
         rid = digits(fields, "rid")
-        # It may have waited for its turn as long as deadlines lately did.
-        waited = self.deadlines.waited(now)
+        waited = held + self.deadlines.waited(now)
         patience = whole(fields, "budget", LEAST, int(MOST * tariff.patience)) / 1000.0 - waited
         part = whole(fields, "block", 0, 1 << 31, 0)
         group = whole(fields, "family", 0, GROUPS, 0)
@@ -183,6 +190,7 @@
         door.final, door.answer = True, "gone"
         if door.visit is not None:
             door.visit.finish(self.deadlines.now())
+        door.recall()
         door.settle()
 
     def give_up(self) -> None:
