--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -340,6 +340,26 @@
     assert ends == {} and made.open == {b"a": 1} and made.queue
 
 
+def test_an_answer_that_trickles_on_after_its_visit_holds_no_other_up_for_long():
+    made, ends, soon, now = line()
+    made.send(b"a", 1, b"x")
+    made.send(b"b", 2, b"x")
+    made.dataReceived(resp.pack(b"a", b"OK", b"-", b"x" * 500)[:-99])
+    for turn in range(12):
+        if turn == 4:
+            made.stop(b"a", 100.0)
+        call, told = next(item for item in soon if item[0] == made.watch)
+        soon.clear()
+        now[0] += 0.2
+        made.dataReceived(b"x")
+        call(*told)
+        if turn == 3:
+            assert not made.doubted and ends == {}  # slow, but somebody waits for it
+        if made.down:
+            break
+    assert ends == {2: End.UNREADABLE} and 9 <= turn <= 10 and made.caches.pool.out == 0
+
+
 def test_an_id_is_not_used_again_where_a_late_answer_came_for_it():
     made, *_ = line()
     made.send(b"a", 1, b"x")
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -21,6 +21,7 @@
 SHARED = 2  # requests on each before another is opened: one spoilt answer takes all with it
 EARLY = 0.8  # of the caches' idle time: a request sent into their close would count as lost
 STALL = 0.4  # seconds in which more of an answer under way has to come
+ENDLESS = 1.0  # seconds in which an answer that nobody waits for any more has to end: a whole object at its own pace
 DOUBT = 0.3  # seconds of silence after a request; given up sooner by its client, it tells nothing
 LEFT = 256  # ids given up or answered on a connection that are remembered
 
@@ -39,6 +40,7 @@
         self.watched = False
         self.begun = self.cut = self.held = False  # begun: of the queue's first, some has been written
         self.heard = self.used = machine.caches.deadlines.now()
+        self.unwanted: tuple[Any, float] = (None, 0.0)  # the answer under way that nobody waits for, since when
         self.attempt: Any = None
         self.socket: Any = None
 
@@ -168,11 +170,21 @@
         self.settle()
 
     def watch(self) -> None:
-        """An answer that stops short would take the bytes of all that follow for its own."""
+        """An answer that stops short would take the bytes of all that follow for its own, and one that comes byte by
+        byte without an end would hold all that follow up."""
         self.watched = False
         if self.down or not self.stream.busy():
             return
         now = self.caches.deadlines.now()
+        tag = self.stream.items[0] if self.stream.items else None
+        if tag is None or tag in self.open:
+            self.unwanted = (None, 0.0)
+        elif tag != self.unwanted[0]:
+            self.unwanted = (tag, now)
+            self.doubted = True
+        elif now - self.unwanted[1] >= ENDLESS and not self.caches.paused:
+            self.over(End.UNREADABLE, "an answer that does not end")
+            return
         # Where this router is behind or has stopped reading, the rest lies unread: that is looked at.
         if now - self.heard < STALL or self.caches.paused or waiting(self.socket):
             self.watched = True
