A ticketed visit's mark goes on to the machines: token in, uniq out

Lines: Visits.take, which passed a fixed list of fields on. Test over sockets, also that the repeat carries it.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -139,6 +139,20 @@
     assert box.words() == [b"REQ", b"REQ"]
 
 
+def test_the_mark_of_a_ticketed_visit_goes_with_each_of_its_forwards(stand):
+    made = stand(change=lambda conf: conf["classes"][1].update(effect="token", group="all", windowMs=2500,
+                                                                    onTimeMs=2900))
+    client = made.client()
+    call = client.ask("results", b"mark", token="d266bfacf2dce431")
+    first = made.line(1).next()
+    assert first.fields["uniq"] == "d266bfacf2dce431"
+    first.line.socket.close()  # it may have run
+    again = made.line(1).next()
+    assert again.fields["uniq"] == "d266bfacf2dce431" and again.id == first.id
+    again.answer("OK", "-", b"mark")
+    assert answered(client, call)
+
+
 # The end of the program, in one process and with the clock turned by hand.
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -221,7 +221,7 @@
     ("nothing", {}, "method"), ("pages", {"drop": ("budget",)}, "budget"), ("pages", {"block": "x"}, "block"),
     ("pages", {"rid": "zz"}, "rid"), ("pages", {"family": "256"}, "family"),
     ("pages", {"budget": "599999"}, "budget"), ("pages", {"obj": "1"}, "obj"),
-    ("pages", {"body": b"x" * 48_001}, "body")])
+    ("pages", {"body": b"x" * 48_001}, "body"), ("results", {"token": "a,keep=3"}, "token")])
 def test_a_bad_request_gets_an_error_that_names_the_field(deployment, tariff, change, told):
     client = deployment.client()
     _, _, error, _ = client.answer(client.ask(tariff, **change))
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -13,6 +13,7 @@
 from wickhinge.net.slots import Slots
 
 HEX = re.compile(r"[0-9a-f]{16}\Z").match
+MARK = re.compile(r"[0-9A-Za-z_-]{1,64}\Z").match  # nothing that parts fields on the way to a cache
 LEAST, MOST = 1, 2000  # milliseconds of patience, the most for each second of the tariff's own
 BODY = 48_000
 RIDS = 2048
@@ -145,11 +146,16 @@
         key = 0 if tariff.passes_on and "obj" not in fields else int(digits(fields, "obj"), 16)
         if len(body) > BODY:
             raise Bad(f"the body holds over {BODY} bytes")
+        if not MARK(fields.get("token", "-")):
+            raise Bad("field token is no mark of up to 64 letters and digits")
         if rid in self.rids or rid in self.before:
             raise Bad("field rid was used before")
         door = Door(self, client, call, rid, tariff, now)
         door.body = Body(self.pool, body) if body else None
         door.passed = f"queue={method}"
+        if "token" in fields:
+            # By it the origin drops a repeat: a ticketed visit without its mark would have its effect twice.
+            door.passed += f",uniq={fields['token']}"
         if "obj" in fields:
             door.passed += f",path={fields['obj']}"
         if "block" in fields:
