--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 from helpers import Recorder, end, listing, router, take, tariff
 
@@ -260,6 +262,16 @@
     assert visit.late(crowd, 100.0) is denied
 
 
+@pytest.mark.parametrize("boxes, size, denied", [(1, 2500.0, False), (1, 6000.0, True), (0, 2500.0, False)])
+def test_the_largest_are_not_denied_where_nothing_is_crowded(boxes, size, denied):
+    """Stretched by a margin for crowds also alone, what takes its promised time over (2 - stretch) was always late."""
+    made = router(boxes=boxes)
+    _, caller = take(made, replace(tariff(), stretch=0.9), size=size)
+    if not denied and boxes:
+        end(caller, MISS, 100.01)
+    assert bool(caller.answers) is denied and (len(caller.forwards) == 1 + boxes) is not denied
+
+
 @pytest.mark.parametrize("load, denied", [(1.0, False), (30.0, True)])
 def test_a_fill_predicted_late_on_a_crowded_link_is_denied(load, denied):
     made = router()
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -20,7 +20,7 @@
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT, Outcome.MOOT, Outcome.MISS)  # others may have
 PASSING = (Outcome.ERROR, Outcome.BROKEN, Outcome.UNSENT)  # the same cache may well answer the next time
 FINE = (Outcome.MISS, Outcome.CURRENT, *PASSING)
-MARGIN = 2.0  # predicted times are stretched by this, for what will come while the visit is under way
+MARGIN = 2.0  # crowding as predicted is stretched by this, for what will come while the visit is under way
 LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
 EMPTY = 15.0  # a cache that started less than this ago has nothing to push out
 ROUND = 0.7  # seconds from one look at the whole fleet to the next
@@ -159,8 +159,8 @@
         return len(self.pending) + 1 + self.others  # own ones and one more; others' as this one's usual
 
     def crowd(self) -> float:
-        """How many times longer than alone a transfer takes, if one more comes."""
-        return max(self.out() / self.fit, 1.0)
+        """How full it is if one more comes; past 1 a transfer takes so many times longer than alone."""
+        return self.out() / self.fit
 
     def bore(self, ratio: float) -> None:  # took ratio times its own sending time
         out = self.out()
@@ -295,7 +295,7 @@
     def late(self, crowd: float, now: float) -> bool:
         # A repeat's promise mostly ran out with its first try: in a crowd it takes pace from first tries.
         return not self.tariff.passes_on and (
-            now + MARGIN * self.work * crowd > self.due or self.repeat and crowd > 1.0)
+            now + self.work * max(MARGIN * crowd, 1.0) > self.due or self.repeat and crowd > 1.0)
 
     def fits(self, cache: Cache, now: float) -> bool:
         return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(cache, self, now)
@@ -323,7 +323,7 @@
     def look(self, now: float) -> None:
         """Ask the cache on the part's hash, and the next where that one fails or would be late."""
         router, fleet = self.router, self.router.fleet
-        if self.late(1.0, now) and not self.pending():  # late anywhere: a flood is denied without a choice
+        if self.late(0.0, now) and not self.pending():  # late anywhere: a flood is denied without a choice
             return self.give_up(now)
         # An error may pass, and elsewhere the part must be filled anew: the same cache is asked twice more.
         failed = [f.cache for f in self.forwards if f.outcome not in FINE]
@@ -538,7 +538,8 @@
     def filled(self, forward: Forward, outcome: Outcome, took: float, note: Note | None, now: float) -> None:
         """A fill is over: judge the source by what it added, and try again for those who wait."""
         source, visit = forward.source, forward.visit
-        lag = (took - visit.work * max(forward.cache.crowd(), self.link_crowd())) / (visit.work + 0.1)
+        crowd = max(forward.cache.crowd(), self.link_crowd(), 1.0)
+        lag = (took - visit.work * crowd) / (visit.work + 0.1)
         if refused := outcome in (Outcome.FULL, Outcome.ERROR):
             lag = 5.0  # from all routers the same refused fills would come again at once
         if refused or visit.known and outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
@@ -561,7 +562,7 @@
             (visit.fill if visit.at else visit.look)(now)
 
     def link_crowd(self) -> float:
-        return max(LINK * (self.fills + 1) * self.link_load / max(self.link_fills, 1.0), 1.0)
+        return LINK * (self.fills + 1) * self.link_load / max(self.link_fills, 1.0)
 
     def round(self, now: float) -> None:
         for cache in self.fleet.mine if self.loads else ():
