Where nothing is crowded no visit is predicted longer than its own sending time

Cause: Visit.late stretched the sending time itself by MARGIN, also alone: over promised / (2 - stretch) all is late, and with a stretch of 0 the first guess, half of the promised time, is late too, so no answer ever teaches the mean. Assumption that did not carry over: every tariff's promise stretches with its size by nearly two.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -272,6 +272,14 @@
     assert bool(caller.answers) is denied and (len(caller.forwards) == 1 + boxes) is not denied
 
 
+@pytest.mark.parametrize("waited", [0.0, 0.01, 0.1])
+def test_a_tariff_whose_promise_does_not_stretch_is_served_before_its_mean_is_learned(waited):
+    """Guessed at half of the promised time and stretched by two, each was late, and none ever taught the mean."""
+    caller = Recorder()
+    router().take(caller, replace(tariff(), promised=0.3, stretch=0.0), 5, 0, 3, 0.0, 2.0, False, 100.0, waited)
+    assert len(caller.forwards) == 1 and not caller.answers
+
+
 @pytest.mark.parametrize("load, denied", [(1.0, False), (30.0, True)])
 def test_a_fill_predicted_late_on_a_crowded_link_is_denied(load, denied):
     made = router()
