What is still to come adds to a crowd as it is; loads told beside answers are heard

Predicted times: max(crowd, 1) + crowd, times the sending time, in place of max(2 crowd, 1): the same in a crowd, between at part load.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -289,6 +289,17 @@
     assert bool(caller.answers) is denied and (len(caller.forwards) == 1) is denied
 
 
+@pytest.mark.parametrize("load", [0.0, 30.0])
+def test_the_links_load_is_learned_beside_answers_too(load):
+    """Where answers bring it, and probes may be barred, nothing was known of the link."""
+    made = router(probes=False)
+    for key in range(20):
+        _, caller = take(made, key=key, size=10.0)
+        forward = caller.forwards[0].it
+        forward.visit.ended(forward, OK, 0.01, True, None, 100.0, {"x1": load})
+    assert (made.link_crowd() > 1.0) is (load > 1.0)
+
+
 @pytest.mark.parametrize("ratio, grows", [(1.0, True), (4.0, False)])
 def test_capacity_is_learned_from_answer_times(ratio, grows):
     cache = router().fleet.mine[0]
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -20,7 +20,7 @@
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT, Outcome.MOOT, Outcome.MISS)  # others may have
 PASSING = (Outcome.ERROR, Outcome.BROKEN, Outcome.UNSENT)  # the same cache may well answer the next time
 FINE = (Outcome.MISS, Outcome.CURRENT, *PASSING)
-MARGIN = 2.0  # crowding as predicted is stretched by this, for what will come while the visit is under way
+COMING = 1.0  # what will come while a visit is under way, against what is there when it is taken
 LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
 EMPTY = 15.0  # a cache that started less than this ago has nothing to push out
 ROUND = 0.7  # seconds from one look at the whole fleet to the next
@@ -295,7 +295,7 @@
     def late(self, crowd: float, now: float) -> bool:
         # A repeat's promise mostly ran out with its first try: in a crowd it takes pace from first tries.
         return not self.tariff.passes_on and (
-            now + self.work * max(MARGIN * crowd, 1.0) > self.due or self.repeat and crowd > 1.0)
+            now + self.work * (max(crowd, 1.0) + COMING * crowd) > self.due or self.repeat and crowd > 1.0)
 
     def fits(self, cache: Cache, now: float) -> bool:
         return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(cache, self, now)
@@ -410,14 +410,16 @@
                 self.look(now)
 
     def ended(self, forward: Forward, outcome: Outcome, took: float, closed: bool, note: Note | None,
-              now: float) -> None:
-        """closed: the visit has its final answer, by this outcome or earlier."""
+              now: float, load: dict[str, float] | None = None) -> None:
+        """closed: the visit has its final answer, by this outcome or earlier. load: as told beside it."""
         router, cache, source = self.router, forward.cache, forward.source
         forward.pending, forward.outcome = False, outcome
         cache.pending.discard(forward)
         source.filling.discard(forward)
         router.fills -= forward.far
         filled, ours = source is not cache, cache in router.fleet.mine and not self.tariff.passes_on
+        if load and cache in router.fleet.mine:
+            router.loaded(load)
         if outcome in ANSWERED:
             cache.answered(now)
         elif outcome not in (Outcome.MOOT, Outcome.WITHDRAWN, Outcome.UNSENT) and cache.heard < forward.sent:
@@ -486,7 +488,7 @@
         self.purges, self.joins, self.direct, self.flow = purges, joins, direct, flow
         self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
         self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
-        self.loads = probes and loads  # probes bring the machines' load
+        self.loads = probes and loads  # probes alone bring the machines' load
         self.ask_again = ask_within / 8 or 1.0  # a failed call is made up for before the list counts as old
         self.means, self.queue, self.copies = {}, [], None  # by tariffs; visits that wait; of our own, if any
         self.fills, self.gain = 0, 0.1 * min(fleet.routers, 3)  # of one sample: larger where few are seen
@@ -580,6 +582,11 @@
             cache.failed(now, outcome)
         elif cache.lost:
             cache.answered(now)
-        elif cache in self.fleet.mine and "x1" in load:
+        elif cache in self.fleet.mine:
+            self.loaded(load)
+
+    def loaded(self, load: dict[str, float]) -> None:
+        """What a cache of the location tells of its link, to a probe or beside an answer."""
+        if "x1" in load:
             self.link_load += self.gain * (load["x1"] - self.link_load)
             self.link_fills += self.gain * (self.fills - self.link_fills)
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -173,7 +173,8 @@
         try:
             place = told.find(b"detail=")
             note = NOTES.get(told[place + 7 : place + 8]) if place >= 0 else None
-            sent.forward.visit.ended(sent.forward, outcome, took, door.final, note, now)
+            load = resp.loads(resp.fields(told).get("use", "")) if b"use=" in told else None
+            sent.forward.visit.ended(sent.forward, outcome, took, door.final, note, now, load)
         except Exception:
             self.fault("forward")
             door.broken()
--- a/wickhinge/settings.py
+++ b/wickhinge/settings.py
@@ -124,7 +124,7 @@
         second_copies=flag("conf.limits", limits, "mayDuplicate"),
         cancel=flag("conf.limits", limits, "cancel"),
         probes=flag("conf.limits", limits, "probes"),
-        loads=text("conf.stats", stats, "how") != "off",
+        loads=text("conf.stats", stats, "how") == "on_probe",
         follows=text("conf", conf, "discovery") == "ask",
         ask_within=seconds("conf.rules", rules, "mustAskInMs", 0.0),
         longest_wait=wait,
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -168,7 +168,8 @@
         if forward is None:
             return
         note = NOTES.get(checks.integer(name, fields, "detail", 0))
-        forward.visit.ended(forward, outcome, took, closed, note, now)
+        load = None if fields.get("report") is None else checks.record(name, fields, "report")
+        forward.visit.ended(forward, outcome, took, closed, note, now, load)
         if forward.visit.done:
             forward.visit.caller.close()
 
