While the origin refuses, parents give what they hold and what they lack is fetched in turn

With notes of hits only nothing tells who refused. Ruled out: caches' links and crowds (looks are honoured at the usual pace), the list, cold limits. Lines at fault: Router.filled (lag = 5.0 on the source, whoever refused), Visit.fill (denied by it), Visit.overdue (a parent that waits for a stopped origin counted as lost, then as cold for its warm-up time). Change: after a fill refused without a note the same source is asked at once for what it holds (held_only, unused until now). A miss there shows that the origin refused: from then on fills ask for what is held first, and what a parent lacks is fetched from the origin one at a time a router, the gap doubled from half a round to four at a refusal, 0.3 of it at an answer. Two lags a source: of all it gives, and of what it holds. Found beside: the origin's own lag as a source never faded (no parents: denied for good). It covers as well an origin that stands still and parents that refuse by themselves (the gap stays 0). It could do harm where a cache's own lack of places looks like the origin's refusal: a round trip more a fill.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,7 @@
         self.reads = []
 
     def forward(self, forward, cache, patience, source, rank, oldest, join, held_only, renew):
-        sent = SimpleNamespace(it=forward, cache=cache, source=source, rank=rank, oldest=oldest)
+        sent = SimpleNamespace(it=forward, cache=cache, source=source, rank=rank, oldest=oldest, held=held_only)
         self.forwards.append(sent)
 
     def read(self, copy):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -395,14 +395,76 @@
     assert (caller.forwards[0].cache.fit != before) is learned
 
 
-def test_a_refused_fill_waits_and_the_silent_refuser_is_probed():
+def refused(made, *then, key=5, now=100.0):
+    """A visit whose fill was refused, nobody says by whom; then these outcomes of what follows."""
+    _, caller = take(made, key=key, now=now)
+    end(caller, MISS, now + 0.01)
+    for place, outcome in enumerate((FULL, *then)):
+        end(caller, outcome, now + 0.02 + 0.01 * place, closed=outcome is OK)
+    return caller
+
+
+def test_after_a_refused_fill_the_same_source_is_probed_and_asked_for_what_it_holds():
     made = router()
-    _, caller = take(made)
-    end(caller, MISS, 100.01)
-    end(caller, FULL, 100.02)
-    assert len(caller.forwards) == 2 and made.outside.probes == [caller.forwards[1].source]
+    caller = refused(made)
+    look, fill, held = caller.forwards
+    assert made.outside.probes == [fill.source]
+    assert held.source is fill.source and held.cache is fill.cache and (fill.held, held.held) == (False, True)
+    end(caller, FULL, 100.03)  # it refuses that as well, so it may be the one: the visit waits
+    assert len(caller.forwards) == 3 and not caller.answers and not made.gap
     made.serve(100.4)
-    assert caller.forwards[2].source is caller.forwards[1].source
+    assert caller.forwards[3].source is fill.source and caller.forwards[3].held
+
+
+def test_while_the_origin_refuses_parents_give_what_they_hold_and_fetches_go_in_turn():
+    """Else all that a parent holds is denied with what it lacks, and refused calls, each tried again by caches and
+    parents, push the origin until it stops (a day of a slow origin alone: 77% of visits refused)."""
+    made = router()
+    caller = refused(made, MISS)  # the source is there and lacks it: the origin refused, fetched once more in turn
+    assert made.gap > 0.0 and caller.forwards[-1].held is False
+    end(caller, FULL, 100.05)
+    gap = made.gap
+    _, held = take(made, key=6, now=100.06)
+    end(held, MISS, 100.07)
+    assert held.forwards[1].held is True
+    end(held, OK, 100.1, closed=True)  # what the parent holds is served meanwhile
+    _, lacks = take(made, key=7, now=100.1)
+    end(lacks, MISS, 100.11)
+    end(lacks, MISS, 100.12)
+    assert lacks.answers == [("denied", 0.5)]  # not its turn: at once
+    later = 100.2 + 1.5 * gap
+    made.fleet.origin.lags.clear()
+    _, turn = take(made, key=8, now=later)
+    end(turn, MISS, later)
+    end(turn, MISS, later)
+    assert turn.forwards[2].held is False and made.turn >= later + 0.5 * gap
+    end(turn, OK, later + 0.2, closed=True, took=0.2)
+    assert made.gap < gap
+    for _ in range(3):
+        made.pace(True)
+    assert made.gap == 0.0  # and the ordinary path is back
+
+
+@pytest.mark.parametrize("gap, strikes", [(0.0, 1.0), (1.0, 0)])
+def test_a_source_silent_to_a_fill_is_not_blamed_while_the_origin_refuses(gap, strikes):
+    made = router()
+    made.gap = gap
+    for key in (5, 5):
+        visit, caller = take(made, key=key, part=key)
+        end(caller, MISS, 100.01)
+    forward = caller.forwards[1].it
+    forward.held, source = False, forward.source
+    visit.overdue(forward, 102.0)
+    assert source.strikes == strikes
+
+
+def test_the_origin_as_a_source_is_tried_again():
+    """Its lag never faded: once late by belief, nothing went there that could have shown it better."""
+    made = router(parents=0)
+    made.fleet.origin.lags["t"] = 5.0
+    for _ in range(40):
+        made.round(101.0)
+    assert made.fleet.origin.lags["t"] < 0.01
 
 
 @pytest.mark.parametrize("routers, least, most", [(1, 400, 400), (12, 50, 150)])
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -121,9 +121,9 @@
         """Remembered, since after a release no warm fellow may be left to compare with."""
         warm = [cache.sent / ROUND for cache in caches if self.part(cache, now) >= 1.0]
         self.usual += 0.1 * (sum(warm) / len(warm) - self.usual) if warm else 0.0
-        for cache in caches:  # one that gets nothing shows nothing, so what is believed of it drifts back
-            cache.sent, cache.lags = 0.0, {name: 0.8 * lag for name, lag in cache.lags.items()}
-            cache.fit += 0.035 * max(cache.best - cache.fit, 0.0)
+        for cache in caches:
+            cache.sent = 0.0
+            cache.forget()
 
     def room(self, cache: Cache, mine: float, now: float) -> bool:
         """One visit may be more than a share: it is sent on credit, and the debt sat out."""
@@ -145,7 +145,9 @@
         self.pending, self.filling, self.sent = set(), set(), 0.0  # forwards to it, fills from it; work
         self.heard, self.strikes, self.lost, self.shunned, self.asked = now, 0, False, 0.0, 0.0
         self.fit = self.best = 12.0  # transfers from here that it bears at full pace: hopeful, then learned
-        self.lags: dict[str, float] = {}  # as a source: what fills take beyond their own time, over that time
+        # As a source: what fills take beyond their own time, over that time; and those of what it holds.
+        self.lags: dict[str, float] = {}
+        self.holds: dict[str, float] = {}
 
     def owe(self, now: float) -> None:
         """A debt of chance, up to a large part's sending time, lest all routers' first visits meet."""
@@ -170,9 +172,15 @@
             self.fit += 0.2 * (out - self.fit)
             self.best = max(self.best, self.fit)
 
-    def lag(self, visit: Visit) -> float:
+    def lag(self, visit: Visit, held: bool = False) -> float:
         """By tariffs: a full link stretches large fills more than small ones, a slow origin the small."""
-        return self.lags.get(visit.tariff.name, 0.0) * (visit.work + 0.1)
+        return (self.holds if held else self.lags).get(visit.tariff.name, 0.0) * (visit.work + 0.1)
+
+    def forget(self) -> None:
+        """One that gets nothing shows nothing, so what is believed of it drifts back."""
+        self.lags = {name: 0.8 * lag for name, lag in self.lags.items()}
+        self.holds = {name: 0.8 * lag for name, lag in self.holds.items()}
+        self.fit += 0.035 * max(self.best - self.fit, 0.0)
 
     def usable(self, now: float) -> bool:
         """One that failed lately is tried again by one visit at a time."""
@@ -252,9 +260,9 @@
 
 
 class Forward:
-    def __init__(self, visit: Visit, cache: Cache, source: Cache, now: float) -> None:
+    def __init__(self, visit: Visit, cache: Cache, source: Cache, held: bool, now: float) -> None:
         self.visit, self.cache, self.source, self.sent = visit, cache, source, now
-        self.pending, self.outcome = True, None
+        self.pending, self.outcome, self.held = True, None, held  # held: the source gives only what it holds
         self.far = source is not cache or cache not in visit.router.fleet.mine  # through the location's link
 
 
@@ -268,6 +276,7 @@
         self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
         self.forwards, self.done, self.held, self.rest = [], False, False, 0.0  # held: waits here, till rest
         self.at = self.copy = None  # whose miss is to be filled; of our own, its tag offered by forwards
+        self.lacking, self.refusing = [], []  # sources that hold no copy; that refused, or whose origin did
 
     def pending(self) -> list[Forward]:
         return [f for f in self.forwards if f.pending]
@@ -362,10 +371,20 @@
             self.give_up(now)
         elif not (source := router.source(self, now)):
             self.wait(now)
-        elif self.late(crowd, now + source.lag(self)):  # its link is full, or what it asks itself is slow
-            self.give_up(now)
         else:
-            self.send(cache, source, now, rank)
+            self.draw(cache, source, crowd, rank, now)
+
+    def draw(self, cache: Cache, source: Cache, crowd: float, rank: int, now: float) -> None:
+        """While the origin refuses, a parent gives what it holds, and what it lacks is fetched in turn."""
+        router, origin = self.router, self.router.fleet.origin
+        fetched = source is origin or source in self.lacking
+        held = not fetched and bool(router.gap or self.refusing)
+        behind = (origin or source if fetched else source).lag(self, held)
+        if self.late(crowd, now + max(behind, source.lag(self, True))) or fetched and now < router.turn:
+            return self.give_up(now)  # its link is full, or what is behind it slow or refusing
+        if fetched and router.gap:
+            router.turn = now + router.gap * (0.5 + router.chance.draw())
+        self.send(cache, source, now, rank, held)
 
     def wait(self, now: float) -> None:  # only while an answer in time is possible
         self.router.queue.append(self)
@@ -375,13 +394,13 @@
             self.router.outside.wake(max(self.due - 0.9 * self.work - now, 0.001),
                                      lambda then: self.give_up(then) if self.held else None)
 
-    def send(self, cache: Cache, source: Cache, now: float, rank: int = -1) -> None:
+    def send(self, cache: Cache, source: Cache, now: float, rank: int = -1, held: bool = False) -> None:
         router, tariff, self.held = self.router, self.tariff, False
         oldest = None if tariff.passes_on else router.purges.oldest(self.item.key, self.group, now)
         oldest = min(oldest, tariff.fresh) if oldest and tariff.fresh else oldest
         if rank < 0:
             rank = router.shelf.rank(self.item, self.part, self.work) if cache in router.fleet.mine else 0
-        forward = Forward(self, cache, source, now)
+        forward = Forward(self, cache, source, held, now)
         self.forwards.append(forward)
         router.fills += forward.far
         cache.pending.add(forward)
@@ -390,7 +409,7 @@
             source.filling.add(forward)
             source.charge(router.mean(tariff))
         self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
-                            router.joins and source is not cache, False, bool(rank and tariff.fresh))
+                            router.joins and source is not cache, held, bool(rank and tariff.fresh))
         latest = 0.3 + 2 * (self.work + source.lag(self))
         router.outside.wake(latest, lambda then: self.overdue(forward, then))
 
@@ -402,7 +421,8 @@
         if len(silent.pending) + len(silent.filling) < 2:  # alone out there it may only be slow
             self.router.outside.wake(0.3, lambda then: self.overdue(forward, then))
             return
-        silent.failed(now)
+        if silent is forward.cache or forward.held or not self.router.gap:
+            silent.failed(now)  # else it may only wait for an origin that refuses or stands still
         if self.tariff.effect is Effect.RERUNNABLE and now + self.work < self.due:
             if self.router.cancel:
                 self.caller.withdraw(forward)
@@ -447,6 +467,9 @@
         elif now + self.work > self.due or (
                 outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE):
             self.give_up(now)
+        elif filled and not forward.held and source in self.refusing and cache.usable(now):
+            self.at = cache
+            self.fill(now)  # asked for what it holds: who refused shows, and it may be the answer
         elif outcome in (Outcome.FULL, Outcome.UNREACHED) and (filled or self.tariff.passes_on):
             self.wait(now)  # asked again at once, the same origin would refuse again
         elif filled and ours and cache.usable(now):
@@ -491,6 +514,7 @@
         self.loads = probes and loads  # probes alone bring the machines' load
         self.ask_again = ask_within / 8 or 1.0  # a failed call is made up for before the list counts as old
         self.means, self.queue, self.copies = {}, [], None  # by tariffs; visits that wait; of our own, if any
+        self.gap = self.turn = 0.0  # between two fetches from an origin that refuses; the next one's time
         self.fills, self.gain = 0, 0.1 * min(fleet.routers, 3)  # of one sample: larger where few are seen
         self.link_load = self.link_fills = 0.0  # the location's link as told, and these fills meanwhile
 
@@ -544,10 +568,22 @@
         lag = (took - visit.work * crowd) / (visit.work + 0.1)
         if refused := outcome in (Outcome.FULL, Outcome.ERROR):
             lag = 5.0  # from all routers the same refused fills would come again at once
+        origin, name, missed = self.fleet.origin, visit.tariff.name, outcome is Outcome.MISS
+        if missed or note is Note.ORIGIN_FAILED:
+            visit.lacking.append(source)
+        fetched = not forward.held and (source is origin or source in visit.lacking)
+        ours = fetched and forward.cache in self.fleet.mine  # a parent asked itself may have refused itself
+        if ours and refused or missed and source in visit.refusing:  # so it was not the source
+            self.pace(False)
+        elif ours and outcome is Outcome.HONOURED:
+            self.pace(True)
+        elif refused and not forward.held and note is None:
+            visit.refusing.append(source)
         if refused or visit.known and outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
-            usual = source.lags.get(visit.tariff.name, 0.0)
-            source.lags[visit.tariff.name] = usual + self.gain * (max(min(lag, 5.0), 0.0) - usual)
-        if outcome is Outcome.HONOURED:
+            lags = source.holds if forward.held else (origin or source if fetched else source).lags
+            usual = lags.get(name, 0.0)
+            lags[name] = usual + self.gain * (max(min(lag, 5.0), 0.0) - usual)
+        if missed or outcome is Outcome.HONOURED:
             source.answered(now)
         elif note is Note.SOURCE_LOST:
             source.failed(now, Outcome.UNREACHED)
@@ -557,6 +593,12 @@
             self.outside.probe(source)
         self.serve(now)
 
+    def pace(self, fine: bool) -> None:
+        """Against an origin that refuses: caches and parents try each call again, and pushed further it stops.
+        Time between two fetches by this router, doubled from half a round to four."""
+        self.gap = 0.3 * self.gap if fine else min(max(2 * self.gap, 0.5 * ROUND), 4 * ROUND)
+        self.gap *= self.gap > 0.1
+
     def serve(self, now: float) -> None:
         held = [visit for visit in self.queue if visit.held and not visit.done]
         waiting, self.queue = [v for v in held if v.rest <= now], [v for v in held if v.rest > now]
@@ -574,6 +616,8 @@
         self.outside.wake(ROUND, self.round)
         self.fleet.edge.weigh(self.fleet.mine, now)
         self.fleet.upper.weigh(self.fleet.parents, now)
+        if self.fleet.origin:
+            self.fleet.origin.forget()
         self.serve(now)
 
     def probed(self, cache: Cache, outcome: Outcome, load: dict[str, float], now: float) -> None:
--- a/wickhinge/lab/machines.py
+++ b/wickhinge/lab/machines.py
@@ -148,9 +148,9 @@
         self.wheel, self.machines, self.origin, self.hop, self.part_s = wheel, machines, origin, hop, part_s
 
     def ask(self, mark: int, name: tuple[int, int], source: int | None, rank: int, oldest: float | None,
-            runs: Callable[[], None] | None, then: Callable[..., None]) -> Callable[[], None]:
-        """then(outcome, made, note), a hop later each way; runs() if it has effects and runs. Returns what gives
-        it up."""
+            runs: Callable[[], None] | None, then: Callable[..., None], held: bool = False) -> Callable[[], None]:
+        """then(outcome, made, note), a hop later each way; runs() if it has effects and runs. held: the source gives
+        only what it holds. Returns what gives it up."""
         state: dict[str, Any] = {"off": False}
 
         def back(outcome: Outcome, made: float | None = None, note: Note | None = None) -> None:
@@ -179,7 +179,7 @@
             elif source is None or source == mark:
                 self.wheel.after(0.0005, machine.ended, number, Outcome.MISS, None, None)
             else:
-                self.fill(machine, number, name, source, rank, oldest)
+                self.fill(machine, number, name, source, rank, oldest, held)
 
         def give_up() -> None:
             state["off"] = True
@@ -190,7 +190,7 @@
         return give_up
 
     def fill(self, machine: Machine, number: int, name: tuple[int, int], source: int, rank: int,
-             oldest: float | None) -> None:
+             oldest: float | None, held: bool) -> None:
         above = self.machines[source]
         if not above.up:
             self.wheel.after(REFUSED, machine.ended, number, Outcome.ERROR, None, Note.SOURCE_LOST)
@@ -198,7 +198,9 @@
 
         def came(outcome: Outcome, made: float | None, _: Note | None) -> None:
             if outcome is not Outcome.HONOURED:
-                machine.ended(number, Outcome.ERROR, None, Note.SOURCE_LOST)
+                lacks = outcome is Outcome.MISS
+                machine.ended(number, Outcome.MISS if lacks else Outcome.ERROR, None,
+                              Note.SOURCE_LACKS if lacks else Note.SOURCE_LOST)
                 return
             if rank and machine.up:
                 machine.held.put(name, made, rank)
@@ -213,6 +215,8 @@
         elif made is not None and (oldest is None or self.wheel.now - made <= oldest):
             above.hits += 1
             above.shared.ask(self.part_s, above.ended, asked, Outcome.HONOURED, made, Note.HIT)
+        elif held:
+            self.wheel.after(0.0005, above.ended, asked, Outcome.MISS, None, None)
         else:
             def given(outcome: Outcome, fresh: float | None, _: Note | None) -> None:
                 if outcome is Outcome.HONOURED and above.up:
--- a/wickhinge/lab/play.py
+++ b/wickhinge/lab/play.py
@@ -72,7 +72,7 @@
 
         runs = (lambda: play.judge.runs(asked, play.wheel.now)) if asked.exclusive else None
         self.out[forward] = play.fabric.ask(cache.mark, (asked.key, asked.part), came_from, max(rank, 0), oldest, runs,
-                                            then)
+                                            then, held_only)
         play.wheel.after(patience, self.silent, forward, began)
 
     def silent(self, forward: Any, began: float) -> None:
