--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -475,10 +475,18 @@
     assert least <= len(made.outside.probes) <= most
 
 
-def test_a_visit_sent_straight_to_a_parent_has_it_fetch_from_the_origin_and_is_not_filled_there_by_another():
+@pytest.mark.parametrize("outcome", [MISS, FULL, Outcome.ERROR])
+@pytest.mark.parametrize("gap", [0.0, 1.0])
+def test_a_visit_sent_straight_to_a_parent_has_it_fetch_from_the_origin_and_is_not_filled_there_by_another(
+        outcome, gap):
+    """A parent that refuses one is not a cache whose fill was refused: the bench ended a day on that."""
     made = router(boxes=0)
+    made.gap = gap
+    home = made.fleet.order(made.fleet.parents, 5, 100.0)[0]
+    home.shunned = 100.05  # so another takes it, and the home is back when that one's answer comes
     _, caller = take(made)
-    end(caller, MISS, 100.1)
+    end(caller, outcome, 100.1)
+    made.serve(100.5)
     assert caller.forwards[0].cache in made.fleet.parents
     assert all(forward.source in (forward.cache, made.fleet.origin) for forward in caller.forwards)
 
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -467,7 +467,7 @@
         elif now + self.work > self.due or (
                 outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE):
             self.give_up(now)
-        elif filled and not forward.held and source in self.refusing and cache.usable(now):
+        elif filled and ours and not forward.held and source in self.refusing and cache.usable(now):
             self.at = cache
             self.fill(now)  # asked for what it holds: who refused shows, and it may be the answer
         elif outcome in (Outcome.FULL, Outcome.UNREACHED) and (filled or self.tariff.passes_on):
@@ -572,12 +572,12 @@
         if missed or note is Note.ORIGIN_FAILED:
             visit.lacking.append(source)
         fetched = not forward.held and (source is origin or source in visit.lacking)
-        ours = fetched and forward.cache in self.fleet.mine  # a parent asked itself may have refused itself
-        if ours and refused or missed and source in visit.refusing:  # so it was not the source
+        ours = forward.cache in self.fleet.mine  # a parent asked itself may have refused itself
+        if ours and fetched and refused or missed and source in visit.refusing:  # so it was not the source
             self.pace(False)
-        elif ours and outcome is Outcome.HONOURED:
+        elif ours and fetched and outcome is Outcome.HONOURED:
             self.pace(True)
-        elif refused and not forward.held and note is None:
+        elif ours and refused and not forward.held and note is None:
             visit.refusing.append(source)
         if refused or visit.known and outcome in (Outcome.HONOURED, Outcome.WITHDRAWN):
             lags = source.holds if forward.held else (origin or source if fetched else source).lags
