On sockets what a source holds is not asked for on the connection on which the look missed

A fill is safe, it cannot end as a miss. The ask for what is held now goes by another connection than the one that missed; it costs one more connection a machine while an origin refuses. Lines: net/forwards send, answered.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -394,6 +394,23 @@
     assert (b"a" not in made.left) is again
 
 
+@pytest.mark.parametrize("held, again", [(False, True), (True, False)])
+def test_what_a_source_holds_is_not_asked_for_where_the_look_missed(held, again):
+    """A fill cannot end as a miss, an ask for what is held can: the look's miss, come twice, would be taken for it."""
+    made, *_ = line()
+    forwards = Forwards(made.caches, made.caches.deadlines, 0.25, [].append)
+    forwards.ended = lambda *_: None
+    door, cache = Door(SimpleNamespace(taken=1), None, 1, "a", tariff(), 0.0), SimpleNamespace(mark=1)
+    door.until = 200.0
+    number = forwards.slots.put(Sent(door, None, cache, 0.0))
+    forwards.slots.get(number).line, forwards.slots.get(number).tag = made, b"a"
+    assert forwards.answered(number, b"MISS", b"-", None)
+    made.caches.most = 0  # no other connection may be made, so none takes it
+    forward = SimpleNamespace(visit=SimpleNamespace(copy=None))
+    forwards.send(door, forward, cache, 200.0, SimpleNamespace(mark=2), 1, None, False, held, False)
+    assert (b"a" in made.open) is again
+
+
 # Settings in which something is not allowed, or 0.
 
 
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -55,6 +55,8 @@
         if join or held_only or renew:
             words = (("coalesce", join), ("shallow", held_only), ("freshen", renew))
             fields += ",flags=" + "+".join(word for word, on in words if on)
+        if held_only and door.missed is not None:
+            door.missed.leave(door.rid)  # this may end as a miss, and the look's, come twice, would be taken for it
         sent = Sent(door, forward, cache, self.deadlines.now())
         sent.fills = source is not None and source is not cache and not held_only
         if door.cached:
@@ -131,6 +133,8 @@
                 or end is End.SAME and (sent.offered is None or b"made=" not in told)
                 or end is End.SERVED and sent.door is not None and not sent.door.fits(told, body)):
             end = End.UNREADABLE
+        if end is End.MISS and sent is not None and sent.door is not None:
+            sent.door.missed = sent.line
         if sent is not None and sent.line is not None and end not in (End.MISS, End.SERVED):
             # The visit may come again to this machine. A second answer, some milliseconds late, would then end that
             # forward while it runs; refused twice and run once, an exclusive visit would be sent a second time.
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -29,7 +29,7 @@
 
 class Door:
     __slots__ = ("visits", "client", "call", "rid", "passed", "body", "tariff", "since", "final", "answer",
-                 "visit", "out", "number", "steps", "until", "cached")
+                 "visit", "out", "number", "steps", "until", "cached", "missed")
 
     def __init__(self, visits: Visits, client: Any, call: int, rid: str, tariff: Any, since: float) -> None:
         self.visits, self.client, self.call, self.tariff, self.since = visits, client, call, tariff, since
@@ -38,6 +38,7 @@
         self.cached = ""  # the tag of the client's own copy
         self.body, self.final, self.answer, self.number, self.until = None, False, "", 0, 0.0
         self.visit: Any = None
+        self.missed: Any = None  # the connection on which a look missed last
         self.out: dict[Any, int] = {}
         self.steps: list[Any] | None = None if visits.taken % TRACED else []
 
