Where the home parent's link is full and the origin is well, the origin fills the miss

Ruled out by it: the origin, the locations' links (predicted crowds 1.0 to 1.1), the caches. Line at fault: Visit.draw denied what the home parent would make late. Change: where that is so and the origin, whose own lag is learned from what it gives itself, would not be late, it is the source; once a visit, never while it refuses (paced fetches). The assumption that did not carry over: that a late parent means a late origin.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -377,6 +377,10 @@
     def draw(self, cache: Cache, source: Cache, crowd: float, rank: int, now: float) -> None:
         """While the origin refuses, a parent gives what it holds, and what it lacks is fetched in turn."""
         router, origin = self.router, self.router.fleet.origin
+        # A parent's link is full, while the origin, whose own lag is known, is well: that gives, once.
+        if origin and origin.usable(now) and not (router.gap or self.refusing) and self.late(
+                crowd, now + source.lag(self)) and all(f.source is not origin for f in self.forwards):
+            source = origin
         fetched = source is origin or source in self.lacking
         held = not fetched and bool(router.gap or self.refusing)
         behind = (origin or source if fetched else source).lag(self, held)
@@ -594,7 +598,7 @@
         self.serve(now)
 
     def pace(self, fine: bool) -> None:
-        """Against an origin that refuses: caches and parents try each call again, and pushed further it stops.
+        """Against an origin that refuses: caches and parents try each call again; pushed further it stops.
         Time between two fetches by this router, doubled from half a round to four."""
         self.gap = 0.3 * self.gap if fine else min(max(2 * self.gap, 0.5 * ROUND), 4 * ROUND)
         self.gap *= self.gap > 0.1
