--- a/bench/discovery.py
+++ b/bench/discovery.py
@@ -72,21 +72,48 @@
         now = time.time()
         keeper = Keeper(Files(), str(folder / "list"))
         keeper.open()
-        rows = [row(Statement(old[place], (fleet.HOST, self.world.base + place + 1), "ready",
-                              ("here", "hub")[min(fleet.SHAPES.index(kind), 1)], kind, 0, 40.0, None,
-                              now - AGES[age], REMEMBERED)) for place, kind in enumerate(PLACES)]
+        rows = [
+            row(
+                Statement(
+                    old[place],
+                    (fleet.HOST, self.world.base + place + 1),
+                    "ready",
+                    ("here", "hub")[min(fleet.SHAPES.index(kind), 1)],
+                    kind,
+                    0,
+                    40.0,
+                    None,
+                    now - AGES[age],
+                    REMEMBERED,
+                )
+            )
+            for place, kind in enumerate(PLACES)
+        ]
         settings = fleet.SETTINGS
         names = sorted(entry["name"] for entry in settings["classes"])
-        keeper.write(Memory(deployment(settings["zones"], settings["shapes"], names), now - AGES[age],
-                            now - AGES[age], 1, rows))
+        keeper.write(
+            Memory(deployment(settings["zones"], settings["shapes"], names), now - AGES[age], now - AGES[age], 1, rows)
+        )
         keeper.close()
-        options = (f'discovery: {{mode: "on", dir: "{folder}/list", routers: 1}}\n' if how != "wait" else None)
+        options = f'discovery: {{mode: "on", dir: "{folder}/list", routers: 1}}\n' if how != "wait" else None
         start = ["-m", "bench.planted", "blind" if how == "blind" else plant] if how == "blind" or plant else None
         self.router = fleet.RouterProcess(folder, self.world, options, start)
         self.world.hide_journal()
         self.answered: set[int] = set()  # places that have answered this router
-        self.counted = dict.fromkeys(("visits", "served", "denied", "failed", "unanswered", "exclusive_served",
-                                      "exclusive_to_unproven", "to_drained", "to_gone"), 0)
+        self.counted = dict.fromkeys(
+            (
+                "visits",
+                "served",
+                "denied",
+                "failed",
+                "unanswered",
+                "exclusive_served",
+                "exclusive_to_unproven",
+                "to_drained",
+                "to_gone",
+            ),
+            0,
+        )
         self.by_kind: dict[str, int] = defaultdict(int)
         self.buckets: dict[int, list[int]] = defaultdict(lambda: [0, 0])
         self.line: Any = None
@@ -156,8 +183,12 @@
         now = time.time()
         if fields:
             self.by_kind[self.world.kinds[place - 1]] += 1
-            if fields.get("queue") == "results" and place not in self.answered and self.how != "wait" and (
-                    not self.followed_at):
+            if (
+                fields.get("queue") == "results"
+                and place not in self.answered
+                and self.how != "wait"
+                and (not self.followed_at)
+            ):
                 self.counted["exclusive_to_unproven"] += 1
             if place in self.drained and now > self.drained[place] + GRACE:
                 self.counted["to_drained"] += 1
@@ -193,17 +224,21 @@
 
     def result(self) -> dict[str, Any]:
         away = [bucket for place, bucket in self.buckets.items() if place * 0.5 < AWAY]
-        first = [place * 0.5 for place in sorted(self.buckets)
-                 if self.buckets[place][1] >= 0.9 * self.buckets[place][0]]
+        first = [
+            place * 0.5 for place in sorted(self.buckets) if self.buckets[place][1] >= 0.9 * self.buckets[place][0]
+        ]
         taken = [event["t"] for event in self.router.events("list") if event["whole"]]
         reached = [event["t"] for event in self.router.events("journal_up")]
-        return {"served_share": round(sum(one[1] for one in away) / max(sum(one[0] for one in away), 1), 3),
-                "served_from_s": first[0] if first else None,
-                "takeover_ms": round((min(taken) - min(reached)) * 1000, 1) if taken and reached else None,
-                "reached_ms": round((min(reached) - self.service) * 1000) if reached else None,
-                "wrong_sends": self.counted["exclusive_to_unproven"] + self.counted["to_drained"],
-                "faults": len(self.router.events("fault")),
-                "by_kind": dict(self.by_kind), **self.counted}
+        return {
+            "served_share": round(sum(one[1] for one in away) / max(sum(one[0] for one in away), 1), 3),
+            "served_from_s": first[0] if first else None,
+            "takeover_ms": round((min(taken) - min(reached)) * 1000, 1) if taken and reached else None,
+            "reached_ms": round((min(reached) - self.service) * 1000) if reached else None,
+            "wrong_sends": self.counted["exclusive_to_unproven"] + self.counted["to_drained"],
+            "faults": len(self.router.events("fault")),
+            "by_kind": dict(self.by_kind),
+            **self.counted,
+        }
 
 
 @main.command()
@@ -233,14 +268,24 @@
         for _repeat, age, how, run in runs:
             run.router.child.poll() is None and run.router.end()
             found[age, how].append(run.result())
-    answer: dict[str, Any] = {"repeats": repeats, "stand_ins": True, "away_s": AWAY, "visits": sum(
-        one["visits"] for (_, how), many in found.items() if how == "ours" for one in many)}
-    takeovers = sorted(one["takeover_ms"] for (_, how), many in found.items() if how == "ours" for one in many
-                       if one["takeover_ms"] is not None)
+    answer: dict[str, Any] = {
+        "repeats": repeats,
+        "stand_ins": True,
+        "away_s": AWAY,
+        "visits": sum(one["visits"] for (_, how), many in found.items() if how == "ours" for one in many),
+    }
+    takeovers = sorted(
+        one["takeover_ms"]
+        for (_, how), many in found.items()
+        if how == "ours"
+        for one in many
+        if one["takeover_ms"] is not None
+    )
     answer["takeovers"] = len(takeovers)
     answer["takeover_p99_ms"] = takeovers[min(int(0.99 * len(takeovers)), len(takeovers) - 1)] if takeovers else None
-    answer["reached_ms"] = max(one["reached_ms"] or 0 for (_, how), many in found.items() if how == "ours"
-                               for one in many)
+    answer["reached_ms"] = max(
+        one["reached_ms"] or 0 for (_, how), many in found.items() if how == "ours" for one in many
+    )
     for how in ways:
         end = "" if how == "ours" else f"_{how}"
         for name in ("served_share", "served_from_s", "exclusive_served"):
@@ -271,11 +316,24 @@
         self.wheel, self.random = Wheel(1000.0), random.Random(seed)
         self.began, self.routers, self.blind = self.now, [], blind
         self.cells = {mark: Cell(4.0) for mark in range(1, 9)} | {100: Cell(40.0), 101: Cell(40.0), 200: Cell(1e6)}
-        self.tariff = Tariff("clips", 1.0, 2.0, 3.0, 1.0, 0.2, Effect.RERUNNABLE, "all", 0.0, 0.0, 0.0, 0.7, True,
-                             False)
-        statements = [Statement(mark, ("127.0.0.1", mark), "ready", "here" if mark < 100 else "hub",
-                                "box" if mark < 100 else "parent" if mark < 200 else "origin", 0, cell.weight, None,
-                                self.now - 30.0, REMEMBERED) for mark, cell in self.cells.items()]
+        self.tariff = Tariff(
+            "clips", 1.0, 2.0, 3.0, 1.0, 0.2, Effect.RERUNNABLE, "all", 0.0, 0.0, 0.0, 0.7, True, False
+        )
+        statements = [
+            Statement(
+                mark,
+                ("127.0.0.1", mark),
+                "ready",
+                "here" if mark < 100 else "hub",
+                "box" if mark < 100 else "parent" if mark < 200 else "origin",
+                0,
+                cell.weight,
+                None,
+                self.now - 30.0,
+                REMEMBERED,
+            )
+            for mark, cell in self.cells.items()
+        ]
         self.memory = Memory("d", self.now - 30.0, self.now - 30.0, 1, [row(one) for one in statements])
         for number in range(routers):
             self.add(number, routers)
@@ -293,21 +351,42 @@
 
     def add(self, number: int, routers: int) -> None:
         chance = Chance(number + 1)
-        outside = SimpleNamespace(wake=lambda delay, call: self.at(self.now + delay, lambda: call(self.now)),
-                                  probe=lambda cache: None, follow=lambda: None)
+        outside = SimpleNamespace(
+            wake=lambda delay, call: self.at(self.now + delay, lambda: call(self.now)),
+            probe=lambda cache: None,
+            follow=lambda: None,
+        )
         made = emulated(outside, chance, "here", routers, (self.MULTIPLE, self.SPAN, self.FLOOR, self.WARM))
         made.means["clips"] = 0.1
 
         def tell(machines: list[Any]) -> None:
-            made.fleet.listed([Listing(one.mark, one.zone, one.kind, one.cell, state, one.weight, one.started, trusted)
-                               for one, state, trusted in machines], False, self.now)
+            made.fleet.listed(
+                [
+                    Listing(one.mark, one.zone, one.kind, one.cell, state, one.weight, one.started, trusted)
+                    for one, state, trusted in machines
+                ],
+                False,
+                self.now,
+            )
 
         def probe(one: Statement) -> None:
             self.cells[one.mark].probes.append(self.now)
             self.at(self.now + 0.005, lambda: members.probed(one.mark, True, self.now))
 
-        members = Members(tell, probe, lambda *a, **k: None, Chance(number + 1000), "d", routers,
-                          ("parent", "origin"), 0.5, 86400.0, 0.0, 3.0, 6.0)
+        members = Members(
+            tell,
+            probe,
+            lambda *a, **k: None,
+            Chance(number + 1000),
+            "d",
+            routers,
+            ("parent", "origin"),
+            0.5,
+            86400.0,
+            0.0,
+            3.0,
+            6.0,
+        )
         members.start(self.memory, [], self.now)
         if self.blind:
             adopt = members.adopt
@@ -332,8 +411,17 @@
     def arrive(self, rate: float) -> None:
         self.arrivals(rate)
         made, members = self.random.choice(self.routers)
-        made.take(HerdCaller(self, made, members), self.tariff, int(self.random.paretovariate(0.9)) % 5000, 0, 0,
-                  100.0, 3.0, False, self.now)
+        made.take(
+            HerdCaller(self, made, members),
+            self.tariff,
+            int(self.random.paretovariate(0.9)) % 5000,
+            0,
+            0,
+            100.0,
+            3.0,
+            False,
+            self.now,
+        )
 
     def run(self, seconds: float) -> dict[str, Any]:
         self.wheel.run(self.began + seconds)
@@ -344,9 +432,13 @@
             over = self.peak(cell)
             peak, peak_upper = (max(peak, over), peak_upper) if mark < 100 else (peak, max(peak_upper, over))
         probes = max(self.most(cell.probes, 1.0) for cell in self.cells.values())
-        return {"peak_over_limit": round(peak, 3), "peak_over_limit_parents": round(peak_upper, 3),
-                "served_share": round(self.served / max(self.served + self.denied, 1), 3),
-                "probes_in_a_second": probes, "visits": self.served + self.denied}
+        return {
+            "peak_over_limit": round(peak, 3),
+            "peak_over_limit_parents": round(peak_upper, 3),
+            "served_share": round(self.served / max(self.served + self.denied, 1), 3),
+            "probes_in_a_second": probes,
+            "visits": self.served + self.denied,
+        }
 
     def peak(self, cell: Cell) -> float:
         """Most work in a span over what topples the machine then; it began cold when everything did."""
@@ -378,8 +470,18 @@
     def __init__(self, herd: Herd, router: Router, members: Members) -> None:
         self.herd, self.router, self.members, self.gone = herd, router, members, set()
 
-    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int, oldest: Any, join: bool,
-                held_only: bool, renew: bool) -> None:
+    def forward(
+        self,
+        forward: Any,
+        cache: Any,
+        patience: float,
+        source: Any,
+        rank: int,
+        oldest: Any,
+        join: bool,
+        held_only: bool,
+        renew: bool,
+    ) -> None:
         herd = self.herd
         herd.cells[cache.mark].work.append((herd.now, 0.1))
         if source is not None and source is not cache:
@@ -400,8 +502,9 @@
 
     def withdraw(self, forward: Any) -> None:
         self.gone.add(forward)
-        self.herd.at(self.herd.now, lambda: forward.visit.ended(forward, Outcome.WITHDRAWN, 0.0, False, None,
-                                                                self.herd.now))
+        self.herd.at(
+            self.herd.now, lambda: forward.visit.ended(forward, Outcome.WITHDRAWN, 0.0, False, None, self.herd.now)
+        )
 
     def deny(self, wait: float) -> None:
         self.herd.denied += 1
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -117,8 +117,13 @@
         self.serve_journal()
         for place, kind in enumerate(self.kinds, 1):
             if kind:
-                self.ports.append(reactor.listenTCP(
-                    base + place, Listener(lambda place=place, kind=kind: Machine(self, place, kind)), interface=HOST))
+                self.ports.append(
+                    reactor.listenTCP(
+                        base + place,
+                        Listener(lambda place=place, kind=kind: Machine(self, place, kind)),
+                        interface=HOST,
+                    )
+                )
         return base
 
     def hold(self, port: int) -> None:
@@ -143,16 +148,36 @@
 
     def record(self, place: int) -> bytes:
         kind = self.kinds[place - 1]
-        return RECORD.pack(self.marks[place - 1], int.from_bytes(socket.inet_aton(HOST)), self.base + place,
-                           self.states[place - 1], min(SHAPES.index(kind), 1), SHAPES.index(kind), 0, 40000, 0)
+        return RECORD.pack(
+            self.marks[place - 1],
+            int.from_bytes(socket.inet_aton(HOST)),
+            self.base + place,
+            self.states[place - 1],
+            min(SHAPES.index(kind), 1),
+            SHAPES.index(kind),
+            0,
+            40000,
+            0,
+        )
 
     def records(self) -> bytes:
         return b"".join(self.record(place) for place, kind in enumerate(self.kinds, 1) if kind)
 
     def known(self) -> list[dict[str, Any]]:
-        return [{"host": f"s-{self.marks[place - 1]:08x}", "dial": f"{HOST}:{self.base + place}", "site":
-                 ("here", "hub")[min(SHAPES.index(kind), 1)], "class": kind, "block": 0, "health": "ready",
-                 "share": 40, "born_ms": 0} for place, kind in enumerate(self.kinds, 1) if kind]
+        return [
+            {
+                "host": f"s-{self.marks[place - 1]:08x}",
+                "dial": f"{HOST}:{self.base + place}",
+                "site": ("here", "hub")[min(SHAPES.index(kind), 1)],
+                "class": kind,
+                "block": 0,
+                "health": "ready",
+                "share": 40,
+                "born_ms": 0,
+            }
+            for place, kind in enumerate(self.kinds, 1)
+            if kind
+        ]
 
     def close(self) -> None:
         for port in [self.journal, *self.ports]:
@@ -234,21 +259,63 @@
 
 SETTINGS = {
     "classes": [
-        {"name": "clips", "effect": "pure", "onTimeMs": 1000, "aimStretch": 2, "hardLimitMs": 3000, "importance": 1,
-         "lateValue": 0.2},
-        {"name": "pages", "effect": "pure", "onTimeMs": 1000, "aimStretch": 2, "hardLimitMs": 3000, "importance": 1,
-         "lateValue": 0.2},
-        {"name": "results", "effect": "side_effect", "onTimeMs": 600, "hardLimitMs": 3000, "importance": 3}],
-    "zones": ["here", "hub"], "shapes": list(SHAPES), "locality": "here", "weights": "nominal", "discovery": "push",
+        {
+            "name": "clips",
+            "effect": "pure",
+            "onTimeMs": 1000,
+            "aimStretch": 2,
+            "hardLimitMs": 3000,
+            "importance": 1,
+            "lateValue": 0.2,
+        },
+        {
+            "name": "pages",
+            "effect": "pure",
+            "onTimeMs": 1000,
+            "aimStretch": 2,
+            "hardLimitMs": 3000,
+            "importance": 1,
+            "lateValue": 0.2,
+        },
+        {"name": "results", "effect": "side_effect", "onTimeMs": 600, "hardLimitMs": 3000, "importance": 3},
+    ],
+    "zones": ["here", "hub"],
+    "shapes": list(SHAPES),
+    "locality": "here",
+    "weights": "nominal",
+    "discovery": "push",
     "rules": {"fallMultiple": 40, "fallMs": 3000, "coldFrom": 0.9, "coldMs": 1, "drainGraceMs": 500},
-    "limits": {"retryAfter": True, "maxRetryAfterMs": 500, "mostTries": 6, "mayDuplicate": True, "cancel": True,
-               "probes": True, "connectTimeoutMs": 400, "connIdleMs": 15000, "maxStreams": 100},
+    "limits": {
+        "retryAfter": True,
+        "maxRetryAfterMs": 500,
+        "mostTries": 6,
+        "mayDuplicate": True,
+        "cancel": True,
+        "probes": True,
+        "connectTimeoutMs": 400,
+        "connIdleMs": 15000,
+        "maxStreams": 100,
+    },
     "stats": {"how": "on_probe", "fields": ["utilization", "x1"]},
     "familyInfo": {
-        "maxAgeMs": [0, 2000, 0], "staleForMs": [0, 1000, 0], "worthWhenOld": [0.7, 0.7, 0.7],
-        "multiPart": [True, False, False], "passOn": [False, False, True], "attachedTo": [0, 0, 0],
-        "zoneBalancers": [1, 0], "upperFallMultiple": 20, "parentFloor": 0.9, "parentWarmsInMs": 1, "shieldKind": 1,
-        "sourceKind": 2, "goneEverywhereMs": 6000, "joins": False, "passThroughOk": True, "oneFlowKbPerS": 30000}}
+        "maxAgeMs": [0, 2000, 0],
+        "staleForMs": [0, 1000, 0],
+        "worthWhenOld": [0.7, 0.7, 0.7],
+        "multiPart": [True, False, False],
+        "passOn": [False, False, True],
+        "attachedTo": [0, 0, 0],
+        "zoneBalancers": [1, 0],
+        "upperFallMultiple": 20,
+        "parentFloor": 0.9,
+        "parentWarmsInMs": 1,
+        "shieldKind": 1,
+        "sourceKind": 2,
+        "goneEverywhereMs": 6000,
+        "joins": False,
+        "passThroughOk": True,
+        "oneFlowKbPerS": 30000,
+    },
+}
 FRESH = {"clips": float("inf"), "pages": 3.0}
 
 
@@ -265,9 +332,15 @@
     def start(self, known: bool = True) -> None:
         pos = len(self.world.frames)
         entries = [{"pos": pos, "hosts": {"seq": 1, "whole": True, "hosts": self.world.known()}}] if known else []
-        conf = {"name": "n1", "listen": f"{HOST}:{self.address[1]}", "seed": "8c1f30d27a5be964",
-                "limits": {"memory_mb": 512, "sockets": 1024}, "journal": f"{HOST}:{self.world.base}",
-                "known": {"pos": pos if known else 0, "entries": entries}, "settings": SETTINGS}
+        conf = {
+            "name": "n1",
+            "listen": f"{HOST}:{self.address[1]}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"memory_mb": 512, "sockets": 1024},
+            "journal": f"{HOST}:{self.world.base}",
+            "known": {"pos": pos if known else 0, "entries": entries},
+            "settings": SETTINGS,
+        }
         (self.folder / "config.json").write_bytes(orjson.dumps(conf))
         told = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json")}
         told.pop("WICKHINGE_OPTIONS", None)
@@ -276,8 +349,9 @@
             told["WICKHINGE_OPTIONS"] = str(self.folder / "options.cue")
         self.world.release(self.address[1])
         with open(self.log, "ab") as log:
-            self.child = subprocess.Popen([sys.executable, *self.start_with], cwd=ROOT, env=told, stdout=log,
-                                          stderr=log)
+            self.child = subprocess.Popen(
+                [sys.executable, *self.start_with], cwd=ROOT, env=told, stdout=log, stderr=log
+            )
 
     def end(self, number: int = signal.SIGKILL) -> int:
         self.child.send_signal(number)
@@ -322,8 +396,9 @@
         self.lost(self)
 
 
-def connect(address: tuple[str, int], up: Callable[[Asker], None], lost: Callable[[Asker], None],
-            again: Callable[[], None]) -> None:
+def connect(
+    address: tuple[str, int], up: Callable[[Asker], None], lost: Callable[[Asker], None], again: Callable[[], None]
+) -> None:
     """An Asker to there; again() a little later where nobody listens yet."""
     factory = protocol.ClientFactory()
     factory.noisy = False
--- a/bench/lab.py
+++ b/bench/lab.py
@@ -76,9 +76,12 @@
     by_size: dict[int, dict[str, float]] = {}
     for size in sizes:
         virtual = seconds if size < 1000 else seconds / 5  # scaled down: its figures are a visit's and an event's
-        made = check(f'name: "speed"\nseconds: {virtual}\nwarm_s: 0\nzones: {max(size // 10, 1)}\n'
-                     f"routers: {max(size // 2, 1)}\ncaches: {size}\n"
-                     f"parents: {max(size // 10, 1)}\nvisits_per_s: {8 * size}\nobjects: {200 * size}\n", "speed")
+        made = check(
+            f'name: "speed"\nseconds: {virtual}\nwarm_s: 0\nzones: {max(size // 10, 1)}\n'
+            f"routers: {max(size // 2, 1)}\ncaches: {size}\n"
+            f"parents: {max(size // 10, 1)}\nvisits_per_s: {8 * size}\nobjects: {200 * size}\n",
+            "speed",
+        )
         costs, visits = [], []
         for turn in range(rounds if size < 1000 else 1):
             played = Play(msgspec.structs.replace(made, seed=turn))
@@ -87,8 +90,10 @@
             took = time.perf_counter() - began
             costs.append(took / played.wheel.done * 1e6)
             visits.append(played.count / took)
-        by_size[size] = {"us_an_event": round(statistics.median(costs), 2),
-                         "visits_per_s": round(statistics.median(visits))}
+        by_size[size] = {
+            "us_an_event": round(statistics.median(costs), 2),
+            "visits_per_s": round(statistics.median(visits)),
+        }
     answer["by_caches"] = {str(size): one for size, one in by_size.items()}
     answer["visits_per_s"] = by_size[sizes[0]]["visits_per_s"]
     answer["growth"] = round(by_size[sizes[-1]]["us_an_event"] / by_size[sizes[0]]["us_an_event"], 2)
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -87,16 +87,31 @@
                 else:
                     false += 1
         spans = sorted(gone.values())
-        rows.append({"routers": count, "messages_per_s": round(sends, 2), "bytes_per_s": round(size_of),
-                     "heard_share": round(share, 3), "known_by": len(spans) / (len(dead) * (count - len(dead))),
-                     "detect_p50_s": round(spans[len(spans) // 2], 2) if spans else None,
-                     "detect_p99_s": round(spans[int(0.99 * (len(spans) - 1))], 2) if spans else None,
-                     "false_suspicions": false, "played_s": round(time.perf_counter() - began, 1)})
+        rows.append(
+            {
+                "routers": count,
+                "messages_per_s": round(sends, 2),
+                "bytes_per_s": round(size_of),
+                "heard_share": round(share, 3),
+                "known_by": len(spans) / (len(dead) * (count - len(dead))),
+                "detect_p50_s": round(spans[len(spans) // 2], 2) if spans else None,
+                "detect_p99_s": round(spans[int(0.99 * (len(spans) - 1))], 2) if spans else None,
+                "false_suspicions": false,
+                "played_s": round(time.perf_counter() - began, 1),
+            }
+        )
         click.echo(rows[-1], err=True)
     growth = rows[-1]["messages_per_s"] / rows[0]["messages_per_s"]
-    told({"virtual": True, "rows": rows, "messages_growth": round(growth, 3),
-          "bytes_per_s": rows[-1]["bytes_per_s"], "detect_p99_s": rows[-1]["detect_p99_s"],
-          "false_suspicions": sum(row["false_suspicions"] for row in rows)})
+    told(
+        {
+            "virtual": True,
+            "rows": rows,
+            "messages_growth": round(growth, 3),
+            "bytes_per_s": rows[-1]["bytes_per_s"],
+            "detect_p99_s": rows[-1]["detect_p99_s"],
+            "false_suspicions": sum(row["false_suspicions"] for row in rows),
+        }
+    )
 
 
 def alone(process: play.Process) -> None:
@@ -117,16 +132,20 @@
     """Of what a cold cache bears, in true time, where one router of its zone wants twice that and all hear each other;
     and the worst window."""
     told = Schedule(seed, routers, 1, (), routers, 18.0, seconds)
-    with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(
-            Path(folder), told, Scene(lambda process, now: 2.0 * (process.place == 0) * (now > 0.0)), shared) as rig:
+    with (
+        tempfile.TemporaryDirectory(prefix="wickhinge-") as folder,
+        Rig(Path(folder), told, Scene(lambda process, now: 2.0 * (process.place == 0) * (now > 0.0)), shared) as rig,
+    ):
         stands = rig.run().stands
         if faults := rig.crashed() + stands.wrong:
             raise click.ClickException("; ".join(faults))
         sent = stands.sent[stands.caches[0].mark]
         until = 18.0 + seconds
         could = sum(stands.bears(18.0 + 0.1 * turn) / stands.span * 0.1 for turn in range(int(seconds * 10)))
-        return [sum(work for when, _, work in sent if 18.0 < when < until) / could,
-                judges.peak(sent, stands.bears, stands.span)]
+        return [
+            sum(work for when, _, work in sent if 18.0 < when < until) / could,
+            judges.peak(sent, stands.bears, stands.span),
+        ]
 
 
 def virtual_budget(seed: int, count: int) -> dict[str, Any]:
@@ -143,9 +162,16 @@
     sizes = (2, 5, 9, 16)
     moved = {str(number): [round(used(number, seed + turn, ()), 3) for turn in range(2)] for number in sizes}
     kept = {str(number): [round(used(number, seed + turn, (alone,)), 3) for turn in range(2)] for number in sizes}
-    return {"processes": routers, "schedules": count, "budget_peak": round(max(peaks), 4),
-            "used_share": min(map(min, moved.values())), "used_by_routers": moved, "used_share_alone": kept,
-            "gone_unfounded": gone, "broken": broken}
+    return {
+        "processes": routers,
+        "schedules": count,
+        "budget_peak": round(max(peaks), 4),
+        "used_share": min(map(min, moved.values())),
+        "used_by_routers": moved,
+        "used_share_alone": kept,
+        "gone_unfounded": gone,
+        "broken": broken,
+    }
 
 
 PROMISED = 1.0  # seconds, as the example's settings promise pages
@@ -165,8 +191,10 @@
 def judged(work: Any, seed: int, judgements: bool, faults: tuple[Fault, ...], rate: float) -> dict[str, Any]:
     """Five routers of one zone, each with few visits a second: what was late while the trouble lasted, who acted."""
     told = Schedule(seed, 5, 1, faults, 5, SINCE + LASTS, 3.0)
-    with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(
-            Path(folder), told, Scene(lambda process, now: rate, False, BOXES, work), True, judgements) as rig:
+    with (
+        tempfile.TemporaryDirectory(prefix="wickhinge-") as folder,
+        Rig(Path(folder), told, Scene(lambda process, now: rate, False, BOXES, work), True, judgements) as rig,
+    ):
         stands = rig.run().stands
         if wrong := rig.crashed() + stands.wrong:
             raise click.ClickException("; ".join(wrong))
@@ -183,8 +211,13 @@
             elif event == "told":
                 wrongly.add((name, more["machine"]))
     first = min(acts.values(), default=0.0)
-    return {"visits": len(during), "late": late / max(len(during), 1), "wrongly": len(wrongly),
-            "spread": [when - first for when in acts.values()], "acted": len(acts)}
+    return {
+        "visits": len(during),
+        "late": late / max(len(during), 1),
+        "wrongly": len(wrongly),
+        "spread": [when - first for when in acts.values()],
+        "acted": len(acts),
+    }
 
 
 @main.command()
@@ -209,15 +242,27 @@
             spreads += found["spread"] if not faults else []
             alone.append(judged(work, seed + turn, False, faults, rate)["late"])
             click.echo(f"{name}: {found}, alone {alone[-1]:.4f}", err=True)
-        rows[name] = {"late_share": [round(one, 4) for one in ours],
-                      "late_share_alone": [round(one, 4) for one in alone]}
+        rows[name] = {
+            "late_share": [round(one, 4) for one in ours],
+            "late_share_alone": [round(one, 4) for one in alone],
+        }
         worse += sum(ours) / plays > sum(alone) / plays + 0.02
     spreads.sort()
     bad = rows.get("bad_cache") or next(iter(rows.values()))
-    told({"sockets": True, "processes": 5, "plays": plays, "late_share": max(bad["late_share"]),
-          "late_share_alone": max(bad["late_share_alone"]), "scenes": rows,
-          "spread_p99_ms": round(1000 * spreads[int(0.99 * (len(spreads) - 1))]) if spreads else None,
-          "shunned_wrongly": wrongly, "shunned_bound": 5 * max(BOXES // 3, 1), "worse_than_alone": worse})
+    told(
+        {
+            "sockets": True,
+            "processes": 5,
+            "plays": plays,
+            "late_share": max(bad["late_share"]),
+            "late_share_alone": max(bad["late_share_alone"]),
+            "scenes": rows,
+            "spread_p99_ms": round(1000 * spreads[int(0.99 * (len(spreads) - 1))]) if spreads else None,
+            "shunned_wrongly": wrongly,
+            "shunned_bound": 5 * max(BOXES // 3, 1),
+            "worse_than_alone": worse,
+        }
+    )
     sys.exit(1 if worse else 0)
 
 
@@ -239,15 +284,24 @@
             peaks += found.peaks
             broken += bool(found.faults)
             processes += drawn.routers + sum(fault.kind in ("twin", "kill") for fault in drawn.faults)
-            click.echo(f"seed {drawn.seed}: peaks {[round(peak, 3) for peak in found.peaks]} {found.faults[:3]}",
-                       err=True)
-        runs = [(on_sockets_used(routers, seed + turn, True), on_sockets_used(routers, seed + turn, False))
-                for turn in range(plays)]
-        answer = {"processes": processes, "schedules": sockets, "budget_peak": round(max(peaks), 4),
-                  "used_share": round(min(ours[0] for ours, _ in runs), 3),
-                  "used_shares": [round(ours[0], 3) for ours, _ in runs],
-                  "used_share_alone": [round(theirs[0], 3) for _, theirs in runs],
-                  "used_peak": round(max(ours[1] for ours, _ in runs), 4), "broken": broken, "virtual": virtual}
+            click.echo(
+                f"seed {drawn.seed}: peaks {[round(peak, 3) for peak in found.peaks]} {found.faults[:3]}", err=True
+            )
+        runs = [
+            (on_sockets_used(routers, seed + turn, True), on_sockets_used(routers, seed + turn, False))
+            for turn in range(plays)
+        ]
+        answer = {
+            "processes": processes,
+            "schedules": sockets,
+            "budget_peak": round(max(peaks), 4),
+            "used_share": round(min(ours[0] for ours, _ in runs), 3),
+            "used_shares": [round(ours[0], 3) for ours, _ in runs],
+            "used_share_alone": [round(theirs[0], 3) for _, theirs in runs],
+            "used_peak": round(max(ours[1] for ours, _ in runs), 4),
+            "broken": broken,
+            "virtual": virtual,
+        }
     told(answer)
     sys.exit(1 if answer["broken"] or virtual["broken"] else 0)
 
--- a/bench/planted.py
+++ b/bench/planted.py
@@ -14,8 +14,7 @@
         format.intact = lambda head, body, seed: len(body) == head.size
     elif fault == "purges":  # only their numbers are put down, as if all were well
         put_down = Volume.purge
-        Volume.purge = lambda self, purges: put_down(self, [
-            purge._replace(key=0, group=0) for purge in purges])
+        Volume.purge = lambda self, purges: put_down(self, [purge._replace(key=0, group=0) for purge in purges])
     elif fault in ("trust", "blind"):  # whatever a list names is as good as vouched for
         from wickhinge.membership.members import Members
 
@@ -32,7 +31,8 @@
 
         listed = Fleet.listed
         Fleet.listed = lambda self, listings, whole, now: listed(
-            self, [one for one in listings if one.state != "draining"], whole, now)
+            self, [one for one in listings if one.state != "draining"], whole, now
+        )
     else:
         raise SystemExit(f"no fault {fault}")
 
--- a/bench/store.py
+++ b/bench/store.py
@@ -51,8 +51,18 @@
     PATIENCE = 2.0
     GRACE = 1.0  # after a purge was told, by the rules
 
-    def __init__(self, folder: Path, kills: int, seconds: float, seed: int, continues: bool, plant: str,
-                 harm: bool, objects: int, clients: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        kills: int,
+        seconds: float,
+        seed: int,
+        continues: bool,
+        plant: str,
+        harm: bool,
+        objects: int,
+        clients: int,
+    ) -> None:
         from bench.fleet import RouterProcess, World
 
         self.random = np.random.default_rng(seed)
@@ -64,14 +74,30 @@
         self.world.tell(1, self.world.records())
         weights = 1.0 / np.arange(1, objects + 1) ** 0.9
         self.weights = weights / weights.sum()
-        options = (f'store: {{mode: "on", dir: "{folder}/tier", size_mb: 48, segment_mb: 4, memory_mb: 0, '
-                   f"snapshot_s: 0.7, objects: 16384}}\njournal: continues: {str(continues).lower()}\n")
+        options = (
+            f'store: {{mode: "on", dir: "{folder}/tier", size_mb: 48, segment_mb: 4, memory_mb: 0, '
+            f"snapshot_s: 0.7, objects: 16384}}\njournal: continues: {str(continues).lower()}\n"
+        )
         start = ["-m", "bench.planted", plant] if plant else None
         self.router = RouterProcess(folder, self.world, options, start)
         self.clients, self.kills, self.seconds = clients, kills, seconds
-        self.counted = dict.fromkeys(("visits", "served", "served_from_disk", "served_from_earlier_start", "denied",
-                                      "failed", "corrupt", "older_than_purge", "too_old", "lost_visits",
-                                      "cut_by_kills", "own_told"), 0)
+        self.counted = dict.fromkeys(
+            (
+                "visits",
+                "served",
+                "served_from_disk",
+                "served_from_earlier_start",
+                "denied",
+                "failed",
+                "corrupt",
+                "older_than_purge",
+                "too_old",
+                "lost_visits",
+                "cut_by_kills",
+                "own_told",
+            ),
+            0,
+        )
         self.serials: dict[int, int] = {}  # a body's serial: the start in which it was first served
         self.seen: set[int] = set()
         self.starts, self.up, self.over = 0, False, False
@@ -93,9 +119,15 @@
         self.began = time.time()
         reactor.run()
         self.router.end()
-        return {"kills": self.starts - 1, "continues": self.continues, "seconds": round(time.time() - self.began, 1),
-                "purges": len(self.world.purges), "same": self.world.same, "given_by_machines": self.world.given,
-                **self.counted}
+        return {
+            "kills": self.starts - 1,
+            "continues": self.continues,
+            "seconds": round(time.time() - self.began, 1),
+            "purges": len(self.world.purges),
+            "same": self.world.same,
+            "given_by_machines": self.world.given,
+            **self.counted,
+        }
 
     def wrong(self, failure: Any) -> None:
         from twisted.internet import reactor
@@ -180,8 +212,13 @@
             reactor.callLater(0.005, self.session, line)
             return
         method = "pages" if key % 3 == 0 else "clips"
-        fields = {"rid": f"{int(self.random.integers(1 << 63)):016x}", "budget": str(int(self.PATIENCE * 1000)),
-                  "obj": f"{key:016x}", "block": str(part), "family": str(key % 8)}
+        fields = {
+            "rid": f"{int(self.random.integers(1 << 63)):016x}",
+            "budget": str(int(self.PATIENCE * 1000)),
+            "obj": f"{key:016x}",
+            "block": str(part),
+            "family": str(key % 8),
+        }
         held = self.tags.get((key, part))
         if held is not None and self.random.random() < 0.2:
             fields["cached"] = held[0]
@@ -201,13 +238,20 @@
 
         line.ask(method, fields, then)
 
-    def judge(self, method: str, key: int, part: int, since: float, data: bytes, more: dict[str, str],
-              held: Any) -> None:
+    def judge(
+        self, method: str, key: int, part: int, since: float, data: bytes, more: dict[str, str], held: Any
+    ) -> None:
         from bench.fleet import FRESH, proof
 
         self.counted["served"] += 1
-        needed = max((versions[key] for _, _, when, versions in self.world.purges
-                      if key in versions and when + self.GRACE < since), default=0)
+        needed = max(
+            (
+                versions[key]
+                for _, _, when, versions in self.world.purges
+                if key in versions and when + self.GRACE < since
+            ),
+            default=0,
+        )
         if more.get("keep") == "1":
             self.counted["own_told"] += 1
             self.counted["older_than_purge"] += held[1] < needed
@@ -259,16 +303,23 @@
 @click.option("--objects", default=300, show_default=True)
 @click.option("--clients", default=12, show_default=True)
 @click.option("--json", "_", is_flag=True, help="The last line is JSON anyway.")
-def kill(kills: int, seconds: float, seed: int, continues: bool, plant: str, harm: bool, objects: int,
-         clients: int, _: bool) -> None:
+def kill(
+    kills: int, seconds: float, seed: int, continues: bool, plant: str, harm: bool, objects: int, clients: int, _: bool
+) -> None:
     """Kill the program under load; corrupt, older_than_purge and lost_visits have to be 0."""
     with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder:
         made = Kill(Path(folder), kills, seconds, seed, continues, plant, harm, objects, clients)
         answer = made.run()
-        answer["log"] = {event["event"]: event for event in made.router.events(
-            "store_recovered", "store_distrusted", "store_off", "store_bypassed", "fault", "store_trusted")}
-        answer["log"] = {name: event.get("copies", event.get("why", event.get("cause", True)))
-                         for name, event in answer["log"].items()}
+        answer["log"] = {
+            event["event"]: event
+            for event in made.router.events(
+                "store_recovered", "store_distrusted", "store_off", "store_bypassed", "fault", "store_trusted"
+            )
+        }
+        answer["log"] = {
+            name: event.get("copies", event.get("why", event.get("cause", True)))
+            for name, event in answer["log"].items()
+        }
         told(answer)
 
 
@@ -397,9 +448,12 @@
         hot = list(regular)
         for place in range(0, 17 * 40, 1):  # a new large object, asked for whole forty times
             hot.insert(2 * start + place, (5_000_000, place % 17))
-        for title, other in (("zipf", sessions(random, count, objects, 1.1)), ("hot_new", hot),
-                             ("shifting", sessions(random, count, objects, 0.9, count // 10)),
-                             ("ten_times", sessions(random, count, objects * 3, 0.8))):
+        for title, other in (
+            ("zipf", sessions(random, count, objects, 1.1)),
+            ("hot_new", hot),
+            ("shifting", sessions(random, count, objects, 0.9, count // 10)),
+            ("ten_times", sessions(random, count, objects * 3, 0.8)),
+        ):
             for name, policy in POLICIES.items():
                 found[f"{title}_{name}"].append(ratio(policy(other, room, one), [True] * len(other), len(other) // 3))
         sizes = {}
@@ -412,8 +466,9 @@
         for name, policy in POLICIES.items():
             hits = policy(regular, room * 20, varied)
             total = sum(varied(one) for one in regular[start:])
-            found[f"bytes_{name}"].append(sum(varied(regular[place]) for place in range(start, len(regular))
-                                              if hits[place]) / total)
+            found[f"bytes_{name}"].append(
+                sum(varied(regular[place]) for place in range(start, len(regular)) if hits[place]) / total
+            )
     answer = {name: round(statistics.median(values), 4) for name, values in found.items()}
     answer["spread_regular_drop"] = round(max(found["regular_drop"]) - min(found["regular_drop"]), 4)
     answer |= {"seeds": seeds, "sessions": count, "simulated": True}
@@ -453,11 +508,16 @@
     dict_put = time.perf_counter() - began
     strangers = sum(table.get(chance.getrandbits(64)) > 0 for _ in range(objects))
     size = 4 * len(table.places)
-    answer |= {"table_bytes_an_object": round(size / objects, 2), "bytes_ratio": round(size / objects / dict_bytes, 4),
-               "load": round(objects / len(table.places), 3),
-               "wrong_share": round(sum(one != 0 for one in wrong) / objects, 5),
-               "strangers_share": round(strangers / objects, 5), "put_us": round(put / objects * 1e6, 2),
-               "get_us": round(get / objects * 1e6, 2), "put_time_ratio": round(put / max(dict_put, 1e-9), 1)}
+    answer |= {
+        "table_bytes_an_object": round(size / objects, 2),
+        "bytes_ratio": round(size / objects / dict_bytes, 4),
+        "load": round(objects / len(table.places), 3),
+        "wrong_share": round(sum(one != 0 for one in wrong) / objects, 5),
+        "strangers_share": round(strangers / objects, 5),
+        "put_us": round(put / objects * 1e6, 2),
+        "get_us": round(get / objects * 1e6, 2),
+        "put_time_ratio": round(put / max(dict_put, 1e-9), 1),
+    }
     told(answer)
 
 
@@ -621,13 +681,17 @@
     answer: dict[str, Any] = {name: round(statistics.median(values), 3) for name, values in rates.items()}
     for other in ("file", "sqlite", "lmdb"):
         for what in ("writes", "reads"):
-            pairs = [ours / theirs for ours, theirs in zip(rates[f"segments_{what}_s"], rates[f"{other}_{what}_s"],
-                                                           strict=True)]
+            pairs = [
+                ours / theirs
+                for ours, theirs in zip(rates[f"segments_{what}_s"], rates[f"{other}_{what}_s"], strict=True)
+            ]
             answer[f"{what}_over_{other}_ratio"] = round(statistics.median(pairs), 3)
             answer[f"{what}_over_{other}_spread"] = [round(min(pairs), 3), round(max(pairs), 3)]
     for name, histogram in tails.items():
         answer[f"{name}_p50_us"], answer[f"{name}_p99_us"] = (
-            histogram.get_value_at_percentile(50), histogram.get_value_at_percentile(99))
+            histogram.get_value_at_percentile(50),
+            histogram.get_value_at_percentile(99),
+        )
     answer["recovery"] = [recovery(int(size), base) for size in recover_mb.split(",") if size]
     answer["write_amplification_ratio"] = amplification(base)
     answer |= {"rounds": rounds, "mb": mb, "page_cache": True}
@@ -659,10 +723,33 @@
         self.queue.clear()
 
 
-def store(folder: str, size: int, segment: int, clock: list[float], workers: Any, files: Files | None = None,
-          after: Any = lambda *_: None) -> Store:
-    return Store(Volume(files or Files(), folder, segment), workers, lambda: clock[0], after, lambda *a, **k: None,
-                 size, segment, 0, 1 << 20, 64 * MEGA, 1e12, 0.1, 16, 1e9, 3.0, False)
+def store(
+    folder: str,
+    size: int,
+    segment: int,
+    clock: list[float],
+    workers: Any,
+    files: Files | None = None,
+    after: Any = lambda *_: None,
+) -> Store:
+    return Store(
+        Volume(files or Files(), folder, segment),
+        workers,
+        lambda: clock[0],
+        after,
+        lambda *a, **k: None,
+        size,
+        segment,
+        0,
+        1 << 20,
+        64 * MEGA,
+        1e12,
+        0.1,
+        16,
+        1e9,
+        3.0,
+        False,
+    )
 
 
 def recovery(mb: int, base: str | None) -> dict[str, Any]:
@@ -763,16 +850,31 @@
         files = Stalling(seconds)
         late = {"well": HdrHistogram(1, 60_000_000, 3), "stalled": HdrHistogram(1, 60_000_000, 3)}
         workers = Workers(reactor, 8, lambda where: None)
-        made = Store(Volume(files, folder, 4 * MEGA), workers, time.time, reactor.callLater, lambda *a, **k: None,
-                     64 * MEGA, 4 * MEGA, 0, 4096, 8 * MEGA, 1e9, 0.1, 16, 1e9, 3.0, False)
+        made = Store(
+            Volume(files, folder, 4 * MEGA),
+            workers,
+            time.time,
+            reactor.callLater,
+            lambda *a, **k: None,
+            64 * MEGA,
+            4 * MEGA,
+            0,
+            4096,
+            8 * MEGA,
+            1e9,
+            0.1,
+            16,
+            1e9,
+            3.0,
+            False,
+        )
         made.start()
         state = {"due": time.perf_counter(), "key": 0, "answers": 0, "none": 0}
         body = random.Random(2).randbytes(20_000)
 
         def tick() -> None:
             now = time.perf_counter()
-            late["stalled" if files.stalled else "well"].record_value(
-                max(int((now - state["due"] - 0.002) * 1e6), 1))
+            late["stalled" if files.stalled else "well"].record_value(max(int((now - state["due"] - 0.002) * 1e6), 1))
             state["key"] += 1
             key, wall = state["key"] % 400, time.time()
             made.visit(key, 0)
@@ -793,9 +895,18 @@
         opened = made.breaker.opened
         made.close()
         well, stalled = (late[name].get_value_at_percentile(99) for name in ("well", "stalled"))
-        told({"stall_s": seconds, "well_p99_us": well, "stalled_p99_us": stalled,
-              "stalled_max_us": late["stalled"].get_max_value(), "breaker_opened": opened, "reads": state["answers"],
-              "reads_passed_by": state["none"], "delay_ratio": round(stalled / max(well, 1), 2)})
+        told(
+            {
+                "stall_s": seconds,
+                "well_p99_us": well,
+                "stalled_p99_us": stalled,
+                "stalled_max_us": late["stalled"].get_max_value(),
+                "breaker_opened": opened,
+                "reads": state["answers"],
+                "reads_passed_by": state["none"],
+                "delay_ratio": round(stalled / max(well, 1), 2),
+            }
+        )
 
 
 if __name__ == "__main__":
--- a/example/toy.py
+++ b/example/toy.py
@@ -42,8 +42,7 @@
     def record(self, place: int, state: int) -> bytes:
         kind = SHAPES.index(KINDS[place - 1])
         zone = min(kind, 1)
-        return pack(">I4sHBBBHIQ", ids(place), bytes([127, 0, 0, 1]), self.base + place, state, zone, kind,
-                    0, 4000, 0)
+        return pack(">I4sHBBBHIQ", ids(place), bytes([127, 0, 0, 1]), self.base + place, state, zone, kind, 0, 4000, 0)
 
     def tell(self, kind: int, payload: bytes) -> None:
         self.frames.append(pack(">IQB", 9 + len(payload), len(self.frames) + 1, kind) + payload)
@@ -83,8 +82,7 @@
             (last,) = unpack(">Q", self.data[:8])
             self.transport.write(b"".join(self.world.frames[last:]))
             self.world.readers.add(self)
-            self.beat = task.LoopingCall(
-                lambda: self.transport.write(pack(">IQB", 9, len(self.world.frames), 0)))
+            self.beat = task.LoopingCall(lambda: self.transport.write(pack(">IQB", 9, len(self.world.frames), 0)))
             self.beat.start(1.0)
 
     def connectionLost(self, reason: object = None) -> None:
@@ -121,13 +119,12 @@
             if not mark or len(rest) < int(size[1:]) + 2:
                 return None
             items.append(rest[: int(size[1:])])
-            rest = rest[int(size[1:]) + 2:]
+            rest = rest[int(size[1:]) + 2 :]
         self.data = rest
         return items
 
     def answer(self, *items: bytes) -> None:
-        self.transport.write(b"*%d\r\n" % len(items) + b"".join(
-            b"$%d\r\n%b\r\n" % (len(item), item) for item in items))
+        self.transport.write(b"*%d\r\n" % len(items) + b"".join(b"$%d\r\n%b\r\n" % (len(item), item) for item in items))
 
     def serve(self, word: bytes, tag: bytes, told: bytes = b"-", body: bytes = b"") -> None:
         if self.place in self.world.silent or word == b"STOP":
@@ -150,8 +147,9 @@
             self.answer(tag, b"SAME", f"etag={name[0]},made={made},detail={note},ttfb=1".encode(), b"")
             return
         text = ("".join(name).encode() or b"?") * SIZE
-        self.answer(tag, b"OK", f"etag={name[0]},made={made},detail={note},ttfb=1".encode(),
-                    text[:SIZE] if not body else body)
+        self.answer(
+            tag, b"OK", f"etag={name[0]},made={made},detail={note},ttfb=1".encode(), text[:SIZE] if not body else body
+        )
 
 
 class Listener(protocol.Factory):
--- a/setup.py
+++ b/setup.py
@@ -5,8 +5,7 @@
 from Cython.Build import cythonize
 from setuptools import Extension, setup
 
-COLD = {"wickhinge/net/__init__.py", "wickhinge/net/copies.py", "wickhinge/net/members.py",
-        "wickhinge/net/fellows.py"}
+COLD = {"wickhinge/net/__init__.py", "wickhinge/net/copies.py", "wickhinge/net/members.py", "wickhinge/net/fellows.py"}
 HOT = ["wickhinge/decide.py", *sorted(set(glob("wickhinge/net/*.py")) - COLD)]
 
 setup(
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -50,18 +50,49 @@
     return Listing(cache, zone, kind, cell, state, weight, started)
 
 
-def router(boxes=4, parents=2, most_forwards=6, second_copies=True, cancel=True, direct=True, joins=False,
-           weighed=True, extra=(), seed=7, routers=1, probes=True):
+def router(
+    boxes=4,
+    parents=2,
+    most_forwards=6,
+    second_copies=True,
+    cancel=True,
+    direct=True,
+    joins=False,
+    weighed=True,
+    extra=(),
+    seed=7,
+    routers=1,
+    probes=True,
+):
     outside = Recorder()
     edge, upper = Cold(4.0, 1.0, 0.2, 10.0), Cold(2.0, 1.0, 0.1, 10.0)
     chance = Chance(seed)
     fleet = Fleet(chance, "here", routers, "parent", "origin", weighed, edge, upper)
-    made = Router(outside, chance, fleet, Shelf(), Purges(6.0), joins=joins, direct=direct, flow=1000.0,
-                  most_forwards=most_forwards, second_copies=second_copies, cancel=cancel, probes=probes, loads=True,
-                  follows=False, ask_within=0.0, longest_wait=0.5)
-    made.fleet.listed([listing(i + 1) for i in range(boxes)]
-                + [listing(100 + i, "parent", "hub") for i in range(parents)]
-                + [listing(200, "origin", "hub"), *extra], True, 0.0)
+    made = Router(
+        outside,
+        chance,
+        fleet,
+        Shelf(),
+        Purges(6.0),
+        joins=joins,
+        direct=direct,
+        flow=1000.0,
+        most_forwards=most_forwards,
+        second_copies=second_copies,
+        cancel=cancel,
+        probes=probes,
+        loads=True,
+        follows=False,
+        ask_within=0.0,
+        longest_wait=0.5,
+    )
+    made.fleet.listed(
+        [listing(i + 1) for i in range(boxes)]
+        + [listing(100 + i, "parent", "hub") for i in range(parents)]
+        + [listing(200, "origin", "hub"), *extra],
+        True,
+        0.0,
+    )
     return made
 
 
--- a/tests/measured.py
+++ b/tests/measured.py
@@ -11,9 +11,12 @@
 
 def together(**commands):
     """Last lines by name, of `python -m COMMAND --json` each."""
-    started = {name: subprocess.Popen([sys.executable, "-m", *command.split(), "--json"], cwd=ROOT,
-                                      stdout=subprocess.PIPE, stderr=subprocess.PIPE)
-               for name, command in commands.items()}
+    started = {
+        name: subprocess.Popen(
+            [sys.executable, "-m", *command.split(), "--json"], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+        )
+        for name, command in commands.items()
+    }
     told = {}
     for name, child in started.items():
         out, problem = child.communicate(timeout=150)
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -19,8 +19,16 @@
 
 
 def host(place, kind, made):
-    return {"host": f"s-{0xA1 + place:08x}", "dial": at(made), "block": 0, "site": "here" if kind == "box" else "hub",
-            "class": kind, "health": "ready", "share": 4, "born_ms": 0}
+    return {
+        "host": f"s-{0xA1 + place:08x}",
+        "dial": at(made),
+        "block": 0,
+        "site": "here" if kind == "box" else "hub",
+        "class": kind,
+        "health": "ready",
+        "share": 4,
+        "born_ms": 0,
+    }
 
 
 class Asked:
@@ -44,7 +52,7 @@
         while True:
             for items in self.had:
                 if items[0] == b"REQ":
-                    self.had = self.had[self.had.index(items) + 1:]
+                    self.had = self.had[self.had.index(items) + 1 :]
                     body = b"".join(items[3].views()) if not isinstance(items[3], bytes) else items[3]
                     return Asked(self, items[1], items[2], body)
             self.had = []
@@ -56,7 +64,6 @@
                 return None
             self.had += self.stream.feed(data)
 
-
     def words(self):
         """All that came, to the end of the connection."""
         data = b""
@@ -74,8 +81,11 @@
         conf = json.loads((ROOT / "example/config.json").read_text())
         hosts = [host(place, kind, made) for place, (kind, made) in enumerate(zip(machines, self.places, strict=True))]
         self.kinds, self.number, self.address = machines, 1, ("127.0.0.1", base)
-        conf |= {"listen": f"127.0.0.1:{base}", "journal": at(self.service),
-                 "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}}
+        conf |= {
+            "listen": f"127.0.0.1:{base}",
+            "journal": at(self.service),
+            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]},
+        }
         conf["settings"]["limits"]["probes"] = False
         change(conf["settings"])
         (folder / "config.json").write_text(json.dumps(conf))
@@ -123,8 +133,20 @@
         self.journal.sendall((9 + len(payload)).to_bytes(4) + self.number.to_bytes(8) + bytes((kind,)) + payload)
 
     def drain(self, place):
-        self.tell(2, journal.RECORD.pack(0xA1 + place, 0x7F000001, self.places[place].getsockname()[1], 1,
-                                         self.kinds[place] != "box", KINDS[self.kinds[place]], 0, 4000, 0))
+        self.tell(
+            2,
+            journal.RECORD.pack(
+                0xA1 + place,
+                0x7F000001,
+                self.places[place].getsockname()[1],
+                1,
+                self.kinds[place] != "box",
+                KINDS[self.kinds[place]],
+                0,
+                4000,
+                0,
+            ),
+        )
         self.router.wait("draining")
 
     def client(self):
--- a/tests/test_bench_store.py
+++ b/tests/test_bench_store.py
@@ -9,9 +9,13 @@
 @pytest.fixture(scope="module")
 def told():
     return together(
-        anew=KILL, continues=f"{KILL} --continues", checksums=f"{KILL} --plant checksums",
-        purges=f"{KILL} --plant purges --continues --no-harm", stall="bench.store stall --seconds 0.5",
-        scan="bench.store scan --count 4000 --seeds 1")
+        anew=KILL,
+        continues=f"{KILL} --continues",
+        checksums=f"{KILL} --plant checksums",
+        purges=f"{KILL} --plant purges --continues --no-harm",
+        stall="bench.store stall --seconds 0.5",
+        scan="bench.store scan --count 4000 --seeds 1",
+    )
 
 
 @pytest.mark.parametrize("how", ["anew", "continues"])
--- a/tests/test_cold_shares.py
+++ b/tests/test_cold_shares.py
@@ -33,8 +33,9 @@
 
 def colds(share=1.0, processes=4):
     """Of a router alone under its name, whose share is what the test says."""
-    purse = Purse(Circle(roster(["here"]), Chance(1), 0.0, lambda item: None), Division(1, processes),
-                  cold.budgets("here"), 0.0)
+    purse = Purse(
+        Circle(roster(["here"]), Chance(1), 0.0, lambda item: None), Division(1, processes), cold.budgets("here"), 0.0
+    )
     made = cold.Colds(purse)
     purse.settle = lambda budget, now: budget.shared(share, purse.late)
     return made
@@ -127,8 +128,12 @@
 
 
 @settings(max_examples=100, deadline=None)
-@given(st.lists(st.sampled_from(["a", "b"]), min_size=1, max_size=8), st.integers(0, 4), st.integers(0, 8),
-       st.integers(0, 3))
+@given(
+    st.lists(st.sampled_from(["a", "b"]), min_size=1, max_size=8),
+    st.integers(0, 4),
+    st.integers(0, 8),
+    st.integers(0, 3),
+)
 def test_homes_and_floors_of_a_zone_add_up_to_one_while_half_the_fleet_has_another_roster(zones, spare, old, twins):
     """Routers below `old` still have the roster that ended there."""
     names = len(zones) + spare
@@ -137,7 +142,7 @@
         total = 0.0
         for place, one in enumerate(zones):
             if one == zone:
-                seen = zones[:max(old, 1)] if place < old else zones
+                seen = zones[: max(old, 1)] if place < old else zones
                 mine = division.within(roster(seen, f"n{place}"), zone)
                 total += (1 - FLOOR) / mine.names + FLOOR / mine.processes
         assert total <= 1.0 + 1e-9
@@ -157,7 +162,8 @@
     shares = {one.name: [round(budget.share, 2) for budget in one.purse.budgets[2:]] for one in fleet.processes}
     assert shares["n0"][0] > 0.9 and shares["n0"][1] > 0.9
     assert all(shares[name][0] < 0.03 for name in ("n2", "n4")) and all(
-        shares[name][0] > 0.3 for name in ("n1", "n3", "n5"))
+        shares[name][0] > 0.3 for name in ("n1", "n3", "n5")
+    )
     assert judges.toppled(fleet.sent, fleet.bears, play.COLD.span) == []
     one = sum(work for when, _, work in fleet.sent[0] if when > 12.0)
     could = sum(fleet.bears(when / 10) / play.COLD.span / 10 for when in range(120, 220))
@@ -173,7 +179,8 @@
 def takes_all_for_its_own(process):
     """The plant: the limit divided among nobody."""
     process.colds.room = lambda cache, upper, limits, part, work, now, room=process.colds.room: (
-        room(cache, upper, limits, part * len(process.fleet.names), work, now))
+        room(cache, upper, limits, part * len(process.fleet.names), work, now)
+    )
 
 
 @pytest.mark.parametrize("plant", [takes_all_for_its_own, lends_what_it_keeps])
@@ -227,11 +234,17 @@
 PEERS = 'peers: {mode: "on", key_file: "KEY", roster: [{name: "n1", address: "127.0.0.1:1", zone: "ZONE"}]}\n'
 
 
-@pytest.mark.parametrize("text, told", [
-    ('shared: mode: "on"', "shared.mode"),
-    (PEERS + 'shared: {mode: "on", names: 3, processes: 2}', "shared.processes"),
-    ('peers: {mode: "on", roster: [{name: "n1", address: "x"}, {name: "n2", address: "y"}]}\nshared: names: 1',
-     "shared.names")])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ('shared: mode: "on"', "shared.mode"),
+        (PEERS + 'shared: {mode: "on", names: 3, processes: 2}', "shared.processes"),
+        (
+            'peers: {mode: "on", roster: [{name: "n1", address: "x"}, {name: "n2", address: "y"}]}\nshared: names: 1',
+            "shared.names",
+        ),
+    ],
+)
 def test_settings_that_cannot_be_name_the_key(text, told):
     with pytest.raises(Fault, match=told):
         check(text, "x")
@@ -241,8 +254,12 @@
     (tmp_path / "key").write_text("k" * 16)
     text = PEERS.replace("KEY", str(tmp_path / "key")).replace("ZONE", "hub") + 'shared: mode: "on"\n'
     (tmp_path / "o.cue").write_text(text)
-    env = {**os.environ, "RELAY_CONFIG": str(ROOT / "example/config.json"),
-           "WICKHINGE_OPTIONS": str(tmp_path / "o.cue")}
-    ran = subprocess.run([sys.executable, "-m", "wickhinge"], cwd=ROOT, env=env, capture_output=True, text=True,
-                         timeout=30, check=False)
+    env = {
+        **os.environ,
+        "RELAY_CONFIG": str(ROOT / "example/config.json"),
+        "WICKHINGE_OPTIONS": str(tmp_path / "o.cue"),
+    }
+    ran = subprocess.run(
+        [sys.executable, "-m", "wickhinge"], cwd=ROOT, env=env, capture_output=True, text=True, timeout=30, check=False
+    )
     assert ran.returncode == 2 and "'hub'" in ran.stderr and "'here'" in ran.stderr
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -18,7 +18,8 @@
 
 def places(count=COUNT):
     return [Place(f"n{one}", ("127.0.0.1", one + 1), "here") for one in range(count)] + [
-        Place("far", ("127.0.0.1", 99), "there")]
+        Place("far", ("127.0.0.1", 99), "there")
+    ]
 
 
 class One:
@@ -40,8 +41,10 @@
             cache.pending = {object() for _ in range(number)}
 
     def table(self):
-        return {name: (known.tally.epoch, known.tally.life, known.tally.number, known.tally.out)
-                for name, known in self.counts.known.items()}
+        return {
+            name: (known.tally.epoch, known.tally.life, known.tally.number, known.tally.out)
+            for name, known in self.counts.known.items()
+        }
 
 
 def beat(group, now):
@@ -77,8 +80,11 @@
     for one in group:
         assert one.fleet.told == COUNT - 1
         for place, cache in enumerate(sorted(one.fleet.mine, key=lambda cache: cache.mark)):
-            truth = sum(len(sorted(other.fleet.mine, key=lambda one: one.mark)[place].pending)
-                        for other in group if other is not one)
+            truth = sum(
+                len(sorted(other.fleet.mine, key=lambda one: one.mark)[place].pending)
+                for other in group
+                if other is not one
+            )
             assert cache.told == pytest.approx(truth, abs=0.01)
 
 
@@ -106,8 +112,9 @@
     for number in range(1, COUNT):
         one.counts.merge(Tally(f"n{number}", 1, number + 1, 1, 0.0, one.counts.view, [0, 0, 0, 2]), 101.0, True)
     for turn in range(40):
-        one.counts.known = {name: counts.Known(known.tally, 101.0 + turn * BEAT)
-                            for name, known in one.counts.known.items()}
+        one.counts.known = {
+            name: counts.Known(known.tally, 101.0 + turn * BEAT) for name, known in one.counts.known.items()
+        }
         one.counts.tick(101.0 + (turn + 1) * BEAT)
     one.fleet.count()
     assert told(one)[:3] == [(mark, 0.0) for mark, _ in told(one)[:3]]
@@ -155,13 +162,29 @@
 
 
 def bad(**what):
-    return counts.encoder.encode([{**{"name": "n1", "epoch": 1, "life": 2, "number": 1, "age": 0.0, "view": 1,
-                                      "out": [1]}, **what}[field] for field in Tally.__struct_fields__])
-
-
-@pytest.mark.parametrize("what", [
-    {"out": [1 << 63]}, {"out": [-1]}, {"out": [0] * 257}, {"age": float("nan")}, {"age": -1.0}, {"number": 0},
-    {"number": 1 << 70}, {"epoch": 0}, {"life": -3}, {"name": 7}])
+    return counts.encoder.encode(
+        [
+            {**{"name": "n1", "epoch": 1, "life": 2, "number": 1, "age": 0.0, "view": 1, "out": [1]}, **what}[field]
+            for field in Tally.__struct_fields__
+        ]
+    )
+
+
+@pytest.mark.parametrize(
+    "what",
+    [
+        {"out": [1 << 63]},
+        {"out": [-1]},
+        {"out": [0] * 257},
+        {"age": float("nan")},
+        {"age": -1.0},
+        {"number": 0},
+        {"number": 1 << 70},
+        {"epoch": 0},
+        {"life": -3},
+        {"name": 7},
+    ],
+)
 def test_tallies_that_no_honest_fellow_has_are_refused(what):
     one = One(0)
     try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -140,8 +140,9 @@
 
 
 def test_the_mark_of_a_ticketed_visit_goes_with_each_of_its_forwards(stand):
-    made = stand(change=lambda conf: conf["classes"][1].update(effect="token", group="all", windowMs=2500,
-                                                                    onTimeMs=2900))
+    made = stand(
+        change=lambda conf: conf["classes"][1].update(effect="token", group="all", windowMs=2500, onTimeMs=2900)
+    )
     client = made.client()
     call = client.ask("results", b"mark", token="d266bfacf2dce431")
     first = made.line(1).next()
@@ -172,8 +173,11 @@
         self.box = socket.create_server(("127.0.0.1", 0))
         self.box.settimeout(5.0)
         hosts = [host(0, "origin", self.box)]
-        conf |= {"listen": "{}:{}".format(*self.address), "journal": "127.0.0.1:9",
-                 "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}}
+        conf |= {
+            "listen": "{}:{}".format(*self.address),
+            "journal": "127.0.0.1:9",
+            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]},
+        }
         self.reactor = Reactor()
         self.node = Node(conf, self.reactor, os.open(os.devnull, os.O_WRONLY))
         monkeypatch.setattr(self.reactor, "stop", lambda: self.stopped.append(True))
@@ -248,9 +252,13 @@
         self.clients = Clients(visits, clock, 9, lambda *_, **more: None)
         self.made = Taken(self.clients)
         self.made.transport = self.made.socket = SimpleNamespace(
-            pauseProducing=lambda: self.calls.append("pause"), resumeProducing=lambda: self.calls.append("resume"),
-            setTcpNoDelay=lambda on: None, getHandle=lambda: self.made.transport, sendmsg=lambda views: 1 << 20,
-            abortConnection=lambda: self.calls.append("abort"))
+            pauseProducing=lambda: self.calls.append("pause"),
+            resumeProducing=lambda: self.calls.append("resume"),
+            setTcpNoDelay=lambda on: None,
+            getHandle=lambda: self.made.transport,
+            sendmsg=lambda views: 1 << 20,
+            abortConnection=lambda: self.calls.append("abort"),
+        )
         self.made.connectionMade()
 
     def take(self, client, call, method, fields, body, waited):
@@ -436,5 +444,3 @@
 def test_times_and_streams_of_0_are_faults_that_name_their_key(field):
     with pytest.raises(Malformed, match=field):
         config.times({"settings": {"limits": {field: 0}}})
-
-
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -127,9 +127,16 @@
         assert len(caller.forwards) == 1 and caller.answers == [("abandoned", None)]
 
 
-@pytest.mark.parametrize("group, cell, later, allowed", [
-    ("all", 9, 1.0, True), ("zone", 9, 1.0, True), ("cell", 9, 1.0, False), ("cell", 0, 1.0, True),
-    ("all", 0, 5.0, False)])
+@pytest.mark.parametrize(
+    "group, cell, later, allowed",
+    [
+        ("all", 9, 1.0, True),
+        ("zone", 9, 1.0, True),
+        ("cell", 9, 1.0, False),
+        ("cell", 0, 1.0, True),
+        ("all", 0, 5.0, False),
+    ],
+)
 def test_ticketed_repeats_only_in_its_group_and_window(group, cell, later, allowed):
     made = router(extra=[listing(9, cell=cell)])
     visit, caller = take(made, tariff(Effect.TICKETED, group))
@@ -184,8 +191,7 @@
     assert 0.2 * 20.0 < sent < 4.0 * 0.2 * 20.0
 
 
-@pytest.mark.parametrize("strikes, outcome", [
-    (1, Outcome.UNREACHED), (2, Outcome.TIMED_OUT), (8, Outcome.BROKEN)])
+@pytest.mark.parametrize("strikes, outcome", [(1, Outcome.UNREACHED), (2, Outcome.TIMED_OUT), (8, Outcome.BROKEN)])
 def test_what_was_gone_and_answers_again_is_cold_before_the_list_says_so(strikes, outcome):
     made = router()
     cache = made.fleet.mine[0]
@@ -222,11 +228,18 @@
     assert 0 < fills * made.mean(tariff()) <= 2.0 * 0.19 * 2.0
 
 
-@pytest.mark.parametrize("told, key, group, now, oldest", [
-    ([(5, 3, 90.0)], 5, 3, 92.0, 2.0), ([(5, 3, 90.0)], 6, 3, 92.0, None),
-    ([(None, 3, 90.0)], 6, 3, 92.0, 2.0),
-    ([(None, 3, 90.0), (5, 3, 91.0)], 5, 3, 92.0, 1.0), ([(5, 3, 91.0), (5, 3, 90.0)], 5, 3, 92.0, 1.0),
-    ([(5, 3, 90.0)], 5, 3, 99.0, None), ([(5, 3, 92.0)], 5, 3, 92.0, 0.001)])
+@pytest.mark.parametrize(
+    "told, key, group, now, oldest",
+    [
+        ([(5, 3, 90.0)], 5, 3, 92.0, 2.0),
+        ([(5, 3, 90.0)], 6, 3, 92.0, None),
+        ([(None, 3, 90.0)], 6, 3, 92.0, 2.0),
+        ([(None, 3, 90.0), (5, 3, 91.0)], 5, 3, 92.0, 1.0),
+        ([(5, 3, 91.0), (5, 3, 90.0)], 5, 3, 92.0, 1.0),
+        ([(5, 3, 90.0)], 5, 3, 99.0, None),
+        ([(5, 3, 92.0)], 5, 3, 92.0, 0.001),
+    ],
+)
 def test_the_youngest_purge_sets_the_oldest_copy(told, key, group, now, oldest):
     purges = Purges(6.0)
     for what, of, made in told:
@@ -255,8 +268,7 @@
     assert not callers[-1].forwards and callers[-1].answers == [("denied", 0.5)]
 
 
-@pytest.mark.parametrize("repeat, crowd, denied", [
-    (True, 2.0, True), (False, 2.0, False), (True, 1.0, False)])
+@pytest.mark.parametrize("repeat, crowd, denied", [(True, 2.0, True), (False, 2.0, False), (True, 1.0, False)])
 def test_a_repeat_is_not_taken_into_a_crowd(repeat, crowd, denied):
     visit, _ = take(router(), repeat=repeat)
     assert visit.late(crowd, 100.0) is denied
@@ -329,8 +341,9 @@
     assert made.source(take(made, key=5, part=7, now=100.7)[0], 100.7) is not fill.source
 
 
-@pytest.mark.parametrize("outcome, rests", [
-    (Outcome.BROKEN, False), (Outcome.UNSENT, False), (Outcome.UNREACHED, True)])
+@pytest.mark.parametrize(
+    "outcome, rests", [(Outcome.BROKEN, False), (Outcome.UNSENT, False), (Outcome.UNREACHED, True)]
+)
 def test_a_connection_that_broke_is_no_machine_that_went(outcome, rests):
     """Taken for gone, every cache whose connections are reset was cold, and all went to the origin."""
     made = router()
@@ -478,7 +491,8 @@
 @pytest.mark.parametrize("outcome", [MISS, FULL, Outcome.ERROR])
 @pytest.mark.parametrize("gap", [0.0, 1.0])
 def test_a_visit_sent_straight_to_a_parent_has_it_fetch_from_the_origin_and_is_not_filled_there_by_another(
-        outcome, gap):
+    outcome, gap
+):
     """A parent that refuses one is not a cache whose fill was refused: the bench ended a day on that."""
     made = router(boxes=0)
     made.gap = gap
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -76,8 +76,12 @@
     assert b"nothing that this router answers" in exchange(at, desk.Asking(KEY, "n1", 7, "fly"))
     at.words["huge"] = lambda more: b"x" * (desk.EACH * desk.PARTS + 1)
     assert b"is longer than" in exchange(at, desk.Asking(KEY, "n1", 7, "huge"))
-    for data in (b"", b"WP?", desk.Asking(OTHER, "n1", 7, "say").datagram(),
-                 desk.Asking(KEY, "n1", 7, "say").datagram()[:-1]):
+    for data in (
+        b"",
+        b"WP?",
+        desk.Asking(OTHER, "n1", 7, "say").datagram(),
+        desk.Asking(KEY, "n1", 7, "say").datagram()[:-1],
+    ):
         with pytest.raises(wire.Unreadable):
             at.heard(data, HERE, 100.0)
     garbled = desk.ASK + b"\x93\x01"
@@ -87,15 +91,21 @@
 
 def test_a_flood_of_asks_is_answered_at_a_bounded_rate():
     at = made()
-    told = sum(len(at.heard(desk.Asking(KEY, "n1", number, "say").datagram(), HERE, 100.0 + number / 1e4))
-               for number in range(10_000))
+    told = sum(
+        len(at.heard(desk.Asking(KEY, "n1", number, "say").datagram(), HERE, 100.0 + number / 1e4))
+        for number in range(10_000)
+    )
     assert desk.RATE <= told <= 2 * desk.RATE + 1
 
 
 def test_another_asks_parts_and_foul_ones_change_nothing():
     asking = desk.Asking(KEY, "n1", 7, "say")
-    for part in (desk.Part(8, b"c" * 16, 1, 1, b"x"), desk.Part(7, b"c", 2, 1, b"x"), desk.Part(7, b"c", 1, 65, b"x"),
-                 desk.Part(7, b"c", -1, 1, b"x")):
+    for part in (
+        desk.Part(8, b"c" * 16, 1, 1, b"x"),
+        desk.Part(7, b"c", 2, 1, b"x"),
+        desk.Part(7, b"c", 1, 65, b"x"),
+        desk.Part(7, b"c", -1, 1, b"x"),
+    ):
         assert not asking.heard(desk.pack(KEY, desk.PART, part))
     assert not asking.heard(desk.pack(OTHER, desk.PART, desk.Part(7, b"c", 1, 1, b"x"))) and asking.answer() is None
 
@@ -116,18 +126,33 @@
             conf = json.loads((ROOT / "example/config.json").read_text())
             conf |= {"name": f"n{place}", "listen": f"127.0.0.1:{free_port()}", "journal": "127.0.0.1:1"}
             (folder / f"c{place}").write_text(json.dumps(conf))
-            env = {**os.environ, "RELAY_CONFIG": str(folder / f"c{place}"),
-                   "WICKHINGE_OPTIONS": str(folder / f"o{place}")}
+            env = {
+                **os.environ,
+                "RELAY_CONFIG": str(folder / f"c{place}"),
+                "WICKHINGE_OPTIONS": str(folder / f"o{place}"),
+            }
             with open(folder / f"log{place}", "wb") as log:
-                self.children.append(subprocess.Popen([sys.executable, "-m", "wickhinge"], cwd=ROOT, env=env,
-                                                      stdout=log, stderr=log, preexec_fn=with_us))
+                self.children.append(
+                    subprocess.Popen(
+                        [sys.executable, "-m", "wickhinge"],
+                        cwd=ROOT,
+                        env=env,
+                        stdout=log,
+                        stderr=log,
+                        preexec_fn=with_us,
+                    )
+                )
 
     def write(self, place, names=None, key="key", also="", extra=""):
-        roster = ", ".join(f'{{name: "n{one}", address: "127.0.0.1:{self.ports[one]}", zone: "here"}}'
-                           for one in (range(len(self.ports)) if names is None else names))
+        roster = ", ".join(
+            f'{{name: "n{one}", address: "127.0.0.1:{self.ports[one]}", zone: "here"}}'
+            for one in (range(len(self.ports)) if names is None else names)
+        )
         also = f'also_key_file: "{self.folder}/{also}", ' if also else ""
-        text = (f'peers: {{mode: "on", key_file: "{self.folder}/{key}", {also}roster: [{roster}]}}\n'
-                f'shared: {{mode: "on", names: {len(self.ports)}}}\n{extra}')
+        text = (
+            f'peers: {{mode: "on", key_file: "{self.folder}/{key}", {also}roster: [{roster}]}}\n'
+            f'shared: {{mode: "on", names: {len(self.ports)}}}\n{extra}'
+        )
         (self.folder / "new").write_text(text)
         (self.folder / "new").replace(self.folder / f"o{place}")
 
@@ -136,8 +161,13 @@
         self.children[place].send_signal(signal.SIGHUP)
 
     def events(self, place, wanted):
-        return [event for line in (self.folder / f"log{place}").read_bytes().splitlines() if line.startswith(b"{")
-                for event in [json.loads(line)] if event["event"] == wanted]
+        return [
+            event
+            for line in (self.folder / f"log{place}").read_bytes().splitlines()
+            if line.startswith(b"{")
+            for event in [json.loads(line)]
+            if event["event"] == wanted
+        ]
 
     def show(self, *words, place=0):
         ran = CliRunner().invoke(main, ["peers", "show", "--options", str(self.folder / f"o{place}"), "--json", *words])
@@ -146,14 +176,16 @@
     def until(self, what, seconds=25.0):
         end = time.monotonic() + seconds
         while not (found := what()):
-            assert time.monotonic() < end, [(self.folder / f"log{place}").read_text()[-2000:]
-                                            for place in range(len(self.ports))]
+            assert time.monotonic() < end, [
+                (self.folder / f"log{place}").read_text()[-2000:] for place in range(len(self.ports))
+            ]
             time.sleep(0.1)
         return found
 
     def well(self):
-        return self.until(lambda: self.show("--all")[0] == 0 and all(
-            one["heard"] == 1.0 for one in self.show("--all")[1]["routers"]))
+        return self.until(
+            lambda: self.show("--all")[0] == 0 and all(one["heard"] == 1.0 for one in self.show("--all")[1]["routers"])
+        )
 
 
 @pytest.fixture
@@ -187,14 +219,22 @@
             fleet.until(lambda place=place, before=before: len(fleet.events(place, "peers_reload")) > before)
         assert fleet.events(0, "peers_reload")[-1]["keys"] == 1 + ("also" in step)
         fleet.well()
-    assert not any(event["state"] == "gone" for place in range(2) for event in fleet.events(place, "peers_peer")
-                   if event["name"] != "n2")
+    assert not any(
+        event["state"] == "gone"
+        for place in range(2)
+        for event in fleet.events(place, "peers_peer")
+        if event["name"] != "n2"
+    )
     # What cannot be changes nothing, and says why.
-    for place, what, why in ((0, {"names": (1, 2)}, "our own name"), (1, {"extra": "nonsense: 1\n"}, "nonsense"),
-                             (2, {"key": "missing"}, "peers.key_file")):
+    for place, what, why in (
+        (0, {"names": (1, 2)}, "our own name"),
+        (1, {"extra": "nonsense: 1\n"}, "nonsense"),
+        (2, {"key": "missing"}, "peers.key_file"),
+    ):
         fleet.change(place, **what)
-        fleet.until(lambda place=place, why=why: any(why in event["why"] for event in fleet.events(
-            place, "reload_failed")))
+        fleet.until(
+            lambda place=place, why=why: any(why in event["why"] for event in fleet.events(place, "reload_failed"))
+        )
     for place in range(3):
         fleet.write(place, key="other")
     fleet.well()
@@ -204,10 +244,15 @@
     assert code == 1 and "does not answer" in told
 
 
-@pytest.mark.parametrize("text, words, told", [
-    ("", (), "peers.key_file"), ('peers: key_file: "KEY"', (), "is empty"),
-    ('peers: {key_file: "KEY", roster: [{name: "n1", address: "x"}]}', (), "n1"),
-    ('peers: {key_file: "KEY", roster: [{name: "n1", address: "127.0.0.1:1"}]}', ("--router", "n9"), "n9")])
+@pytest.mark.parametrize(
+    "text, words, told",
+    [
+        ("", (), "peers.key_file"),
+        ('peers: key_file: "KEY"', (), "is empty"),
+        ('peers: {key_file: "KEY", roster: [{name: "n1", address: "x"}]}', (), "n1"),
+        ('peers: {key_file: "KEY", roster: [{name: "n1", address: "127.0.0.1:1"}]}', ("--router", "n9"), "n9"),
+    ],
+)
 def test_settings_by_which_nobody_can_be_asked_name_the_fault(tmp_path, text, words, told):
     (tmp_path / "key").write_bytes(KEY)
     (tmp_path / "o.cue").write_text(text.replace("KEY", str(tmp_path / "key")))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,9 +14,11 @@
 @pytest.fixture(scope="module")
 def told():
     return together(
-        start="bench.discovery start --repeats 1 --alone", herd="bench.discovery herd --routers 1,100 --seeds 1",
+        start="bench.discovery start --repeats 1 --alone",
+        herd="bench.discovery herd --routers 1,100 --seeds 1",
         trust="bench.discovery start --repeats 1 --alone --ages 3d --plant trust",
-        drains="bench.discovery start --repeats 1 --alone --ages 3d --plant drains")
+        drains="bench.discovery start --repeats 1 --alone --ages 3d --plant drains",
+    )
 
 
 def test_lists_of_all_ages_serve_and_send_nothing_wrong(told):
@@ -54,8 +56,9 @@
     conf |= {"listen": f"127.0.0.1:{port}", "journal": f"127.0.0.1:{port + 1}", "name": "n2"}
     (folder / "config.json").write_text(json.dumps(conf))
     (folder / "key").write_text("0123456789abcdef" + extra)
-    (folder / "o.cue").write_text(f'discovery: {{mode: "on", dir: "{folder}/list", siblings: ["{siblings}"], '
-                                  f'key_file: "{folder}/key"}}')
+    (folder / "o.cue").write_text(
+        f'discovery: {{mode: "on", dir: "{folder}/list", siblings: ["{siblings}"], key_file: "{folder}/key"}}'
+    )
     env = {**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "WICKHINGE_OPTIONS": str(folder / "o.cue")}
     return Process("-m", "wickhinge", env=env), ("127.0.0.1", port)
 
@@ -64,8 +67,9 @@
 def test_a_router_starts_from_a_siblings_list_if_they_share_a_key(tmp_path, monkeypatch, extra, served):
     port = free(1)
     (tmp_path / "key").write_text("0123456789abcdef")
-    (tmp_path / "o.cue").write_text(f'discovery: {{mode: "on", dir: "{tmp_path}/list", listen: "127.0.0.1:{port}", '
-                                    f'key_file: "{tmp_path}/key"}}')
+    (tmp_path / "o.cue").write_text(
+        f'discovery: {{mode: "on", dir: "{tmp_path}/list", listen: "127.0.0.1:{port}", key_file: "{tmp_path}/key"}}'
+    )
     monkeypatch.setenv("WICKHINGE_OPTIONS", str(tmp_path / "o.cue"))
     deployment = Deployment(tmp_path)
     other, address = second(deployment, tmp_path / "b", f"127.0.0.1:{port}", extra)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -204,8 +204,10 @@
         alone.now += LOOK
         for number in range(6):
             one, other = with_judge.routers[0].box(number), alone.routers[0].box(number)
-            assert all(getattr(one, field) == getattr(other, field)
-                       for field in ("fit", "best", "strikes", "lost", "shunned", "started", "credit"))
+            assert all(
+                getattr(one, field) == getattr(other, field)
+                for field in ("fit", "best", "strikes", "lost", "shunned", "started", "credit")
+            )
     assert not with_judge.routers[0].looks
 
 
@@ -219,15 +221,27 @@
         before = [(cache.fit, cache.strikes, cache.started) for cache in router.policy.fleet.mine]
         for _ in range(20):
             for liar in range(liars):
-                lies = [Word(rand.choice([1, 2, 3, 4, 5, 6, 77]), rand.randrange(4), rand.choice((0.0, 0.01, 9e3)),
-                             rand.choice((0.0, 1.0, 9e3))) for _ in range(8)]
+                lies = [
+                    Word(
+                        rand.choice([1, 2, 3, 4, 5, 6, 77]),
+                        rand.randrange(4),
+                        rand.choice((0.0, 0.01, 9e3)),
+                        rand.choice((0.0, 1.0, 9e3)),
+                    )
+                    for _ in range(8)
+                ]
                 router.judge.ridden(f"n{liar + 1}", words.pack(lies), group.now)
             group.turn()
         if liars == 1:
             assert before == [(cache.fit, cache.strikes, cache.started) for cache in router.policy.fleet.mine]
         assert sum(not cache.usable(group.now) for cache in router.policy.fleet.mine) <= (0 if liars == 1 else 2)
-        assert sum(cache.fit < 0.9 * was[0] or cache.started > 0 for cache, was in zip(
-            router.policy.fleet.mine, before, strict=True)) <= 2 + 20 * LOOK // FADE * 2
+        assert (
+            sum(
+                cache.fit < 0.9 * was[0] or cache.started > 0
+                for cache, was in zip(router.policy.fleet.mine, before, strict=True)
+            )
+            <= 2 + 20 * LOOK // FADE * 2
+        )
 
 
 def test_a_storm_of_changes_is_told_at_a_bounded_rate():
@@ -252,11 +266,21 @@
     assert [word.verdict for word in words.read(router.judge.rider("n9"))] == [LOST]
 
 
-@pytest.mark.parametrize("data", [
-    b"", b"\xff", words.encoder.encode([Word(1, 4, 0.0, 0.0)]), words.encoder.encode([Word(-1, 0, 0.0, 0.0)]),
-    words.encoder.encode([Word(1 << 32, 0, 0.0, 0.0)]), words.encoder.encode([Word(1, 0, float("nan"), 0.0)]),
-    words.encoder.encode([Word(1, 0, 0.0, -1.0)]), words.encoder.encode([Word(1, COLD, 2e4, 0.0)]),
-    words.encoder.encode([Word(1, 0, 0.0, 0.0)] * (words.MOST + 1)), words.encoder.encode([[1, 2]])])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        words.encoder.encode([Word(1, 4, 0.0, 0.0)]),
+        words.encoder.encode([Word(-1, 0, 0.0, 0.0)]),
+        words.encoder.encode([Word(1 << 32, 0, 0.0, 0.0)]),
+        words.encoder.encode([Word(1, 0, float("nan"), 0.0)]),
+        words.encoder.encode([Word(1, 0, 0.0, -1.0)]),
+        words.encoder.encode([Word(1, COLD, 2e4, 0.0)]),
+        words.encoder.encode([Word(1, 0, 0.0, 0.0)] * (words.MOST + 1)),
+        words.encoder.encode([[1, 2]]),
+    ],
+)
 def test_words_that_no_honest_fellow_says_are_refused(data):
     with pytest.raises(words.Unreadable):
         words.read(data)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -54,9 +54,16 @@
     return sum(waits) / len(waits)
 
 
-@pytest.mark.parametrize("kind, load, servers, mean", [
-    ("M", 0.5, 1, 0.5 / 0.5), ("M", 0.8, 1, 0.8 / 0.2), ("D", 0.5, 1, 0.5 / (2 * 0.5)), ("D", 0.8, 1, 0.8 / (2 * 0.2)),
-    ("M", 0.8, 2, 1.778)])  # Pollaczek and Khinchine; Erlang's C for two servers
+@pytest.mark.parametrize(
+    "kind, load, servers, mean",
+    [
+        ("M", 0.5, 1, 0.5 / 0.5),
+        ("M", 0.8, 1, 0.8 / 0.2),
+        ("D", 0.5, 1, 0.5 / (2 * 0.5)),
+        ("D", 0.8, 1, 0.8 / (2 * 0.2)),
+        ("M", 0.8, 2, 1.778),
+    ],
+)  # Pollaczek and Khinchine; Erlang's C for two servers
 def test_waits_are_those_of_theory(kind, load, servers, mean):
     assert waited(kind, load, servers) == pytest.approx(mean, rel=0.1)
 
@@ -69,8 +76,12 @@
     wheel.at(1.5, link.ask, 1.0, lambda: ends.append((0, wheel.now)))
     wheel.run(100.0)
     # By hand: at 1.5 each has had 0.5; four share until 3.5, the first and the late one go on, and so forth.
-    assert ends == [(1.0, pytest.approx(3.5)), (0, pytest.approx(5.0)), (2.0, pytest.approx(6.0)),
-                    (3.0, pytest.approx(7.0))]
+    assert ends == [
+        (1.0, pytest.approx(3.5)),
+        (0, pytest.approx(5.0)),
+        (2.0, pytest.approx(6.0)),
+        (3.0, pytest.approx(7.0)),
+    ]
     wheel, chance, took = Wheel(), random.Random(3), []
     link = Shared(wheel, 1.0)
 
@@ -119,17 +130,26 @@
 
 ROUGH = SMALL + "exclusive: 0.2\n"
 PLANTS = [
-    ("answers", "", "1"), ("repeats", "part_s: 0.3", "2"),
+    ("answers", "", "1"),
+    ("repeats", "part_s: 0.3", "2"),
     ("drains", 'failures: [{kind: "drain", at_s: 4, target: 0}]', "3"),
-    ("cold", "visits_per_s: 500\nfall_multiple: 1\npromised_s: 3\npatience_s: 4\nfall_s: 1\ncold_from: 0.05\n"
-     'cold_s: 30\nfailures: [{kind: "mass_restart", at_s: 4, share: 1}]', "4"),
-    ("purges", 'failures: [{kind: "purge", at_s: 6, share: 1}]', "5")]
+    (
+        "cold",
+        "visits_per_s: 500\nfall_multiple: 1\npromised_s: 3\npatience_s: 4\nfall_s: 1\ncold_from: 0.05\n"
+        'cold_s: 30\nfailures: [{kind: "mass_restart", at_s: 4, share: 1}]',
+        "4",
+    ),
+    ("purges", 'failures: [{kind: "purge", at_s: 6, share: 1}]', "5"),
+]
 
 
 @pytest.mark.parametrize("plant, more, rule", PLANTS)
 def test_each_judge_cries_at_its_planted_fault_and_at_nothing_else(plant, more, rule):
-    base = "".join(line + "\n" for line in ROUGH.splitlines()
-                   if not more or line.split(":")[0] not in [part.split(":")[0] for part in more.splitlines()])
+    base = "".join(
+        line + "\n"
+        for line in ROUGH.splitlines()
+        if not more or line.split(":")[0] not in [part.split(":")[0] for part in more.splitlines()]
+    )
     well = Play(check(base + more, "x")).run()
     assert well["rules_broken"] == {} and well["visits"] > 300
     ill = Play(check(f'{base}{more}\nplant: "{plant}"\n', "x")).run()
@@ -145,22 +165,33 @@
     assert told["hit_share"]["verdict"] == "worse" and told["rules_broken_first"] == 0
 
 
-@pytest.mark.parametrize("text, told", [
-    ('name: "x"\nfailures: [{kind: "fire", at_s: 1}]', "failures[0].kind: is none of 'crash'"),
-    ('name: "x"\nfailures: [{kind: "hang"}]', "failures[0].at_s: is missing"),
-    ('name: "x"\nfailures: [{kind: "hang", at_s: 99}]', "failures[0].at_s: lies past"),
-    ('name: "x"\ncache: 3', "x:2: cache: is no setting"), ('seed: 3', "name: is missing"),
-    ('name: "x"\nfailures: [{kind: "hang", at_s: 9, target: 8}]', "failures[0].target: is none of the 8")])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ('name: "x"\nfailures: [{kind: "fire", at_s: 1}]', "failures[0].kind: is none of 'crash'"),
+        ('name: "x"\nfailures: [{kind: "hang"}]', "failures[0].at_s: is missing"),
+        ('name: "x"\nfailures: [{kind: "hang", at_s: 99}]', "failures[0].at_s: lies past"),
+        ('name: "x"\ncache: 3', "x:2: cache: is no setting"),
+        ("seed: 3", "name: is missing"),
+        ('name: "x"\nfailures: [{kind: "hang", at_s: 9, target: 8}]', "failures[0].target: is none of the 8"),
+    ],
+)
 def test_a_scenario_with_a_wrong_key_is_refused_by_name(text, told):
     with pytest.raises(Fault) as caught:
         check(text, "x")
     assert told in str(caught.value)
 
 
-@pytest.mark.parametrize("first, second, larger, verdict", [
-    ([1, 2, 3, 4], [2, 3, 4.1, 5], True, "better"), ([1, 2, 3, 4], [2, 3, 4.1, 5], False, "worse"),
-    ([1, 2, 3, 4], [2, 1, 4, 3], True, "cannot tell"), ([1, 2], [1, 2], True, "no difference"), ([1], [2], True,
-                                                                                                 "cannot tell")])
+@pytest.mark.parametrize(
+    "first, second, larger, verdict",
+    [
+        ([1, 2, 3, 4], [2, 3, 4.1, 5], True, "better"),
+        ([1, 2, 3, 4], [2, 3, 4.1, 5], False, "worse"),
+        ([1, 2, 3, 4], [2, 1, 4, 3], True, "cannot tell"),
+        ([1, 2], [1, 2], True, "no difference"),
+        ([1], [2], True, "cannot tell"),
+    ],
+)
 def test_verdicts_are_by_pairs(first, second, larger, verdict):
     assert paired(first, second, larger, 0.01)["verdict"] == verdict
 
@@ -193,7 +224,7 @@
     told = msgspec.json.decode(out)
     assert code == 0 and told["rules_broken"] == {}
     page = (tmp_path / "r.html").read_text()
-    assert page.count("data:image/png;base64,") == 2 and "src=\"http" not in page and "No rule was broken" in page
+    assert page.count("data:image/png;base64,") == 2 and 'src="http' not in page and "No rule was broken" in page
     assert command("show", tmp_path / "r.parquet")[0] == 0
     path.write_text(SMALL + 'plant: "answers"\n')
     assert command("run", path)[0] == 1
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -29,17 +29,22 @@
 
 # Statements.
 
-@pytest.mark.parametrize("first, second, state, source", [
-    (said(1), said(1, when=101, source=SIBLING), "ready", SIBLING),
-    (said(1, when=101), said(1, when=100, source=SIBLING), "ready", REMEMBERED),
-    (said(1), said(1, source=STATIC), "ready", REMEMBERED),
-    (said(1, when=101), said(1, "draining", when=50, source=SIBLING), "draining", SIBLING),
-    (said(1, "draining", when=50, source=SIBLING), said(1, when=400), "draining", SIBLING),
-    (said(1, "draining", when=50, source=SIBLING), said(1, when=60, source=LIVE), "ready", LIVE),
-    (said(1, source=LIVE), said(1, "draining", when=90, source=SIBLING), "ready", LIVE),
-    (said(1, source=LIVE), said(1, "draining", when=101, source=SIBLING), "draining", SIBLING),
-    (said(1, source=LIVE), said(1, "gone", when=90, source=SIBLING), None, None),
-    (said(1, "gone"), said(1, when=900, source=SIBLING), None, None)])
+
+@pytest.mark.parametrize(
+    "first, second, state, source",
+    [
+        (said(1), said(1, when=101, source=SIBLING), "ready", SIBLING),
+        (said(1, when=101), said(1, when=100, source=SIBLING), "ready", REMEMBERED),
+        (said(1), said(1, source=STATIC), "ready", REMEMBERED),
+        (said(1, when=101), said(1, "draining", when=50, source=SIBLING), "draining", SIBLING),
+        (said(1, "draining", when=50, source=SIBLING), said(1, when=400), "draining", SIBLING),
+        (said(1, "draining", when=50, source=SIBLING), said(1, when=60, source=LIVE), "ready", LIVE),
+        (said(1, source=LIVE), said(1, "draining", when=90, source=SIBLING), "ready", LIVE),
+        (said(1, source=LIVE), said(1, "draining", when=101, source=SIBLING), "draining", SIBLING),
+        (said(1, source=LIVE), said(1, "gone", when=90, source=SIBLING), None, None),
+        (said(1, "gone"), said(1, when=900, source=SIBLING), None, None),
+    ],
+)
 def test_of_two_words_on_a_machine_one_is_in_force(first, second, state, source):
     book = Book()
     book.merge(first)
@@ -69,9 +74,18 @@
 
 # Trust.
 
-@pytest.mark.parametrize("age, proofs, width, hint", [
-    (1.0, 1, 6, False), (60.0, 1, 6, False), (3600.0, 2, 3, False), (3 * DAY, 3, 2, True), (None, 3, 2, True),
-    (-100.0, 3, 2, True)])
+
+@pytest.mark.parametrize(
+    "age, proofs, width, hint",
+    [
+        (1.0, 1, 6, False),
+        (60.0, 1, 6, False),
+        (3600.0, 2, 3, False),
+        (3 * DAY, 3, 2, True),
+        (None, 3, 2, True),
+        (-100.0, 3, 2, True),
+    ],
+)
 def test_an_older_list_is_trusted_less(age, proofs, width, hint):
     terms = Terms(age, 12, DAY)
     assert (terms.proofs, terms.width, terms.hint, terms.by_visit) == (proofs, width, hint, hint)
@@ -79,8 +93,9 @@
 
 def proving(age=1.0, count=6, routers=1):
     made = Proving(Chance(3), routers, DAY, ("parent", "origin"))
-    made.adopt([said(mark) for mark in range(1, count + 1)] + [said(100, kind="parent"), said(200, kind="origin")],
-               age, 100.0)
+    made.adopt(
+        [said(mark) for mark in range(1, count + 1)] + [said(100, kind="parent"), said(200, kind="origin")], age, 100.0
+    )
     return made
 
 
@@ -143,9 +158,20 @@
 
 # The gap, backoff, comparison.
 
-@pytest.mark.parametrize("heard, untold, now, oldest", [
-    (990.0, 0.0, 1000.0, 10.0), (990.0, 4.0, 1000.0, 4.0), (0.0, 0.0, 1000.0, 3.0), (1010.0, 0.0, 1000.0, 3.0),
-    (1000.0, 0.0, 1000.0, 0.001), (None, 0.0, 1000.0, None), (None, 4.0, 1002.0, None), (None, 4.0, 1009.0, 4.0)])
+
+@pytest.mark.parametrize(
+    "heard, untold, now, oldest",
+    [
+        (990.0, 0.0, 1000.0, 10.0),
+        (990.0, 4.0, 1000.0, 4.0),
+        (0.0, 0.0, 1000.0, 3.0),
+        (1010.0, 0.0, 1000.0, 3.0),
+        (1000.0, 0.0, 1000.0, 0.001),
+        (None, 0.0, 1000.0, None),
+        (None, 4.0, 1002.0, None),
+        (None, 4.0, 1009.0, 4.0),
+    ],
+)
 def test_copies_from_before_the_gap_are_not_asked_for(heard, untold, now, oldest):
     gap = Gap(untold, 3.0)
     gap.remembered(heard) if heard is not None else gap.closed(1000.0)
@@ -163,10 +189,15 @@
     assert [made.failed()[0][0] for _ in range(4)] == ["b", "c", "b", "c"]
 
 
-@pytest.mark.parametrize("new, doubts", [
-    ([], "empty"), ([said(1), said(100, kind="parent", zone="hub")], "2 machines where 6"),
-    ([said(mark) for mark in range(1, 6)], "zone hub"),
-    ([said(mark) for mark in range(1, 6)] + [said(100, kind="parent", zone="hub")], "")])
+@pytest.mark.parametrize(
+    "new, doubts",
+    [
+        ([], "empty"),
+        ([said(1), said(100, kind="parent", zone="hub")], "2 machines where 6"),
+        ([said(mark) for mark in range(1, 6)], "zone hub"),
+        ([said(mark) for mark in range(1, 6)] + [said(100, kind="parent", zone="hub")], ""),
+    ],
+)
 def test_a_list_that_is_suspiciously_small_is_told_so(new, doubts):
     old = [said(mark) for mark in range(1, 6)] + [said(100, kind="parent", zone="hub")]
     answer = compare(old, new)
@@ -176,15 +207,31 @@
 
 # Members.
 
+
 class World:
     def __init__(self, age=10.0, memory=True, static=(), **more):
         self.log, self.told, self.probes, self.purges = [], {}, [], []
-        self.members = Members(self.tell, self.probes.append, lambda event, **f: self.log.append((event, f)),
-                               Chance(1), "d", 1, ("parent", "origin"), 0.5, DAY, 0.0, 3.0, 6.0)
+        self.members = Members(
+            self.tell,
+            self.probes.append,
+            lambda event, **f: self.log.append((event, f)),
+            Chance(1),
+            "d",
+            1,
+            ("parent", "origin"),
+            0.5,
+            DAY,
+            0.0,
+            3.0,
+            6.0,
+        )
         self.members.told_purge = lambda *a: self.purges.append(a)
         rows = [remembered.row(said(mark, when=1000.0 - (age or 0))) for mark in range(1, 6)]
-        self.memory = remembered.Memory("d", 1000.0 - (age or 0), 1000.0 - (age or 0), 7, rows,
-                                        [(9, 5.0)], [(5, 0, 995.0)]) if memory else None
+        self.memory = (
+            remembered.Memory("d", 1000.0 - (age or 0), 1000.0 - (age or 0), 7, rows, [(9, 5.0)], [(5, 0, 995.0)])
+            if memory
+            else None
+        )
         self.members.start(self.memory, list(static), 1000.0)
 
     def tell(self, machines):
@@ -230,13 +277,20 @@
     assert world.sources() == ([source] if source else [])
 
 
-@pytest.mark.parametrize("change, proofs", [
-    ({"deployment": "other"}, None), ({"heard": 5000.0}, 3), ({"written": 5000.0}, 3), ({"heard": 0.0}, 3)])
+@pytest.mark.parametrize(
+    "change, proofs",
+    [({"deployment": "other"}, None), ({"heard": 5000.0}, 3), ({"written": 5000.0}, 3), ({"heard": 0.0}, 3)],
+)
 def test_a_list_of_another_deployment_is_none_and_one_from_the_future_only_a_hint(change, proofs):
     world = World(memory=False)
     rows = [remembered.row(said(1))]
-    world.members.start(remembered.Memory(**{"deployment": "d", "written": 990.0, "heard": 990.0, "number": 1,
-                                             "machines": rows, **change}), [], 1000.0)
+    world.members.start(
+        remembered.Memory(
+            **{"deployment": "d", "written": 990.0, "heard": 990.0, "number": 1, "machines": rows, **change}
+        ),
+        [],
+        1000.0,
+    )
     world.members.tick(1001.0)
     assert world.sources() == ([] if proofs is None else ["remembered"])
     assert proofs is None or world.members.proving.terms.proofs == proofs
@@ -312,13 +366,22 @@
 
 # Policy.
 
-@pytest.mark.parametrize("kind, sent", [(tariff(), 1), (tariff(Effect.EXCLUSIVE), 0), (tariff(Effect.TICKETED), 0),
-                                        (tariff(Effect.EXCLUSIVE, passes_on=True), 0)])
+
+@pytest.mark.parametrize(
+    "kind, sent",
+    [
+        (tariff(), 1),
+        (tariff(Effect.EXCLUSIVE), 0),
+        (tariff(Effect.TICKETED), 0),
+        (tariff(Effect.EXCLUSIVE, passes_on=True), 0),
+    ],
+)
 def test_what_has_effects_goes_to_no_machine_that_only_an_old_list_names(kind, sent):
     made = router(boxes=0, parents=0)
     rows = [listing(1), listing(100, "parent", "hub"), listing(200, "origin", "hub")]
-    made.fleet.listed([row.__class__(**{**{n: getattr(row, n) for n in row.__slots__}, "trusted": False})
-                       for row in rows], True, 99.0)
+    made.fleet.listed(
+        [row.__class__(**{**{n: getattr(row, n) for n in row.__slots__}, "trusted": False}) for row in rows], True, 99.0
+    )
     _, caller = take(made, kind)
     assert len(caller.forwards) == sent and len(caller.answers) == 1 - sent
     made.fleet.listed(rows, True, 101.0)
@@ -340,12 +403,14 @@
 
 # The file.
 
+
 @pytest.mark.parametrize("how", ["crash", "tear", errno.ENOSPC, errno.EIO])
 @pytest.mark.parametrize("lost", [False, True])
 def test_whatever_call_fails_while_it_is_written_a_whole_list_is_left(how, lost):
     def kept(number):
-        return remembered.Memory("d", float(number), float(number), number,
-                                 [remembered.row(said(mark)) for mark in range(number * 20)])
+        return remembered.Memory(
+            "d", float(number), float(number), number, [remembered.row(said(mark)) for mark in range(number * 20)]
+        )
 
     call, dones = 0, []
     while True:
@@ -373,11 +438,17 @@
     assert len(set(dones)) > 2
 
 
-@pytest.mark.parametrize("damage, told", [
-    (lambda data: data[:-1], "not as it was written"), (lambda data: data[:10], "shorter"),
-    (lambda data: b"", "shorter"),
-    (lambda data: b"x" * len(data), "no remembered"), (lambda data: data[:9] + b"\x09" + data[10:], "format 9"),
-    (lambda data: data[:80] + bytes([data[80] ^ 1]) + data[81:], "not as it was written")])
+@pytest.mark.parametrize(
+    "damage, told",
+    [
+        (lambda data: data[:-1], "not as it was written"),
+        (lambda data: data[:10], "shorter"),
+        (lambda data: b"", "shorter"),
+        (lambda data: b"x" * len(data), "no remembered"),
+        (lambda data: data[:9] + b"\x09" + data[10:], "format 9"),
+        (lambda data: data[:80] + bytes([data[80] ^ 1]) + data[81:], "not as it was written"),
+    ],
+)
 def test_a_damaged_list_is_no_list_and_the_other_generation_is_taken(tmp_path, damage, told):
     from wickhinge.store.files import Files
 
@@ -411,11 +482,17 @@
         assert (first or stream.feed(data[split:])).number == 2
 
 
-@pytest.mark.parametrize("data, told", [
-    (exchange(key=b"another key 1234"), "not under our key"), (exchange(nonce=b"m" * 16), "not under our key"),
-    (b"\xff\xff\xff\xff", "bytes"), (exchange(rows=20_001), "list of 20001 machines"),
-    (siblings.LENGTH.pack(1) + b"\x05" + siblings.mac(KEY, b"n" * 16, b"\x05"), "another form")],
-    ids=["key", "replayed", "length", "machines", "form"])
+@pytest.mark.parametrize(
+    "data, told",
+    [
+        (exchange(key=b"another key 1234"), "not under our key"),
+        (exchange(nonce=b"m" * 16), "not under our key"),
+        (b"\xff\xff\xff\xff", "bytes"),
+        (exchange(rows=20_001), "list of 20001 machines"),
+        (siblings.LENGTH.pack(1) + b"\x05" + siblings.mac(KEY, b"n" * 16, b"\x05"), "another form"),
+    ],
+    ids=["key", "replayed", "length", "machines", "form"],
+)
 def test_a_wrong_answer_is_none(data, told):
     with pytest.raises(siblings.Unreadable, match=told):
         siblings.Stream(KEY, b"n" * 16).feed(data)
@@ -435,6 +512,7 @@
 
 # The journal.
 
+
 @pytest.mark.parametrize("frames, last", [([(3, 0)], 0), ([(9, 1)], 0), ([(7, 0)], 7), ([(8, 1)], 8)])
 def test_numbers_that_start_anew_or_with_a_gap_are_all_asked_for_again(frames, last):
     made, told = reading(0)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -34,8 +34,24 @@
 
 
 REQUEST = [0, 7, "segment", [{"rid": "9b1f03aa5c7e2d41", "budget": "1500", "long": "x" * 300}, b"\x00" * 70]]
-VALUES = [None, True, False, 0, 127, 128, 70000, 1 << 40, -1, -33, "", "é" * 40, b"b" * 300, [1] * 20,
-          {"a": {"b": []}}, REQUEST]
+VALUES = [
+    None,
+    True,
+    False,
+    0,
+    127,
+    128,
+    70000,
+    1 << 40,
+    -1,
+    -33,
+    "",
+    "é" * 40,
+    b"b" * 300,
+    [1] * 20,
+    {"a": {"b": []}},
+    REQUEST,
+]
 
 
 @pytest.mark.parametrize("value", VALUES)
@@ -46,11 +62,19 @@
         assert stream.feed(data[:split]) + stream.feed(data[split:]) == [value, [2, "abort", [7]]]
 
 
-@pytest.mark.parametrize("data, told", [
-    (b"\xc1", "unknown kind"), (b"\x91" * 9 + b"\x01", "too deep"), (b"\xdd\xff\xff\xff\xff", "items"),
-    (b"\xc6\x00\xff\xff\xff", "bytes"), (b"\xa2\xff\xff", "UTF-8"), (b"\x81\x90\x01", "key"),
-    (b"\x93\xc5\xff\x00" + b"x" * 65280 + b"\xc5\xff\x00" + b"x" * 300, "message of over")],
-    ids=range(7))
+@pytest.mark.parametrize(
+    "data, told",
+    [
+        (b"\xc1", "unknown kind"),
+        (b"\x91" * 9 + b"\x01", "too deep"),
+        (b"\xdd\xff\xff\xff\xff", "items"),
+        (b"\xc6\x00\xff\xff\xff", "bytes"),
+        (b"\xa2\xff\xff", "UTF-8"),
+        (b"\x81\x90\x01", "key"),
+        (b"\x93\xc5\xff\x00" + b"x" * 65280 + b"\xc5\xff\x00" + b"x" * 300, "message of over"),
+    ],
+    ids=range(7),
+)
 def test_msgpack_names_what_it_cannot_read(data, told):
     with pytest.raises(msgpack.Unreadable, match=told):
         msgpack.Stream().feed(data)
@@ -72,14 +96,22 @@
     (items,) = resp.Stream(made).feed(resp.pack(b"a", b"OK", b"-", body))
     assert plain(items)[3] == body and made.out == 4 and told == ["stop"]
     items[3].spend(SIZE + 5)
-    assert b"".join(items[3].views()) == body[SIZE + 5:] and made.out == 3
+    assert b"".join(items[3].views()) == body[SIZE + 5 :] and made.out == 3
     items[3].release()
     assert made.out == 0 and told == ["stop", "go"] and made.free
 
 
-@pytest.mark.parametrize("data, told", [
-    (b"+OK\r\n", "line"), (b"*9\r\n", "array of 9"), (b"*1\r\n$-1\r\n", "line"), (b"*1\r\n$5000\r\n", "5000"),
-    (b"*1\r\n$1\r\nxy\r\n", "longer"), (b"*" + b"1" * 40, "does not end")])
+@pytest.mark.parametrize(
+    "data, told",
+    [
+        (b"+OK\r\n", "line"),
+        (b"*9\r\n", "array of 9"),
+        (b"*1\r\n$-1\r\n", "line"),
+        (b"*1\r\n$5000\r\n", "5000"),
+        (b"*1\r\n$1\r\nxy\r\n", "longer"),
+        (b"*" + b"1" * 40, "does not end"),
+    ],
+)
 def test_resp_names_what_it_cannot_read(data, told):
     with pytest.raises(resp.Unreadable, match=told):
         resp.Stream(pool()[0]).feed(data)
@@ -99,8 +131,14 @@
     assert made.out == 0
 
 
-@pytest.mark.parametrize("data, fields", [(b"-", {}), (b"detail=h,use=x1:0.5;util:a", {
-    "detail": "h", "use": "x1:0.5;util:a"}), (b"etag=a=b", {"etag": "a=b"})])
+@pytest.mark.parametrize(
+    "data, fields",
+    [
+        (b"-", {}),
+        (b"detail=h,use=x1:0.5;util:a", {"detail": "h", "use": "x1:0.5;util:a"}),
+        (b"etag=a=b", {"etag": "a=b"}),
+    ],
+)
 def test_fields_of_answers(data, fields):
     assert resp.fields(data) == fields
     assert resp.loads(fields.get("use", "")) == ({"x1": 0.5} if "use" in fields else {})
@@ -116,16 +154,29 @@
 def reading(last=40):
     told = []
     clock = SimpleNamespace(after=lambda *_: None, now=lambda: 1.0)
-    made = journal.Journal(None, clock, ("127.0.0.1", 1), last, 0.4, lambda *a: told.append(a),
-                           lambda *a: told.append(a), lambda *a, **k: None)
+    made = journal.Journal(
+        None,
+        clock,
+        ("127.0.0.1", 1),
+        last,
+        0.4,
+        lambda *a: told.append(a),
+        lambda *a: told.append(a),
+        lambda *a, **k: None,
+    )
     made.reading = SimpleNamespace(
-        stream=journal.Stream(), transport=SimpleNamespace(abortConnection=lambda: told.append("dropped")))
+        stream=journal.Stream(), transport=SimpleNamespace(abortConnection=lambda: told.append("dropped"))
+    )
     return made, told
 
 
 def test_journal_frames_at_every_split():
-    data = (frame(41, 1, RECORD) + frame(41, 0) + frame(42, 3, journal.OBJECT.pack(9, 8))
-            + frame(43, 4, journal.GROUP.pack(17, 6)))
+    data = (
+        frame(41, 1, RECORD)
+        + frame(41, 0)
+        + frame(42, 3, journal.OBJECT.pack(9, 8))
+        + frame(43, 4, journal.GROUP.pack(17, 6))
+    )
     for split in range(len(data) + 1):
         made, told = reading()
         made.read(made.reading, data[:split])
@@ -133,8 +184,9 @@
         assert told == [(True, journal.records(RECORD)), (9, 0, 8), (None, 17, 6)] and made.last == 43
 
 
-@pytest.mark.parametrize("data", [
-    frame(42, 0) + frame(42, 2), frame(41, 9), frame(41, 2, b"x"), frame(41, 3, b"x"), b"\x00\x00\x00\x01x"])
+@pytest.mark.parametrize(
+    "data", [frame(42, 0) + frame(42, 2), frame(41, 9), frame(41, 2, b"x"), frame(41, 3, b"x"), b"\x00\x00\x00\x01x"]
+)
 def test_journal_never_guesses_over_a_gap_or_a_bad_frame(data):
     made, told = reading()
     made.read(made.reading, data)
@@ -174,17 +226,36 @@
 
 def test_every_end_has_its_outcome_and_what_never_ran_is_known_as_such():
     assert set(OUTCOMES) == set(End) and set(WORDS.values()) <= set(End)
-    never = {end for end, outcome in OUTCOMES.items()
-             if outcome in (Outcome.UNREACHED, Outcome.UNSENT, Outcome.FULL, Outcome.MISS, Outcome.MOOT)}
-    assert never == {End.REFUSED, End.NO_CONNECT, End.RESET_NEW, End.NO_DESCRIPTOR, End.LOST_UNWRITTEN,
-                     End.RECALLED, End.BUSY, End.MISS, End.VOID}
+    never = {
+        end
+        for end, outcome in OUTCOMES.items()
+        if outcome in (Outcome.UNREACHED, Outcome.UNSENT, Outcome.FULL, Outcome.MISS, Outcome.MOOT)
+    }
+    assert never == {
+        End.REFUSED,
+        End.NO_CONNECT,
+        End.RESET_NEW,
+        End.NO_DESCRIPTOR,
+        End.LOST_UNWRITTEN,
+        End.RECALLED,
+        End.BUSY,
+        End.MISS,
+        End.VOID,
+    }
     assert b"".join(NOTES) == b"hfojsrblnx"
 
 
-@pytest.mark.parametrize("reason, end", [
-    (error.ConnectionRefusedError(), End.REFUSED), (error.TimeoutError(), End.NO_CONNECT),
-    (error.ConnectingCancelledError(None), End.NO_CONNECT), (error.ConnectBindError(), End.NO_DESCRIPTOR),
-    (error.NoRouteError(), End.NO_CONNECT), (error.ConnectError(osError=104), End.RESET_NEW)])
+@pytest.mark.parametrize(
+    "reason, end",
+    [
+        (error.ConnectionRefusedError(), End.REFUSED),
+        (error.TimeoutError(), End.NO_CONNECT),
+        (error.ConnectingCancelledError(None), End.NO_CONNECT),
+        (error.ConnectBindError(), End.NO_DESCRIPTOR),
+        (error.NoRouteError(), End.NO_CONNECT),
+        (error.ConnectError(osError=104), End.RESET_NEW),
+    ],
+)
 def test_why_no_connection_came_up(reason, end):
     assert unconnected(Failure(reason)) is end
 
@@ -233,9 +304,10 @@
         assert made.socket.data == resp.pack(b"REQ") and not made.unwritten
 
 
-@pytest.mark.parametrize("silent, idle, goes", [
-    (0.0, 4.0, ["idle"]), (1.0, 4.0, ["silent"]), (0.0, None, ["silent"]), (None, 4.0, ["idle"]),
-    (None, -1.0, [])])  # -1: it has asked again, which lies unread
+@pytest.mark.parametrize(
+    "silent, idle, goes",
+    [(0.0, 4.0, ["idle"]), (1.0, 4.0, ["silent"]), (0.0, None, ["silent"]), (None, 4.0, ["idle"]), (None, -1.0, [])],
+)  # -1: it has asked again, which lies unread
 def test_who_has_its_answer_goes_before_who_may_not_have_been_read_yet(silent, idle, goes):
     """Evicted first, new clients of a router in a pause lost their only request."""
     clients, ended = Clients(None, SimpleNamespace(now=lambda: 100.0), 2, lambda *_, **more: None), []
@@ -248,8 +320,7 @@
             made = Named()
             made.open, made.out, made.later, made.ended = (), (), (), False
             made.unread = lambda since=since: since < 0
-            made.close = made.fail = lambda *_, gone=made, what=name: (
-                ended.append(what), clients.forget(gone))
+            made.close = made.fail = lambda *_, gone=made, what=name: (ended.append(what), clients.forget(gone))
             clients.all.add(made)
             table[made] = 100.0 - since
     clients.all.update(range(2 - len(clients.all)))
@@ -280,7 +351,7 @@
     made.send(b"a", 1, b"x")
     made.send(b"b", 2, b"x")
     made.dataReceived(resp.pack(b"a", b"OK", b"-", b"x" * 50)[:-9])
-    (call, told), = soon
+    ((call, told),) = soon
     now[0] += 0.5
     made.socket.recv = lambda size, flags: b"x"  # the rest lies unread: the router is behind, not the cache
     call(*told)
@@ -299,10 +370,19 @@
     assert not made.caches.machines
 
 
-@pytest.mark.parametrize("word, told, probe, good", [
-    (b"OK", b"etag=a,made=1", False, True), (b"OK", b"etag=a", False, False), (b"UP", b"-", False, False),
-    (b"SAME", b"etag=a,made=1", False, False), (b"MISS", b"-", False, True), (b"NOISE", b"-", False, False),
-    (b"UP", b"-", True, True), (b"OK", b"etag=a,made=1", True, False)])
+@pytest.mark.parametrize(
+    "word, told, probe, good",
+    [
+        (b"OK", b"etag=a,made=1", False, True),
+        (b"OK", b"etag=a", False, False),
+        (b"UP", b"-", False, False),
+        (b"SAME", b"etag=a,made=1", False, False),
+        (b"MISS", b"-", False, True),
+        (b"NOISE", b"-", False, False),
+        (b"UP", b"-", True, True),
+        (b"OK", b"etag=a,made=1", True, False),
+    ],
+)
 def test_a_word_that_does_not_fit_what_was_asked_is_unreadable(word, told, probe, good):
     made, ended = line()[0].caches, []
     forwards = Forwards(made, made.deadlines, 0.25, [].append)
@@ -313,13 +393,18 @@
     assert (ended == [End.UNREADABLE]) is not good
 
 
-@pytest.mark.parametrize("change, told", [
-    ({"listen": None}, "field listen"), ({"listen": "here:80"}, "field listen"),
-    ({"seed": "x"}, "field seed"),
-    ({"limits": {"memory_mb": 5}}, "field memory_mb"), ({"name": "other"}, "contradicts RELAY_NAME"),
-    ({"known": {"pos": 1, "entries": [{"expire": {"name": "zz"}}]}}, "field name"),
-    ({"known": {"pos": 1, "entries": [
-        {"hosts": {"whole": True, "hosts": [{"host": "s-1"}]}}]}}, "field dial")])
+@pytest.mark.parametrize(
+    "change, told",
+    [
+        ({"listen": None}, "field listen"),
+        ({"listen": "here:80"}, "field listen"),
+        ({"seed": "x"}, "field seed"),
+        ({"limits": {"memory_mb": 5}}, "field memory_mb"),
+        ({"name": "other"}, "contradicts RELAY_NAME"),
+        ({"known": {"pos": 1, "entries": [{"expire": {"name": "zz"}}]}}, "field name"),
+        ({"known": {"pos": 1, "entries": [{"hosts": {"whole": True, "hosts": [{"host": "s-1"}]}}]}}, "field dial"),
+    ],
+)
 def test_bad_configuration_is_named_by_its_key(tmp_path, change, told):
     conf = {"name": "n3", "listen": "127.0.0.1:5", "seed": "ab", "known": {"pos": 0, "entries": []}}
     (tmp_path / "c").write_text(json.dumps({**conf, **change}))
@@ -357,8 +442,9 @@
             other.setblocking(False)
             other.connect_ex(address)
         deadlines = Deadlines(reactor, ended.append)
-        caches = Caches(reactor, deadlines, pool()[0], 5.0, 15.0, 100, 50, lambda *_, **told: ended.append(told),
-                        ended.append)
+        caches = Caches(
+            reactor, deadlines, pool()[0], 5.0, 15.0, 100, 50, lambda *_, **told: ended.append(told), ended.append
+        )
         caches.listed(1, "1", address)
         gc.collect()
         gc.disable()
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -31,28 +31,43 @@
     assert check("", "x") == check("// nothing\n", "x")
 
 
-@pytest.mark.parametrize("text", [
-    'store: {mode: "on", dir: "/d"}', 'store: mode: "on"\nstore: dir: "/d"',
-    'store: {\n\tmode: "on", // on\n\tdir: "/d"\n}',
-    '"store": {"mode": "on", "dir": "/d"}', 'store: {mode: "on"}\nstore: {dir: "/d", mode: "on"}'])
+@pytest.mark.parametrize(
+    "text",
+    [
+        'store: {mode: "on", dir: "/d"}',
+        'store: mode: "on"\nstore: dir: "/d"',
+        'store: {\n\tmode: "on", // on\n\tdir: "/d"\n}',
+        '"store": {"mode": "on", "dir": "/d"}',
+        'store: {mode: "on"}\nstore: {dir: "/d", mode: "on"}',
+    ],
+)
 def test_the_same_said_in_several_ways(text):
     told = check(text, "x")
     assert (told.store.mode, told.store.dir, told.store.size_mb) == ("on", "/d", 4096)
 
 
-@pytest.mark.parametrize("text, told", [
-    ('store: mode: "on"', "x: store.dir: is missing"), ("\nstor: 3", "x:2: stor: is no setting"),
-    ("store: {\n\tsize_mb: 4\n}", "x:2: store.size_mb: 4 is not >= 8"),
-    ("store: size_mb: 9.5", "x:1: store.size_mb: 9.5 is not a whole number"),
-    ('store: size_mb: "9"', "'9' is not a whole number"),
-    ('store: mode: "maybe"', "store.mode: is none of 'off', 'on'"),
-    ("store: 3", "store: is not a record"),
-    ("store: size_mb: 16\nstore: size_mb: 17", "x:2: store.size_mb: is told twice"),
-    ("store: size_mb: int", "is no value"), ("journal: continues: 1", "1 is not of type bool"),
-    ("store: {\n\tmode \"on\"\n}", "x:2: cannot be read"), ("store: {", "cannot be read"),
-    ("store: {#x: 3}", "#x: is no setting"), ("store: waiting_mb: true", "is not a number"),
-    ("store: {size_mb: 16, segment_mb: 8}", "store.segment_mb: is over a quarter"),
-    ("journal: quiet_s: 7", "7 is not <= 6"), ("store: dir: [1]", "store.dir: is not a plain value")])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ('store: mode: "on"', "x: store.dir: is missing"),
+        ("\nstor: 3", "x:2: stor: is no setting"),
+        ("store: {\n\tsize_mb: 4\n}", "x:2: store.size_mb: 4 is not >= 8"),
+        ("store: size_mb: 9.5", "x:1: store.size_mb: 9.5 is not a whole number"),
+        ('store: size_mb: "9"', "'9' is not a whole number"),
+        ('store: mode: "maybe"', "store.mode: is none of 'off', 'on'"),
+        ("store: 3", "store: is not a record"),
+        ("store: size_mb: 16\nstore: size_mb: 17", "x:2: store.size_mb: is told twice"),
+        ("store: size_mb: int", "is no value"),
+        ("journal: continues: 1", "1 is not of type bool"),
+        ('store: {\n\tmode "on"\n}', "x:2: cannot be read"),
+        ("store: {", "cannot be read"),
+        ("store: {#x: 3}", "#x: is no setting"),
+        ("store: waiting_mb: true", "is not a number"),
+        ("store: {size_mb: 16, segment_mb: 8}", "store.segment_mb: is over a quarter"),
+        ("journal: quiet_s: 7", "7 is not <= 6"),
+        ("store: dir: [1]", "store.dir: is not a plain value"),
+    ],
+)
 def test_a_fault_names_file_line_and_key(text, told):
     with pytest.raises(Fault) as caught:
         check(text, "x")
@@ -108,10 +123,17 @@
     assert command("store", "verify", tier)[0] == 1
 
 
-@pytest.mark.parametrize("words, told", [
-    (("store", "stat", "nowhere"), "does not exist"), (("store", "purge", "."), "give one of"),
-    (("store", "purge", ".", "--object", "xyz"), "hex"), (("store", "stat", "."), "is no store"),
-    (("check-config",), "give --options"), (("check-config", "--options", "nowhere"), "cannot be read")])
+@pytest.mark.parametrize(
+    "words, told",
+    [
+        (("store", "stat", "nowhere"), "does not exist"),
+        (("store", "purge", "."), "give one of"),
+        (("store", "purge", ".", "--object", "xyz"), "hex"),
+        (("store", "stat", "."), "is no store"),
+        (("check-config",), "give --options"),
+        (("check-config", "--options", "nowhere"), "cannot be read"),
+    ],
+)
 def test_wrong_words_end_with_2_and_a_reason(tmp_path, monkeypatch, words, told):
     monkeypatch.chdir(tmp_path)
     code, out = command(*words)
@@ -119,8 +141,9 @@
 
 
 def test_settings_in_force_can_be_read_back():
-    code, out = command("check-config", "--options", ROOT / "deploy/wickhinge.cue", "--config",
-                        ROOT / "example/config.json")
+    code, out = command(
+        "check-config", "--options", ROOT / "deploy/wickhinge.cue", "--config", ROOT / "example/config.json"
+    )
     assert code == 0 and "store.mode = off" in out and "tariffs = ['pages', 'results']" in out
 
 
@@ -129,8 +152,9 @@
     from wickhinge.membership.remembered import Memory, Row
     from wickhinge.store.files import Files
 
-    machines = [Row(one, "127.0.0.1", 9000 + one, "ready", "here", "box", 0, 1.0, None, 5.0, "live")
-                for one in range(4)]
+    machines = [
+        Row(one, "127.0.0.1", 9000 + one, "ready", "here", "box", 0, 1.0, None, 5.0, "live") for one in range(4)
+    ]
     for name, kept in (("a", machines), ("b", machines[:1])):
         keeper = Keeper(Files(), str(tmp_path / name))
         keeper.open()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -42,10 +42,20 @@
             highest = max(highest, counter)
 
 
-@pytest.mark.parametrize("epoch, life, echoes, verdict", [
-    (1, 50, False, FRESH), (1, 49, True, SMALLER), (1, 51, False, STRANGE), (1, 51, True, ADOPTED),
-    (2, 1, True, ADOPTED), (0, 99, True, ASKING), (0, 99, False, STRANGE), (lines.MOST, 1, True, REPLAYED),
-    (1, 0, True, REPLAYED)])
+@pytest.mark.parametrize(
+    "epoch, life, echoes, verdict",
+    [
+        (1, 50, False, FRESH),
+        (1, 49, True, SMALLER),
+        (1, 51, False, STRANGE),
+        (1, 51, True, ADOPTED),
+        (2, 1, True, ADOPTED),
+        (0, 99, True, ASKING),
+        (0, 99, False, STRANGE),
+        (lines.MOST, 1, True, REPLAYED),
+        (1, 0, True, REPLAYED),
+    ],
+)
 def test_a_life_is_believed_by_its_echo_and_never_a_smaller_one(epoch, life, echoes, verdict):
     line, chance = proven(), Chance(3)
     line.judge(3, 3, 1, 7, 0, 1.0, chance)  # a stranger, so that there is a token to echo
@@ -79,7 +89,7 @@
     assert wire.read(KEY, data) == item
     for place in range(len(data)):
         with pytest.raises(wire.Unreadable):
-            wire.read(KEY, data[:place] + bytes([data[place] ^ 1]) + data[place + 1:])
+            wire.read(KEY, data[:place] + bytes([data[place] ^ 1]) + data[place + 1 :])
         with pytest.raises(wire.Unreadable):
             wire.read(KEY, data[:place])
     with pytest.raises(wire.Unreadable):
@@ -108,8 +118,13 @@
         self.now, self.out, self.way, self.events = 0.0, [], lambda one, to: True, []
         self.circles = {}
         for name in [f"n{place}" for place in range(count)]:
-            self.circles[name] = Circle(Roster(places(count), name), Chance(int(name[1:]) + 9), 0.0, self.out.append,
-                                        lambda event, who=name, **told: self.events.append((who, event, told)))
+            self.circles[name] = Circle(
+                Roster(places(count), name),
+                Chance(int(name[1:]) + 9),
+                0.0,
+                self.out.append,
+                lambda event, who=name, **told: self.events.append((who, event, told)),
+            )
 
     def run(self, seconds, still=()):
         until = self.now + seconds
@@ -259,9 +274,13 @@
     process.circle.lines = {name: Twice(name) for name in process.circle.lines}
 
 
-@pytest.mark.parametrize("plant, found, faults", [
-    (hears_twice, "twice", (Fault("double", 5.0, 5.0, (0, 1), (), 1.0),)),
-    (forgets_epochs, "earlier life", (Fault("twin", 5.0, 12.0, (0,)),))])
+@pytest.mark.parametrize(
+    "plant, found, faults",
+    [
+        (hears_twice, "twice", (Fault("double", 5.0, 5.0, (0, 1), (), 1.0),)),
+        (forgets_epochs, "earlier life", (Fault("twin", 5.0, 12.0, (0,)),)),
+    ],
+)
 def test_a_planted_fault_is_found(plant, found, faults):
     told = [Schedule(seed, 4, 1, faults, 5, 20.0, 5.0) for seed in range(3, 9)]
     assert any(found in fault for one in told for fault in judges.lives(play.play(one, (plant,)).history))
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -147,13 +147,24 @@
 GOOD = ((5, 7), 1.5, 0.0, False, [(0.1, 0.2)], [(0, 1, 0.1)], [], [(0, 3)])
 
 
-@pytest.mark.parametrize("place, value", [
-    (0, (5, "x")), (1, float("nan")), (4, [(2.0, 0.1)]), (4, [(0.1, 0.1)] * 9), (5, [(0, 1, float("inf"))]),
-    (5, [(8, 1, 0.1)]), (6, [(0, 1, -0.1)]), (7, [(-1, 1)]), (7, [(0, 1)] * 9)])
+@pytest.mark.parametrize(
+    "place, value",
+    [
+        (0, (5, "x")),
+        (1, float("nan")),
+        (4, [(2.0, 0.1)]),
+        (4, [(0.1, 0.1)] * 9),
+        (5, [(0, 1, float("inf"))]),
+        (5, [(8, 1, 0.1)]),
+        (6, [(0, 1, -0.1)]),
+        (7, [(-1, 1)]),
+        (7, [(0, 1)] * 9),
+    ],
+)
 def test_words_that_no_honest_fellow_says_are_refused(place, value):
     assert riders.read(riders.pack(*GOOD)) == GOOD
     with pytest.raises(riders.Unreadable):
-        riders.read(riders.pack(*GOOD[:place], value, *GOOD[place + 1:]))
+        riders.read(riders.pack(*GOOD[:place], value, *GOOD[place + 1 :]))
     with pytest.raises(riders.Unreadable):
         riders.read(riders.pack(*GOOD)[:-1])
 
@@ -170,15 +181,38 @@
 
 
 FOUND = {
-    "a loan to one of two processes of a name was used by both": Schedule(1015, 2, 1, (
-        Fault("twin", 13.519, 12.0, (1,)), Fault("lie", 14.517, 2.5, (0,)),
-        Fault("jump", 20.698, 0.625, (0,), (), 3600.0)), 3, 25.519, 14.0),
-    "alone on a roster two processes each held all": Schedule(1019, 1, 1, (
-        Fault("twin", 7.712, 0.5, (0,)),), 2, 8.212, 13.0),
-    "a name whose count was invented by three liars stayed gone for good": Schedule(30484, 9, 2, (
-        Fault("loss", 4.447, 12.0, (1, 3), (), 0.275), Fault("double", 5.063, 12.0, (0,), (), 0.715),
-        Fault("lie", 6.547, 12.0, (3, 4, 7)), Fault("twin", 11.582, 1.0, (3,)),
-        Fault("kill", 15.01, 5.0, (2,))), 10, 20.01, 21.0)}
+    "a loan to one of two processes of a name was used by both": Schedule(
+        1015,
+        2,
+        1,
+        (
+            Fault("twin", 13.519, 12.0, (1,)),
+            Fault("lie", 14.517, 2.5, (0,)),
+            Fault("jump", 20.698, 0.625, (0,), (), 3600.0),
+        ),
+        3,
+        25.519,
+        14.0,
+    ),
+    "alone on a roster two processes each held all": Schedule(
+        1019, 1, 1, (Fault("twin", 7.712, 0.5, (0,)),), 2, 8.212, 13.0
+    ),
+    "a name whose count was invented by three liars stayed gone for good": Schedule(
+        30484,
+        9,
+        2,
+        (
+            Fault("loss", 4.447, 12.0, (1, 3), (), 0.275),
+            Fault("double", 5.063, 12.0, (0,), (), 0.715),
+            Fault("lie", 6.547, 12.0, (3, 4, 7)),
+            Fault("twin", 11.582, 1.0, (3,)),
+            Fault("kill", 15.01, 5.0, (2,)),
+        ),
+        10,
+        20.01,
+        21.0,
+    ),
+}
 
 
 @pytest.mark.parametrize("what", FOUND)
@@ -187,8 +221,12 @@
 
 
 def test_a_name_that_left_while_it_was_asked_about_ours_is_asked_no_more():
-    circle = Circle(Roster([Place(f"n{one}", ("127.0.0.1", one + 1), "") for one in range(3)], "n0"), Chance(1), 0.0,
-                    lambda item: None)
+    circle = Circle(
+        Roster([Place(f"n{one}", ("127.0.0.1", one + 1), "") for one in range(3)], "n0"),
+        Chance(1),
+        0.0,
+        lambda item: None,
+    )
     circle.told["n1"] = circle.told["n2"] = (1, 5, 1, 0.0)
     circle.reload(Roster([Place(f"n{one}", ("127.0.0.1", one + 1), "") for one in (0, 2)], "n0"), 0.1)
     for turn in range(60):
@@ -230,7 +268,8 @@
     for budget in process.purse.budgets:
         loans = budget.loans
         loans.granted = lambda lender, serial, amount, now, loans=loans, granted=loans.granted: (
-            granted(lender, serial, amount, now) and (setattr(loans.had[serial], "until", 1e18) or True))
+            granted(lender, serial, amount, now) and (setattr(loans.had[serial], "until", 1e18) or True)
+        )
 
 
 def lends_what_it_keeps(process):
@@ -239,9 +278,9 @@
         budget.loans.lent = lambda late: 0.0
 
 
-@pytest.mark.parametrize("plant, faults", [
-    (never_ends, (Fault("cut", 14.0, 10.0, (0,), (1, 2, 3)),)),
-    (lends_what_it_keeps, ())])
+@pytest.mark.parametrize(
+    "plant, faults", [(never_ends, (Fault("cut", 14.0, 10.0, (0,), (1, 2, 3)),)), (lends_what_it_keeps, ())]
+)
 def test_a_planted_fault_is_found(plant, faults):
     told = Schedule(5, 4, 1, faults, 6, 26.0, 4.0)
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -24,8 +24,15 @@
     """A child whose output lines can be waited for."""
 
     def __init__(self, *command, **more):
-        self.child = subprocess.Popen([sys.executable, *command], cwd=ROOT, stdin=subprocess.PIPE,
-                                      stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, **more)
+        self.child = subprocess.Popen(
+            [sys.executable, *command],
+            cwd=ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            **more,
+        )
         self.lines = queue.Queue()
         threading.Thread(target=self.pump, daemon=True).start()
 
@@ -69,8 +76,11 @@
     def __init__(self, folder):
         base = free(6)
         conf = json.loads((ROOT / "example/config.json").read_text())
-        conf |= {"listen": f"127.0.0.1:{base + 5}", "journal": f"127.0.0.1:{base}",
-                 "limits": {"memory_mb": 64, "sockets": 128}}
+        conf |= {
+            "listen": f"127.0.0.1:{base + 5}",
+            "journal": f"127.0.0.1:{base}",
+            "limits": {"memory_mb": 64, "sockets": 128},
+        }
         self.address = ("127.0.0.1", base + 5)
         self.path = folder / "config.json"
         self.path.write_text(json.dumps(conf))
@@ -95,8 +105,14 @@
 
     def ask(self, tariff="pages", body=b"", drop=(), **fields):
         self.calls += 1
-        told = {"rid": os.urandom(8).hex(), "budget": "3000", "obj": "00000000000000aa", "block": "0",
-                "family": "1", **fields}
+        told = {
+            "rid": os.urandom(8).hex(),
+            "budget": "3000",
+            "obj": "00000000000000aa",
+            "block": "0",
+            "family": "1",
+            **fields,
+        }
         told = {name: value for name, value in told.items() if name not in drop}
         self.socket.sendall(msgpack.pack([0, self.calls, tariff, [told, body]]))
         return self.calls
@@ -217,11 +233,20 @@
         assert client.answer(client.ask())[2] is None
 
 
-@pytest.mark.parametrize("tariff, change, told", [
-    ("nothing", {}, "method"), ("pages", {"drop": ("budget",)}, "budget"), ("pages", {"block": "x"}, "block"),
-    ("pages", {"rid": "zz"}, "rid"), ("pages", {"family": "256"}, "family"),
-    ("pages", {"budget": "599999"}, "budget"), ("pages", {"obj": "1"}, "obj"),
-    ("pages", {"body": b"x" * 48_001}, "body"), ("results", {"token": "a,keep=3"}, "token")])
+@pytest.mark.parametrize(
+    "tariff, change, told",
+    [
+        ("nothing", {}, "method"),
+        ("pages", {"drop": ("budget",)}, "budget"),
+        ("pages", {"block": "x"}, "block"),
+        ("pages", {"rid": "zz"}, "rid"),
+        ("pages", {"family": "256"}, "family"),
+        ("pages", {"budget": "599999"}, "budget"),
+        ("pages", {"obj": "1"}, "obj"),
+        ("pages", {"body": b"x" * 48_001}, "body"),
+        ("results", {"token": "a,keep=3"}, "token"),
+    ],
+)
 def test_a_bad_request_gets_an_error_that_names_the_field(deployment, tariff, change, told):
     client = deployment.client()
     _, _, error, _ = client.answer(client.ask(tariff, **change))
@@ -234,8 +259,9 @@
     assert client.answer(client.ask(rid="00000000000000ab"))[2] is None
     assert "rid" in client.answer(client.ask(rid="00000000000000ab", block="1"))[2][1]["why"]
     told = {"budget": "900", "obj": "0" * 16}
-    flood.socket.sendall(b"".join(
-        msgpack.pack([0, call, "pages", [told | {"rid": f"{call:016x}"}]]) for call in range(33)))
+    flood.socket.sendall(
+        b"".join(msgpack.pack([0, call, "pages", [told | {"rid": f"{call:016x}"}]]) for call in range(33))
+    )
     with pytest.raises((AssertionError, ConnectionError)):
         flood.answer(99)
 
@@ -283,12 +309,25 @@
         self.service.settimeout(PATIENT)
         conf = json.loads((ROOT / "example/config.json").read_text())
         kinds = conf["settings"]["shapes"]
-        hosts = [{"host": f"s-{0xA0 + place:08x}", "dial": f"127.0.0.1:{self.toy_base + place}", "block": 0,
-                  "site": "here" if kind == "box" else "hub", "class": kind, "health": "ready", "share": 4,
-                  "born_ms": 0} for place, kind in enumerate((kinds[0], *kinds), 1)]
+        hosts = [
+            {
+                "host": f"s-{0xA0 + place:08x}",
+                "dial": f"127.0.0.1:{self.toy_base + place}",
+                "block": 0,
+                "site": "here" if kind == "box" else "hub",
+                "class": kind,
+                "health": "ready",
+                "share": 4,
+                "born_ms": 0,
+            }
+            for place, kind in enumerate((kinds[0], *kinds), 1)
+        ]
         self.address = ("127.0.0.1", self.toy_base + 5)
-        conf |= {"listen": f"127.0.0.1:{self.toy_base + 5}", "journal": f"127.0.0.1:{self.toy_base + 6}",
-                 "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}}
+        conf |= {
+            "listen": f"127.0.0.1:{self.toy_base + 5}",
+            "journal": f"127.0.0.1:{self.toy_base + 6}",
+            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]},
+        }
         (folder / "config.json").write_text(json.dumps(conf))
         self.told = {**os.environ, "RELAY_CONFIG": str(folder / "config.json")}
         self.router = Process("-m", "wickhinge", env=self.told)
@@ -316,8 +355,14 @@
         journal.settimeout(PATIENT)
         assert int.from_bytes(journal.recv(8)) == 1
         restarted.refuses()
-        drained = (0xA1).to_bytes(4) + bytes((127, 0, 0, 1)) + (restarted.toy_base + 1).to_bytes(2) + bytes(
-            (1, 0, 0, 0, 0)) + (4000).to_bytes(4) + bytes(8)
+        drained = (
+            (0xA1).to_bytes(4)
+            + bytes((127, 0, 0, 1))
+            + (restarted.toy_base + 1).to_bytes(2)
+            + bytes((1, 0, 0, 0, 0))
+            + (4000).to_bytes(4)
+            + bytes(8)
+        )
         journal.sendall((9 + len(drained)).to_bytes(4) + (2).to_bytes(8) + b"\x02" + drained)
         restarted.router.wait("draining")
         restarted.refuses()  # there may be more
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -44,6 +44,7 @@
 
 # A purge strikes while ...
 
+
 def test_parts_are_being_written():
     world = begun()
     world.offer(1, 0, 500)
@@ -131,6 +132,7 @@
 
 # Readers, bounds, faults.
 
+
 def test_a_copy_being_read_is_not_recycled_under_the_reader():
     world = begun()
     copy = held(world, size=3000)
@@ -237,6 +239,7 @@
 
 # Age across a start, and while the journal is away.
 
+
 def test_copies_of_an_earlier_start_are_unproven_until_they_are_the_same_or_all_is_caught_up():
     for continues, whole, proven in ((False, True, False), (True, False, False), (True, True, True)):
         world = begun(continues=continues)
@@ -258,6 +261,7 @@
 
 # The journal: taken up again at a number of an earlier start.
 
+
 def test_purges_are_told_again_and_lists_are_not():
     made, told = reading(5)
     made.remembered(2)
@@ -285,6 +289,7 @@
 
 # What decide says may answer.
 
+
 class Shelf:
     """Copies by hand."""
 
@@ -314,9 +319,17 @@
     return made, visit, caller
 
 
-@pytest.mark.parametrize("fresh, age, more, answers", [
-    (0.0, 1e6, {}, True), (10.0, 9.0, {}, True), (10.0, 11.0, {}, False), (0.0, 1.0, {"proven": False}, False),
-    (0.0, 1.0, {"ends": 0.7}, True), (0.0, 1.0, {"ends": 0.8}, False)])
+@pytest.mark.parametrize(
+    "fresh, age, more, answers",
+    [
+        (0.0, 1e6, {}, True),
+        (10.0, 9.0, {}, True),
+        (10.0, 11.0, {}, False),
+        (0.0, 1.0, {"proven": False}, False),
+        (0.0, 1.0, {"ends": 0.7}, True),
+        (0.0, 1.0, {"ends": 0.8}, False),
+    ],
+)
 def test_a_fresh_and_proven_copy_answers_if_its_bytes_pass_in_time(fresh, age, more, answers):
     made, visit, caller = asked(tariff(fresh=fresh), age, **more)
     assert bool(caller.reads) is answers and bool(caller.forwards) is not answers
@@ -372,6 +385,7 @@
 
 # The glue, and the wire.
 
+
 class Heap:
     """Deadlines by hand."""
 
@@ -428,8 +442,17 @@
         copies = Copies(world.store, heap, buffers, Link(1e6, 1e6), 0.1, faults.append)
         made.copies = visits.copies = forwards.copies = copies
         world.store.caught_up(heap.clock, False)
-    return SimpleNamespace(world=world, heap=heap, forwards=forwards, visits=visits, sent=sent, faults=faults,
-                           pool=buffers, client=Answers(), router=made)
+    return SimpleNamespace(
+        world=world,
+        heap=heap,
+        forwards=forwards,
+        visits=visits,
+        sent=sent,
+        faults=faults,
+        pool=buffers,
+        client=Answers(),
+        router=made,
+    )
 
 
 ASKED = random.Random(4)
--- a/tests/test_store_deciding.py
+++ b/tests/test_store_deciding.py
@@ -54,8 +54,10 @@
     assert seen[:4] == [4, 2, 1, 0] and set(seen[4:]) == {0}
 
 
-@pytest.mark.parametrize("count, part, wanted", [
-    (0, 0, False), (1, 0, False), (2, 0, True), (2, 1, True), (2, 2, False), (5, 4, True), (5, 5, False)])
+@pytest.mark.parametrize(
+    "count, part, wanted",
+    [(0, 0, False), (1, 0, False), (2, 0, True), (2, 1, True), (2, 2, False), (5, 4, True), (5, 5, False)],
+)
 def test_parts_below_k_are_wanted_and_nothing_that_was_not_wanted_before(count, part, wanted):
     made = keep()
     visits(made, 1, count)
@@ -88,10 +90,16 @@
     assert made.wants(1, 0, 5)
 
 
-@pytest.mark.parametrize("old, new, believed", [
-    ((5.0, 1, False), (6.0, 0, False), True), ((5.0, 1, False), (5.0, 2, False), True),
-    ((5.0, 2, False), (5.0, 1, False), False), ((6.0, 1, False), (5.0, 9, False), False),
-    ((5.0, 1, True), (6.0, 9, False), False)])
+@pytest.mark.parametrize(
+    "old, new, believed",
+    [
+        ((5.0, 1, False), (6.0, 0, False), True),
+        ((5.0, 1, False), (5.0, 2, False), True),
+        ((5.0, 2, False), (5.0, 1, False), False),
+        ((6.0, 1, False), (5.0, 9, False), False),
+        ((5.0, 1, True), (6.0, 9, False), False),
+    ],
+)
 def test_of_two_recovered_copies_the_newer_counts_and_none_replaces_one_of_this_run(old, new, believed):
     made = keep()
     first, second = (copy(made=m, serial=s, proven=p) for m, s, p in (old, new))
@@ -170,8 +178,10 @@
     assert not breaker.allows(1000.5) and breaker.allows(1000.5 - 2 * LONGEST)
 
 
-@pytest.mark.parametrize("made, key, group, covered", [
-    (10.0, 1, 0, True), (10.001, 1, 0, False), (9.0, 2, 0, False), (20.0, 2, 3, True), (20.001, 2, 3, False)])
+@pytest.mark.parametrize(
+    "made, key, group, covered",
+    [(10.0, 1, 0, True), (10.001, 1, 0, False), (9.0, 2, 0, False), (20.0, 2, 3, True), (20.001, 2, 3, False)],
+)
 def test_purges_cover_what_was_made_up_to_them(made, key, group, covered):
     purged = Purged()
     purged.told(Purge(1, 0, 10.0, 1, 4))
@@ -199,15 +209,25 @@
 
 
 def log(*sequences, base=0):
-    return [(one, believe.BASE if one == base else believe.PURGE, Purge(one, 0, 10.0 + one, 1, one))
-            for one in sequences]
-
-
-@pytest.mark.parametrize("halves, others, believed, sequence", [
-    (([], []), False, True, 1), (([], []), True, False, 1), ((log(0, 1, 2), log(0, 1, 2)), True, True, 3),
-    ((log(0, 2), log(0, 1, 2)), True, True, 3), ((log(0, 2), log(0, 2)), True, False, 3),
-    ((log(0, 1), log(0, 1, 2)), True, True, 3), ((log(1, 2), log(1, 2)), True, False, 3),
-    ((log(5, 6, base=5), log(0, 1, 2)), True, True, 7), ((log(1, 2), log(1, 2)), False, False, 3)])
+    return [
+        (one, believe.BASE if one == base else believe.PURGE, Purge(one, 0, 10.0 + one, 1, one)) for one in sequences
+    ]
+
+
+@pytest.mark.parametrize(
+    "halves, others, believed, sequence",
+    [
+        (([], []), False, True, 1),
+        (([], []), True, False, 1),
+        ((log(0, 1, 2), log(0, 1, 2)), True, True, 3),
+        ((log(0, 2), log(0, 1, 2)), True, True, 3),
+        ((log(0, 2), log(0, 2)), True, False, 3),
+        ((log(0, 1), log(0, 1, 2)), True, True, 3),
+        ((log(1, 2), log(1, 2)), True, False, 3),
+        ((log(5, 6, base=5), log(0, 1, 2)), True, True, 7),
+        ((log(1, 2), log(1, 2)), False, False, 3),
+    ],
+)
 def test_what_is_believed_of_a_purge_log(halves, others, believed, sequence):
     purged, following, whole = believe.purges(halves, others)
     assert (whole, following) == (believed, sequence)
@@ -215,8 +235,10 @@
     assert all(purged.covers(one, 0, purge.stamp) for half in halves for one, _, purge in half if one > base)
 
 
-@pytest.mark.parametrize("marks, number, size, start", [
-    ({}, 3, 90, 0), ({3: 50}, 3, 90, 50), ({3: 50}, 3, 40, 0), ({3: 50}, 2, 90, 90), ({3: 50}, 4, 90, 0)])
+@pytest.mark.parametrize(
+    "marks, number, size, start",
+    [({}, 3, 90, 0), ({3: 50}, 3, 90, 50), ({3: 50}, 3, 40, 0), ({3: 50}, 2, 90, 90), ({3: 50}, 4, 90, 0)],
+)
 def test_from_where_a_start_reads_a_segment(marks, number, size, start):
     assert believe.covered(marks, number, size) == start
 
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -31,8 +31,24 @@
         self.lanes = Lanes(self.chance)
         volume = Volume(self.disk, "d", SEGMENT, self.continues)
         volume.fresh = lambda: b"0123456789abcdef"
-        self.store = Store(volume, self.lanes, self.now, lambda *_: None, lambda e, **f: self.log.append((e, f)),
-                           8 * SEGMENT, SEGMENT, self.memory, 1024, 1 << 20, 1e9, 0.1, 16, 1e9, 3.0, self.continues)
+        self.store = Store(
+            volume,
+            self.lanes,
+            self.now,
+            lambda *_: None,
+            lambda e, **f: self.log.append((e, f)),
+            8 * SEGMENT,
+            SEGMENT,
+            self.memory,
+            1024,
+            1 << 20,
+            1e9,
+            0.1,
+            16,
+            1e9,
+            3.0,
+            self.continues,
+        )
         self.store.start()
 
     def restart(self, seed, lost):
@@ -152,11 +168,14 @@
 def test_what_was_written_before_a_kill_is_there_after_it():
     world = World()
     workload(world)
-    held = {(copy.key, copy.part, copy.made) for parts in world.store.keep.objects.values()
-            for copy in parts.values() if copy.place}
+    held = {
+        (copy.key, copy.part, copy.made)
+        for parts in world.store.keep.objects.values()
+        for copy in parts.values()
+        if copy.place
+    }
     world.restart(1, lost=False)
-    found = {(copy.key, copy.part, copy.made) for parts in world.store.keep.objects.values()
-             for copy in parts.values()}
+    found = {(copy.key, copy.part, copy.made) for parts in world.store.keep.objects.values() for copy in parts.values()}
     assert held <= found and world.check(world.stamps) >= len(held)
 
 
@@ -165,8 +184,7 @@
     workload(world)
     world.store.snapshot(world.clock)
     world.lanes.go()
-    held = {(copy.key, copy.part): copy.made for parts in world.store.keep.objects.values()
-            for copy in parts.values()}
+    held = {(copy.key, copy.part): copy.made for parts in world.store.keep.objects.values() for copy in parts.values()}
     world.restart(3, lost=True)
     assert {name: world.store.find(*name, 0.0).made for name in held} == held
 
@@ -309,6 +327,7 @@
                 assert 0 <= one.live <= one.size and one.pins >= 0
 
 
-Machine.TestCase.settings = bounds(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True,
-                                   database=None)
+Machine.TestCase.settings = bounds(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True, database=None
+)
 TestStore = Machine.TestCase
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -6,31 +6,77 @@
 from wickhinge.fields import Malformed
 from wickhinge.wirehost.host import Instance, run
 
-CLASS = {"name": "t", "effect": "pure", "onTimeMs": 600, "aimStretch": 1.6, "hardLimitMs": 5000,
-         "importance": 2}
+CLASS = {"name": "t", "effect": "pure", "onTimeMs": 600, "aimStretch": 1.6, "hardLimitMs": 5000, "importance": 2}
 CONF = {
-    "classes": [CLASS], "zones": ["here"], "shapes": ["box", "parent", "origin"], "locality": "here",
-    "weights": "nominal", "discovery": "push", "unheard": {},
+    "classes": [CLASS],
+    "zones": ["here"],
+    "shapes": ["box", "parent", "origin"],
+    "locality": "here",
+    "weights": "nominal",
+    "discovery": "push",
+    "unheard": {},
     "rules": {"fallMultiple": 4, "fallMs": 1000, "coldFrom": 0.2, "coldMs": 10000},
-    "limits": {"retryAfter": True, "maxRetryAfterMs": 500, "mostTries": 6, "mayDuplicate": True,
-               "cancel": True, "probes": True},
+    "limits": {
+        "retryAfter": True,
+        "maxRetryAfterMs": 500,
+        "mostTries": 6,
+        "mayDuplicate": True,
+        "cancel": True,
+        "probes": True,
+    },
     "stats": {"how": "on_probe"},
     "familyInfo": {
-        "maxAgeMs": [0], "staleForMs": [0], "worthWhenOld": [0.7], "multiPart": [True], "passOn": [False],
-        "attachedTo": [0], "zoneBalancers": [1], "upperFallMultiple": 2, "parentFloor": 0.1,
-        "parentWarmsInMs": 9000, "shieldKind": 1, "sourceKind": 2, "goneEverywhereMs": 6000, "joins": False,
-        "passThroughOk": True, "oneFlowKbPerS": 1000},
+        "maxAgeMs": [0],
+        "staleForMs": [0],
+        "worthWhenOld": [0.7],
+        "multiPart": [True],
+        "passOn": [False],
+        "attachedTo": [0],
+        "zoneBalancers": [1],
+        "upperFallMultiple": 2,
+        "parentFloor": 0.1,
+        "parentWarmsInMs": 9000,
+        "shieldKind": 1,
+        "sourceKind": 2,
+        "goneEverywhereMs": 6000,
+        "joins": False,
+        "passThroughOk": True,
+        "oneFlowKbPerS": 1000,
+    },
+}
+BOX = {
+    "cache": 7,
+    "campus": "here",
+    "familyType": "box",
+    "cluster": 0,
+    "availability": "U",
+    "share": 9,
+    "readyAtMs": None,
 }
-BOX = {"cache": 7, "campus": "here", "familyType": "box", "cluster": 0, "availability": "U", "share": 9,
-       "readyAtMs": None}
 START = [
     ("PowerOn", {"router": 0, "initSeed": 1, "conf": CONF}),
     ("Announce", {"router": 0, "kind": "warm_copy", "serial": 1, "hosts": [BOX]}),
 ]
-VISIT = ("Inbound", {"router": 0, "ref": "a", "batchId": 1, "kind": "t", "contentId": "1f", "tenant": None,
-                     "update": False, "expiresInMs": 5000, "repeat": False, "chunk": 0, "lengthKb": 10})
-TIMED = ("Resolved", {"router": 0, "ref": "a", "sendNo": 0, "cache": 7, "disposition": 40,
-                      "timeTakenMs": 5000.0, "doneFlag": True})
+VISIT = (
+    "Inbound",
+    {
+        "router": 0,
+        "ref": "a",
+        "batchId": 1,
+        "kind": "t",
+        "contentId": "1f",
+        "tenant": None,
+        "update": False,
+        "expiresInMs": 5000,
+        "repeat": False,
+        "chunk": 0,
+        "lengthKb": 10,
+    },
+)
+TIMED = (
+    "Resolved",
+    {"router": 0, "ref": "a", "sendNo": 0, "cache": 7, "disposition": 40, "timeTakenMs": 5000.0, "doneFlag": True},
+)
 
 
 def play(*batches):
@@ -66,19 +112,24 @@
     assert not any("Broken" in reply for reply in replies)
 
 
-@pytest.mark.parametrize("name, change, told", [
-    ("Inbound", {"kind": None}, "Inbound: field kind is missing"),
-    ("Inbound", {"chunk": "x"}, "Inbound: field chunk is not a whole number"),
-    ("Inbound", {"contentId": "zz"}, "Inbound: field contentId is not hex digits"),
-    ("Strange", {}, "Strange: unknown message"),
-    ("Inbound", {"router": 5}, "Inbound: field router names no running instance")])
+@pytest.mark.parametrize(
+    "name, change, told",
+    [
+        ("Inbound", {"kind": None}, "Inbound: field kind is missing"),
+        ("Inbound", {"chunk": "x"}, "Inbound: field chunk is not a whole number"),
+        ("Inbound", {"contentId": "zz"}, "Inbound: field contentId is not hex digits"),
+        ("Strange", {}, "Strange: unknown message"),
+        ("Inbound", {"router": 5}, "Inbound: field router names no running instance"),
+    ],
+)
 def test_bad_input_gets_a_plain_message(name, change, told):
     replies = play(START, [(name, {**VISIT[1], **change})])
     assert [reply["Broken"]["line"] for reply in replies if "Broken" in reply] == [told]
 
 
-@pytest.mark.parametrize("part, key", [
-    (None, "locality"), ("rules", "fallMultiple"), ("limits", "mostTries"), ("familyInfo", "joins")])
+@pytest.mark.parametrize(
+    "part, key", [(None, "locality"), ("rules", "fallMultiple"), ("limits", "mostTries"), ("familyInfo", "joins")]
+)
 def test_a_missing_setting_is_named_at_start(part, key):
     conf = json.loads(json.dumps(CONF))
     del (conf[part] if part else conf)[key]
--- a/tests/wires.py
+++ b/tests/wires.py
@@ -35,8 +35,12 @@
 def line(room=1 << 20):
     """A connection that is up, its machine and the deadlines' calls; ends tells what became of numbers."""
     soon, ends, now = [], {}, [100.0]
-    clock = SimpleNamespace(now=lambda: now[0], after=lambda delay, call, *told: soon.append((call, told)),
-                            soon=lambda call, *told: soon.append((call, told)), waited=lambda _: 0.0)
+    clock = SimpleNamespace(
+        now=lambda: now[0],
+        after=lambda delay, call, *told: soon.append((call, told)),
+        soon=lambda call, *told: soon.append((call, told)),
+        waited=lambda _: 0.0,
+    )
     caches = Caches(None, clock, pool()[0], 0.4, 15.0, 100, 50, lambda *_, **more: None, [].append)
     caches.ended = ends.__setitem__
     caches.answered = lambda number, *_: ends.setdefault(number, "answered") == "answered"
--- a/wickhinge/cli/asking.py
+++ b/wickhinge/cli/asking.py
@@ -16,8 +16,9 @@
     """No answer; the text says from whom."""
 
 
-def ask(key: bytes, name: str, address: tuple[str, int], word: str, more: bytes = b"",
-        attempts: int = ATTEMPTS) -> bytes:
+def ask(
+    key: bytes, name: str, address: tuple[str, int], word: str, more: bytes = b"", attempts: int = ATTEMPTS
+) -> bytes:
     """Raises Silent."""
     reason = ""
     asking = Asking(key, name, int.from_bytes(os.urandom(7)), word, more)
--- a/wickhinge/cli/commands.py
+++ b/wickhinge/cli/commands.py
@@ -38,8 +38,12 @@
 
 
 @main.command()
-@click.option("--options", type=OPTIONS, envvar="WICKHINGE_OPTIONS",
-              help="Our own settings, as deploy/wickhinge.cue; none: all of them off.")
+@click.option(
+    "--options",
+    type=OPTIONS,
+    envvar="WICKHINGE_OPTIONS",
+    help="Our own settings, as deploy/wickhinge.cue; none: all of them off.",
+)
 def run(options: str | None) -> None:
     """Start one router, told what it is by RELAY_CONFIG."""
     from wickhinge.__main__ import main as start
@@ -70,9 +74,13 @@
             conf = platform.read({"RELAY_CONFIG": config})
             router, tariffs = settings.build(platform.settings(conf), platform.seed(conf), None)
             platform.limits(conf), platform.times(conf), platform.known(conf), platform.link(conf)
-            answer["config"] = {"name": platform.name(conf), "listen": ":".join(map(str, platform.listen(conf))),
-                                "journal": ":".join(map(str, platform.journal(conf))), "location": router.fleet.zone,
-                                "tariffs": list(tariffs)}
+            answer["config"] = {
+                "name": platform.name(conf),
+                "listen": ":".join(map(str, platform.listen(conf))),
+                "journal": ":".join(map(str, platform.journal(conf))),
+                "location": router.fleet.zone,
+                "tariffs": list(tariffs),
+            }
     except (Fault, Malformed) as problem:
         fail(str(problem))
     if as_json:
@@ -227,11 +235,16 @@
 
 
 def whole(memory: Any) -> dict[str, Any]:
-    return {"deployment": memory.deployment, "written": memory.written, "heard": memory.heard,
-            "number": memory.number, "machines": rows(memory),
-            "gone": [[f"s-{mark:08x}", when] for mark, when in memory.gone],
-            "purges": [[None if key is None else f"{key:016x}", group, stamp] for key, group, stamp in memory.purges],
-            "usual": memory.usual}
+    return {
+        "deployment": memory.deployment,
+        "written": memory.written,
+        "heard": memory.heard,
+        "number": memory.number,
+        "machines": rows(memory),
+        "gone": [[f"s-{mark:08x}", when] for mark, when in memory.gone],
+        "purges": [[None if key is None else f"{key:016x}", group, stamp] for key, group, stamp in memory.purges],
+        "usual": memory.usual,
+    }
 
 
 LIST = click.argument("file", type=click.Path(exists=True))
@@ -246,11 +259,16 @@
     if as_json:
         click.echo(orjson.dumps(whole(memory)).decode())
         return
-    click.echo(f"event {memory.number}, heard {memory.heard:.0f}, {len(memory.machines)} machines, "
-               f"{len(memory.gone)} gone, {len(memory.purges)} purges")
+    click.echo(
+        f"event {memory.number}, heard {memory.heard:.0f}, {len(memory.machines)} machines, "
+        f"{len(memory.gone)} gone, {len(memory.purges)} purges"
+    )
     for one in rows(memory):
-        click.echo("{mark} {host}:{port:<5} {state:<8} {zone} {kind} cell {cell} weight {weight:g} "
-                   "by {source} {stage}".format(**one))
+        click.echo(
+            "{mark} {host}:{port:<5} {state:<8} {zone} {kind} cell {cell} weight {weight:g} by {source} {stage}".format(
+                **one
+            )
+        )
 
 
 @lists.command()
@@ -276,8 +294,9 @@
     from wickhinge.membership.remembered import statement
 
     answer = compare(*([statement(one) for one in remembered(path).machines] for path in (file, other)))
-    answer = {name: [one if isinstance(one, str) else f"s-{one:08x}" for one in found]
-              for name, found in answer.items()}
+    answer = {
+        name: [one if isinstance(one, str) else f"s-{one:08x}" for one in found] for name, found in answer.items()
+    }
     tell(answer, as_json)
     sys.exit(WRONG if any(answer.values()) else 0)
 
--- a/wickhinge/cli/lab.py
+++ b/wickhinge/cli/lab.py
@@ -62,8 +62,9 @@
 @click.option("--records", type=click.Path(dir_okay=False), help="One row a visit, as Parquet.")
 @click.option("--report", type=click.Path(dir_okay=False), help="One HTML file with pictures.")
 @JSON
-def run(name: str, seed: int | None, policy: str | None, records: str | None, report: str | None,
-        as_json: bool) -> None:
+def run(
+    name: str, seed: int | None, policy: str | None, records: str | None, report: str | None, as_json: bool
+) -> None:
     """Play a scenario; 1 if a rule was broken."""
     import msgspec
 
@@ -109,15 +110,18 @@
         other = msgspec.structs.replace(made, policy=second.removeprefix("policy:"))
     else:
         other = scenario(second)[0]
-    results = experiments.many([*experiments.seeds(made, seeds), *experiments.seeds(other, seeds)], workers,
-                               counter(2 * seeds))
+    results = experiments.many(
+        [*experiments.seeds(made, seeds), *experiments.seeds(other, seeds)], workers, counter(2 * seeds)
+    )
     answer = experiments.compare(results[:seeds], results[seeds:])
     if as_json:
         click.echo(orjson.dumps(answer).decode())
     else:
         for figure, told in answer.items():
-            click.echo(f"{figure:<20} " + (", ".join(f"{key} {value}" for key, value in told.items())
-                                           if isinstance(told, dict) else str(told)))
+            click.echo(
+                f"{figure:<20} "
+                + (", ".join(f"{key} {value}" for key, value in told.items()) if isinstance(told, dict) else str(told))
+            )
 
 
 @lab.command()
@@ -135,9 +139,16 @@
     tried = [experiments.rough(made, first + number) for number in range(seeds)]
     results = experiments.many(tried, workers, counter(seeds))
     order = sorted(range(seeds), key=lambda place: experiments.worse(results[place]), reverse=True)
-    rows = [{"seed": tried[place].seed, "honoured_share": results[place].get("honoured_share"),
-             "rules_broken": results[place].get("rules_broken"), "failed": results[place].get("failed"),
-             "failures": [one.kind for one in tried[place].failures]} for place in order[:5]]
+    rows = [
+        {
+            "seed": tried[place].seed,
+            "honoured_share": results[place].get("honoured_share"),
+            "rules_broken": results[place].get("rules_broken"),
+            "failed": results[place].get("failed"),
+            "failures": [one.kind for one in tried[place].failures],
+        }
+        for place in order[:5]
+    ]
     broken = [place for place in order if results[place].get("rules_broken")]
     if out:
         os.makedirs(out, exist_ok=True)
@@ -191,8 +202,13 @@
                 broken.append({"seed": one.seed, "faults": found.faults[:8], "schedule": form.text(least)})
     except KeyboardInterrupt:
         fail("stopped", WRONG)
-    answer = {"schedules": len(drawn), "sockets": sockets, "routers": sum(one.routers for one in drawn),
-              "broken": len(broken), "found": broken}
+    answer = {
+        "schedules": len(drawn),
+        "sockets": sockets,
+        "routers": sum(one.routers for one in drawn),
+        "broken": len(broken),
+        "found": broken,
+    }
     if as_json:
         click.echo(orjson.dumps(answer).decode())
     else:
--- a/wickhinge/cli/peers.py
+++ b/wickhinge/cli/peers.py
@@ -55,8 +55,17 @@
     if "error" in told:
         return {"router": told["name"], "well": False, "error": told["error"]}
     well = told["settled"] and told["cut_s"] is None and not told["unheard"] and not told["twin"]
-    line = {"router": told["name"], "zone": told["zone"], "well": well, "heard": told["share"], "cut_s": told["cut_s"],
-            "unheard": told["unheard"], "twin": told["twin"], "epoch": told["epoch"], "roster": told["roster"]}
+    line = {
+        "router": told["name"],
+        "zone": told["zone"],
+        "well": well,
+        "heard": told["share"],
+        "cut_s": told["cut_s"],
+        "unheard": told["unheard"],
+        "twin": told["twin"],
+        "epoch": told["epoch"],
+        "roster": told["roster"],
+    }
     if "shared" in told:
         line["shares"] = [one["share"] for one in told["shared"]["budgets"]]
         line["vouched_s"] = told["shared"]["vouched_s"]
--- a/wickhinge/fields.py
+++ b/wickhinge/fields.py
@@ -93,8 +93,11 @@
     """An IPv4 address and a port, as 127.0.0.1:10080; None for anything else."""
     host, _, port = text.rpartition(":")
     octets = host.split(".")
-    if len(octets) != 4 or not all(o.isdigit() and int(o) < 256 for o in octets) or not (
-            port.isdigit() and 0 < int(port) < 65536):
+    if (
+        len(octets) != 4
+        or not all(o.isdigit() and int(o) < 256 for o in octets)
+        or not (port.isdigit() and 0 < int(port) < 65536)
+    ):
         return None
     return host, int(port)
 
--- a/wickhinge/lab/experiments.py
+++ b/wickhinge/lab/experiments.py
@@ -32,8 +32,12 @@
     end.close()
 
 
-def many(scenarios: Iterable[Scenario], workers: int, progress: Callable[[int], None] = lambda done: None,
-         run: Callable[[Scenario, Connection], None] = child) -> list[dict[str, Any]]:
+def many(
+    scenarios: Iterable[Scenario],
+    workers: int,
+    progress: Callable[[int], None] = lambda done: None,
+    run: Callable[[Scenario, Connection], None] = child,
+) -> list[dict[str, Any]]:
     """A result for each, in their order; one that dies says `failed` and costs none of the others'. On Ctrl-C those
     that are done are returned."""
     left = list(enumerate(scenarios))[::-1]
@@ -71,15 +75,18 @@
 
 def compare(first: list[dict[str, Any]], second: list[dict[str, Any]]) -> dict[str, Any]:
     """Figure by figure, over the seeds that both have."""
-    both = [(one, other) for one, other in zip(first, second, strict=True)
-            if "failed" not in one and "failed" not in other]
+    both = [
+        (one, other) for one, other in zip(first, second, strict=True) if "failed" not in one and "failed" not in other
+    ]
     answer: dict[str, Any] = {"pairs": len(both), "lost": len(first) - len(both)}
     for name, larger in FIGURES.items():
         pairs = [(one[name], other[name]) for one, other in both if one[name] is not None and other[name] is not None]
         if pairs:
-            answer[name] = {"first": round(sum(a for a, _ in pairs) / len(pairs), 4),
-                            "second": round(sum(b for _, b in pairs) / len(pairs), 4),
-                            **paired([a for a, _ in pairs], [b for _, b in pairs], larger, LEAST[name])}
+            answer[name] = {
+                "first": round(sum(a for a, _ in pairs) / len(pairs), 4),
+                "second": round(sum(b for _, b in pairs) / len(pairs), 4),
+                **paired([a for a, _ in pairs], [b for _, b in pairs], larger, LEAST[name]),
+            }
     for place, name in ((0, "rules_broken_first"), (1, "rules_broken_second")):
         answer[name] = sum(sum(pair[place]["rules_broken"].values()) for pair in both)
     return answer
@@ -91,12 +98,24 @@
     failures = []
     for _ in range(chance.randint(1, 4)):
         at = round(chance.uniform(scenario.warm_s, 0.7 * scenario.seconds), 2)
-        failures.append(Failure(chance.choice(KINDS), at, round(chance.uniform(0.5, 0.3 * scenario.seconds), 2),
-                                chance.randrange(scenario.caches), round(chance.uniform(0.1, 1.0), 2),
-                                round(chance.uniform(2, 20), 1)))
+        failures.append(
+            Failure(
+                chance.choice(KINDS),
+                at,
+                round(chance.uniform(0.5, 0.3 * scenario.seconds), 2),
+                chance.randrange(scenario.caches),
+                round(chance.uniform(0.1, 1.0), 2),
+                round(chance.uniform(2, 20), 1),
+            )
+        )
     return msgspec.structs.replace(
-        scenario, name=f"hunt-{seed}", seed=seed, failures=sorted(failures, key=lambda one: one.at_s),
-        visits_per_s=round(scenario.visits_per_s * chance.uniform(1, 3), 1), burst=round(chance.uniform(1, 3), 2))
+        scenario,
+        name=f"hunt-{seed}",
+        seed=seed,
+        failures=sorted(failures, key=lambda one: one.at_s),
+        visits_per_s=round(scenario.visits_per_s * chance.uniform(1, 3), 1),
+        burst=round(chance.uniform(1, 3), 2),
+    )
 
 
 def worse(result: dict[str, Any]) -> tuple[int, float]:
@@ -106,14 +125,20 @@
     return sum(result["rules_broken"].values()), 1.0 - result["honoured_share"]
 
 
-def shrink(scenario: Scenario, wanted: Callable[[dict[str, Any]], bool],
-           run: Callable[[Scenario], dict[str, Any]] = play, tries: int = 40) -> Scenario:
+def shrink(
+    scenario: Scenario,
+    wanted: Callable[[dict[str, Any]], bool],
+    run: Callable[[Scenario], dict[str, Any]] = play,
+    tries: int = 40,
+) -> Scenario:
     """The smallest of what still shows it: failures left out, the time cut, the load and burst taken back."""
     changed = True
     while changed and tries > 0:
         changed = False
-        steps = [msgspec.structs.replace(scenario, failures=[one for one in scenario.failures if one is not left])
-                 for left in scenario.failures]
+        steps = [
+            msgspec.structs.replace(scenario, failures=[one for one in scenario.failures if one is not left])
+            for left in scenario.failures
+        ]
         last = max((one.at_s + one.for_s for one in scenario.failures), default=0.0) + 5.0
         if last < scenario.seconds - 1.0:
             steps.append(msgspec.structs.replace(scenario, seconds=round(last, 1)))
--- a/wickhinge/lab/machines.py
+++ b/wickhinge/lab/machines.py
@@ -51,8 +51,18 @@
 class Machine:
     """One process at a time. `toppled` is told when work came faster than a cold one bears."""
 
-    def __init__(self, wheel: Wheel, mark: int, kind: str, weight: float, room: int, cold: tuple[float, float],
-                 fall: tuple[float, float], restart: float, toppled: Callable[[Machine, float], None]) -> None:
+    def __init__(
+        self,
+        wheel: Wheel,
+        mark: int,
+        kind: str,
+        weight: float,
+        room: int,
+        cold: tuple[float, float],
+        fall: tuple[float, float],
+        restart: float,
+        toppled: Callable[[Machine, float], None],
+    ) -> None:
         self.wheel, self.mark, self.kind, self.weight, self.room = wheel, mark, kind, weight, room
         self.cold_from, self.cold_s = cold
         self.multiple, self.span = fall
@@ -143,12 +153,20 @@
 class Fabric:
     """Requests from routers to caches, and the fills behind them."""
 
-    def __init__(self, wheel: Wheel, machines: dict[int, Machine], origin: Machine, hop: float,
-                 part_s: float) -> None:
+    def __init__(self, wheel: Wheel, machines: dict[int, Machine], origin: Machine, hop: float, part_s: float) -> None:
         self.wheel, self.machines, self.origin, self.hop, self.part_s = wheel, machines, origin, hop, part_s
 
-    def ask(self, mark: int, name: tuple[int, int], source: int | None, rank: int, oldest: float | None,
-            runs: Callable[[], None] | None, then: Callable[..., None], held: bool = False) -> Callable[[], None]:
+    def ask(
+        self,
+        mark: int,
+        name: tuple[int, int],
+        source: int | None,
+        rank: int,
+        oldest: float | None,
+        runs: Callable[[], None] | None,
+        then: Callable[..., None],
+        held: bool = False,
+    ) -> Callable[[], None]:
         """then(outcome, made, note), a hop later each way; runs() if it has effects and runs. held: the source gives
         only what it holds. Returns what gives it up."""
         state: dict[str, Any] = {"off": False}
@@ -189,8 +207,16 @@
         self.wheel.after(self.hop, come)
         return give_up
 
-    def fill(self, machine: Machine, number: int, name: tuple[int, int], source: int, rank: int,
-             oldest: float | None, held: bool) -> None:
+    def fill(
+        self,
+        machine: Machine,
+        number: int,
+        name: tuple[int, int],
+        source: int,
+        rank: int,
+        oldest: float | None,
+        held: bool,
+    ) -> None:
         above = self.machines[source]
         if not above.up:
             self.wheel.after(REFUSED, machine.ended, number, Outcome.ERROR, None, Note.SOURCE_LOST)
@@ -199,8 +225,12 @@
         def came(outcome: Outcome, made: float | None, _: Note | None) -> None:
             if outcome is not Outcome.HONOURED:
                 lacks = outcome is Outcome.MISS
-                machine.ended(number, Outcome.MISS if lacks else Outcome.ERROR, None,
-                              Note.SOURCE_LACKS if lacks else Note.SOURCE_LOST)
+                machine.ended(
+                    number,
+                    Outcome.MISS if lacks else Outcome.ERROR,
+                    None,
+                    Note.SOURCE_LACKS if lacks else Note.SOURCE_LOST,
+                )
                 return
             if rank and machine.up:
                 machine.held.put(name, made, rank)
@@ -218,6 +248,7 @@
         elif held:
             self.wheel.after(0.0005, above.ended, asked, Outcome.MISS, None, None)
         else:
+
             def given(outcome: Outcome, fresh: float | None, _: Note | None) -> None:
                 if outcome is Outcome.HONOURED and above.up:
                     above.held.put(name, fresh, 1)
--- a/wickhinge/lab/many/between.py
+++ b/wickhinge/lab/many/between.py
@@ -18,8 +18,12 @@
             if fault.kind == "flap" and int((now - fault.at_s) / fault.amount) % 2:
                 continue
             if fault.kind in ("cut", "flap", "one_way") and (
-                    one in fault.one and to in fault.other
-                    or fault.kind != "one_way" and to in fault.one and one in fault.other):
+                one in fault.one
+                and to in fault.other
+                or fault.kind != "one_way"
+                and to in fault.one
+                and one in fault.other
+            ):
                 return True
         return False
 
--- a/wickhinge/lab/many/director.py
+++ b/wickhinge/lab/many/director.py
@@ -35,8 +35,12 @@
     def rosters(self, fault: Fault) -> None:
         """Whom it concerns reads its roster anew, as it is by all faults that are active now."""
         for place in fault.one:
-            missing = {one for other in self.between.active if other.kind == "roster" and place in other.one
-                       for one in other.other}
+            missing = {
+                one
+                for other in self.between.active
+                if other.kind == "roster" and place in other.one
+                for one in other.other
+            }
             for process in self.alive(place):
                 process.reroster(missing)
 
@@ -80,7 +84,8 @@
             if fault.kind == "kill" and not found:
                 self.start(place)
             elif fault.kind == "pause" and not any(
-                    other.kind == "pause" and place in other.one for other in self.between.active):
+                other.kind == "pause" and place in other.one for other in self.between.active
+            ):
                 for process in found:
                     process.go_on()
             elif fault.kind in ("fast", "slow"):
--- a/wickhinge/lab/many/judges.py
+++ b/wickhinge/lab/many/judges.py
@@ -48,8 +48,10 @@
             faults.append(f"{name}: of {len(found)} processes {len(settled)} have the name")
         for told in settled:
             if told["cut"] or told["share"] < 1.0:
-                faults.append(f"{name}: hears {told['share']} of the fleet{', cut off' * told['cut']} "
-                              f"{schedule.calm_s:.0f} s after the last fault")
+                faults.append(
+                    f"{name}: hears {told['share']} of the fleet{', cut off' * told['cut']} "
+                    f"{schedule.calm_s:.0f} s after the last fault"
+                )
     return faults
 
 
@@ -61,8 +63,10 @@
         if event != "peer" or told["state"] != "gone":
             continue
         place = int(told["name"][1:])
-        if not any(fault.at_s <= when <= fault.at_s + fault.for_s + after and place in (*fault.one, *fault.other)
-                   for fault in schedule.faults):
+        if not any(
+            fault.at_s <= when <= fault.at_s + fault.for_s + after and place in (*fault.one, *fault.other)
+            for fault in schedule.faults
+        ):
             found.append(f"{when:.3f} {name}: calls {told['name']} gone")
     return found
 
@@ -92,8 +96,11 @@
 def toppled(sent: dict[int, list[tuple[float, str, float]]], bears: Callable[[float], float], span: float) -> list[str]:
     """Cold machines that were sent more than they bear."""
     peaks = {mark: peak(works, bears, span) for mark, works in sent.items()}
-    return [f"cold machine {mark}: {worst:.4f} of what it bears in {span} s" for mark, worst in peaks.items()
-            if worst > 1.0 + 1e-9]
+    return [
+        f"cold machine {mark}: {worst:.4f} of what it bears in {span} s"
+        for mark, worst in peaks.items()
+        if worst > 1.0 + 1e-9
+    ]
 
 
 def all_of(history: History, schedule: Schedule) -> list[str]:
--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -40,15 +40,21 @@
         self.turns = 0
         self.seen: dict[str, Any] | None = None  # of the last view that was written down
         self.waiting: deque[bytes] = deque(maxlen=BUFFER)
-        self.circle = Circle(fleet.roster(self.name), Chance(fleet.random.getrandbits(62)), self.clock, self.send,
-                             self.log)
-        self.purse = Purse(self.circle, Division(len(fleet.names), fleet.schedule.places),
-                           [*(Dealt(bucket=one) for one in BUDGETS), *cold.budgets(f"z{place % fleet.schedule.zones}")],
-                           self.clock, self.log)
+        self.circle = Circle(
+            fleet.roster(self.name), Chance(fleet.random.getrandbits(62)), self.clock, self.send, self.log
+        )
+        self.purse = Purse(
+            self.circle,
+            Division(len(fleet.names), fleet.schedule.places),
+            [*(Dealt(bucket=one) for one in BUDGETS), *cold.budgets(f"z{place % fleet.schedule.zones}")],
+            self.clock,
+            self.log,
+        )
         self.colds = cold.Colds(self.purse, len(BUDGETS))
         # One machine of the own zone, one parent: as `policy` sees them.
-        self.machines = [SimpleNamespace(mark=mark, weight=WEIGHT, credit=-0.1)
-                         for mark in (place % fleet.schedule.zones, -1)]
+        self.machines = [
+            SimpleNamespace(mark=mark, weight=WEIGHT, credit=-0.1) for mark in (place % fleet.schedule.zones, -1)
+        ]
         self.wants = [0.0] * len(BUDGETS)  # times the whole budget's rate
         self.works = [0.0] * len(self.machines)
         for plant in fleet.plants:
@@ -121,8 +127,11 @@
         line = self.circle.lines.get(item.sender)
         was = (line.epoch, line.life, line.heard) if line is not None else None
         self.circle.heard(item, self.clock)
-        if line is not None and (line.epoch, line.life) == (item.epoch, item.life) and (
-                (line.epoch, line.life, line.heard) != was):
+        if (
+            line is not None
+            and (line.epoch, line.life) == (item.epoch, item.life)
+            and ((line.epoch, line.life, line.heard) != was)
+        ):
             self.fleet.write(self, "believed", of=item.sender, epoch=item.epoch, life=item.life, counter=item.counter)
 
     def reroster(self, missing: set[int]) -> None:
@@ -160,8 +169,14 @@
         return self.wheel.now
 
     def roster(self, mine: str, missing: set[int] | frozenset[int] = frozenset()) -> Roster:
-        return Roster([Place(name, ("127.0.0.1", place + 1), f"z{place % self.schedule.zones}")
-                       for place, name in enumerate(self.names) if place not in missing], mine)
+        return Roster(
+            [
+                Place(name, ("127.0.0.1", place + 1), f"z{place % self.schedule.zones}")
+                for place, name in enumerate(self.names)
+                if place not in missing
+            ],
+            mine,
+        )
 
     def write(self, process: Process, event: str, **fields: Any) -> None:
         self.history.append((self.now, process.name, process.number, event, fields))
@@ -225,8 +240,10 @@
 def foul(data: bytes, names: list[str], rand: random.Random) -> bytes:
     """A process that has the key and lies: about counts, and about others' lives."""
     item = wire.read(KEY, data)
-    news = tuple((name, epoch, life, rand.choice((count, count + 1, 1 << 62)), rand.choice((1, 2, 3)))
-                 for name, epoch, life, count, _ in item.news)
+    news = tuple(
+        (name, epoch, life, rand.choice((count, count + 1, 1 << 62)), rand.choice((1, 2, 3)))
+        for name, epoch, life, count, _ in item.news
+    )
     name = rand.choice(names)
     news += ((name, rand.choice((1, 2, 1 << 40)), rand.getrandbits(60) | 1, 0, 1),)
     known = item.known
--- a/wickhinge/lab/many/rig.py
+++ b/wickhinge/lab/many/rig.py
@@ -81,8 +81,13 @@
         self.log = folder / "log"
         conf = json.loads((ROOT / "example/config.json").read_text())
         listen = HOST, free_port()
-        conf |= {"name": self.name, "listen": "{}:{}".format(*listen), "journal": f"{HOST}:{rig.nowhere}",
-                 "limits": {"memory_mb": 64, "sockets": 128}, "seed": f"{rig.random.getrandbits(64):016x}"}
+        conf |= {
+            "name": self.name,
+            "listen": "{}:{}".format(*listen),
+            "journal": f"{HOST}:{rig.nowhere}",
+            "limits": {"memory_mb": 64, "sockets": 128},
+            "seed": f"{rig.random.getrandbits(64):016x}",
+        }
         if rig.stands is not None:
             conf |= {"known": rig.stands.known(rig.wall), "settings": rig.stands.settings(conf["settings"], place)}
         (folder / "config.json").write_text(json.dumps(conf))
@@ -92,8 +97,9 @@
         turns = rig.turns.get(place, []) if number <= len(rig.names) else []
         command = ["wickhinge.lab.many.launch", json.dumps(turns)] if turns else ["wickhinge"]
         with open(self.log, "wb") as log:
-            self.child = subprocess.Popen([sys.executable, "-m", *command], cwd=ROOT, env=env, stdout=log, stderr=log,
-                                          preexec_fn=with_us)
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", *command], cwd=ROOT, env=env, stdout=log, stderr=log, preexec_fn=with_us
+            )
         self.began = clock()
         self.ended: float | None = None
         self.halts: list[list[float]] = []  # when it stood still, on the rig's clock: from, to
@@ -105,12 +111,17 @@
         rig = self.rig
         roster = ", ".join(
             f'{{name: "{name}", address: "{HOST}:{self.port if to == self.place else rig.ways[self.place, to]}", '
-            f'zone: "z{to % rig.schedule.zones}"}}' for to, name in enumerate(rig.names) if to not in missing)
+            f'zone: "z{to % rig.schedule.zones}"}}'
+            for to, name in enumerate(rig.names)
+            if to not in missing
+        )
         text = f'peers: {{mode: "on", key_file: "{rig.folder}/key", roster: [{roster}]}}\n'
         if rig.shared and rig.stands is not None:  # the list's zones are the stand-ins'
-            text += (f'shared: {{mode: "on", names: {len(rig.names)}, processes: {rig.schedule.places}, '
-                     f'judgements: "{"on" if rig.judgements else "off"}", '
-                     f'counts: "{"on" if rig.counts else "off"}"}}\n')
+            text += (
+                f'shared: {{mode: "on", names: {len(rig.names)}, processes: {rig.schedule.places}, '
+                f'judgements: "{"on" if rig.judgements else "off"}", '
+                f'counts: "{"on" if rig.counts else "off"}"}}\n'
+            )
         replace_file(self.options, text)
 
     def reroster(self, missing: set[int]) -> None:
@@ -146,8 +157,15 @@
 class Rig(Director):
     """with Rig(folder, schedule) as rig: rig.run()"""
 
-    def __init__(self, folder: Path, schedule: Schedule, scene: Scene | None = None, shared: bool = True,
-                 judgements: bool = False, counts: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        schedule: Schedule,
+        scene: Scene | None = None,
+        shared: bool = True,
+        judgements: bool = False,
+        counts: bool = False,
+    ) -> None:
         """scene: machines and what clients ask, none without; shared: whether limits are dealt; judgements: whether
         routers tell each other of machines; counts: and of what they have out there."""
         super().__init__(schedule)
@@ -278,18 +296,31 @@
             for event in process.events():
                 package, _, name = event["event"].partition("_")
                 if package in ("peers", "shared"):
-                    found.append((event["t"] - shift, process.name, process.number, name, {
-                        key: value for key, value in event.items() if key not in ("t", "event", "router")}))
+                    found.append(
+                        (
+                            event["t"] - shift,
+                            process.name,
+                            process.number,
+                            name,
+                            {key: value for key, value in event.items() if key not in ("t", "event", "router")},
+                        )
+                    )
         return sorted(found, key=lambda one: one[:3])
 
     def crashed(self) -> list[str]:
         """Processes that ended by themselves, and defects that they wrote down."""
-        faults = [f"{one.name}: process {one.number} ended with {one.child.returncode}" for one in self.processes
-                  if one.ended is None and one.child.poll() is not None]
+        faults = [
+            f"{one.name}: process {one.number} ended with {one.child.returncode}"
+            for one in self.processes
+            if one.ended is None and one.child.poll() is not None
+        ]
         for one in self.processes:
             lines = one.log.read_bytes().splitlines()
-            faults += [f"{one.name}: {line.decode(errors='replace')[:200]}" for line in lines
-                       if b'"event":"fault"' in line or line.startswith((b"Traceback", b"Unhandled"))][:3]
+            faults += [
+                f"{one.name}: {line.decode(errors='replace')[:200]}"
+                for line in lines
+                if b'"event":"fault"' in line or line.startswith((b"Traceback", b"Unhandled"))
+            ][:3]
         return faults
 
     def believed(self) -> list[str]:
--- a/wickhinge/lab/many/schedule.py
+++ b/wickhinge/lab/many/schedule.py
@@ -65,19 +65,26 @@
         one, other, amount = tuple(places[:side]), (), 0.0
         if kind in CUTS:
             bridge = rand.random() < 0.25 and routers >= 3
-            other = tuple(places[side + bridge:])
+            other = tuple(places[side + bridge :])
             amount = round(rand.choice((0.1, 0.4, 1.0)), 3)  # of a flap: half its period
         elif kind in WIRE:
-            amount = round({"loss": rand.uniform(0.05, 0.6), "delay": rand.uniform(0.02, 0.7),
-                            "double": rand.uniform(0.1, 1.0), "reorder": rand.uniform(0.05, 1.0)}[kind], 3)
+            amount = round(
+                {
+                    "loss": rand.uniform(0.05, 0.6),
+                    "delay": rand.uniform(0.02, 0.7),
+                    "double": rand.uniform(0.1, 1.0),
+                    "reorder": rand.uniform(0.05, 1.0),
+                }[kind],
+                3,
+            )
         elif kind in ("kill", "pause", "starve"):
-            one = tuple(places[:rand.choice((1, 1, 1, max(routers // 3, 1), routers))])
+            one = tuple(places[: rand.choice((1, 1, 1, max(routers // 3, 1), routers))])
         elif kind == "twin":
             one = (places[0],)
         elif kind in ("fast", "slow"):
             amount = rand.choice((0.01, 0.05))
         elif kind == "roster":
-            other, one = (places[0],), tuple(places[1:1 + side])
+            other, one = (places[0],), tuple(places[1 : 1 + side])
         elif kind == "jump":
             amount = rand.choice((0.5, 2.0, 3600.0))
         faults.append(Fault(kind, at, lasts, one, other, amount))
@@ -95,12 +102,12 @@
     """The same with a fault less, or with one that lasts half as long: for finding the least that still fails."""
     found = []
     for place in range(len(schedule.faults)):
-        rest = schedule.faults[:place] + schedule.faults[place + 1:]
+        rest = schedule.faults[:place] + schedule.faults[place + 1 :]
         if rest:
             found.append(msgspec.structs.replace(schedule, faults=rest, healed_s=healed(rest)))
     for place, fault in enumerate(schedule.faults):
         if fault.for_s > 0.8:
             short = msgspec.structs.replace(fault, for_s=round(fault.for_s / 2, 3))
-            rest = (*schedule.faults[:place], short, *schedule.faults[place + 1:])
+            rest = (*schedule.faults[:place], short, *schedule.faults[place + 1 :])
             found.append(msgspec.structs.replace(schedule, faults=rest, healed_s=healed(rest)))
     return found
--- a/wickhinge/lab/many/stands.py
+++ b/wickhinge/lab/many/stands.py
@@ -45,8 +45,13 @@
 class Link:
     """One stream's end in the loop. What it cannot send at once ends it: nothing here is long."""
 
-    def __init__(self, stands: Stands, made: socket.socket, take: Callable[[Link, bytes], None],
-                 ended: Callable[[Link], None] = lambda link: None) -> None:
+    def __init__(
+        self,
+        stands: Stands,
+        made: socket.socket,
+        take: Callable[[Link, bytes], None],
+        ended: Callable[[Link], None] = lambda link: None,
+    ) -> None:
         self.stands, self.socket, self.take, self.ended = stands, made, take, ended
         self.open = True
         made.setblocking(False)
@@ -149,8 +154,13 @@
             self.calls += 1
             self.open[self.calls] = self.stands.rig.now
             key = self.process.place << 20 | self.random.randrange(KEYS)
-            fields = {"rid": f"{self.random.getrandbits(63):016x}", "budget": str(int(PATIENCE * 1000)),
-                      "obj": f"{key:016x}", "block": "0", "family": "1"}
+            fields = {
+                "rid": f"{self.random.getrandbits(63):016x}",
+                "budget": str(int(PATIENCE * 1000)),
+                "obj": f"{key:016x}",
+                "block": "0",
+                "family": "1",
+            }
             link.send(msgpack.pack([0, self.calls, "pages", [fields, b""]]))
         self.plan()
 
@@ -178,8 +188,11 @@
         self.late = 0
         self.sockets: set[socket.socket] = set()
         self.zones = [f"z{place}" for place in range(rig.schedule.zones)]
-        self.caches = [Machine(self, 0x100 + 0x10 * place + number, zone, "box", number)
-                       for place, zone in enumerate(self.zones) for number in range(scene.boxes)]
+        self.caches = [
+            Machine(self, 0x100 + 0x10 * place + number, zone, "box", number)
+            for place, zone in enumerate(self.zones)
+            for number in range(scene.boxes)
+        ]
         self.parent = Machine(self, 0xB0, "hub", "parent")
         self.origin = Machine(self, 0xC0, "hub", "origin")
 
@@ -214,20 +227,40 @@
     def settings(self, settings: dict[str, Any], place: int) -> dict[str, Any]:
         """The platform's settings for the router at that place, from those of the example."""
         zones, count = len(self.zones), self.rig.schedule.routers
-        tariffs = [{**settings["classes"][0], "hardLimitMs": int(PATIENCE * 1000)},
-                   settings["classes"][1]]
-        rules = {"fallMultiple": LIMITS.multiple, "fallMs": LIMITS.span * 1000, "coldFrom": LIMITS.floor,
-                 "coldMs": WARM * 1000}
-        family = {"zoneBalancers": [len(range(zone, count, zones)) for zone in range(zones)] + [0],
-                  "upperFallMultiple": LIMITS.multiple / 2, "parentFloor": LIMITS.floor,
-                  "parentWarmsInMs": WARM * 1000}
-        return settings | {"classes": tariffs, "zones": [*self.zones, "hub"], "locality": self.zones[place % zones],
-                           "rules": settings["rules"] | rules, "familyInfo": settings["familyInfo"] | family}
+        tariffs = [{**settings["classes"][0], "hardLimitMs": int(PATIENCE * 1000)}, settings["classes"][1]]
+        rules = {
+            "fallMultiple": LIMITS.multiple,
+            "fallMs": LIMITS.span * 1000,
+            "coldFrom": LIMITS.floor,
+            "coldMs": WARM * 1000,
+        }
+        family = {
+            "zoneBalancers": [len(range(zone, count, zones)) for zone in range(zones)] + [0],
+            "upperFallMultiple": LIMITS.multiple / 2,
+            "parentFloor": LIMITS.floor,
+            "parentWarmsInMs": WARM * 1000,
+        }
+        return settings | {
+            "classes": tariffs,
+            "zones": [*self.zones, "hub"],
+            "locality": self.zones[place % zones],
+            "rules": settings["rules"] | rules,
+            "familyInfo": settings["familyInfo"] | family,
+        }
 
     def known(self, born: float) -> dict[str, Any]:
         """The list, with the cold machines' start AGE before the time that the rig's begins, in Unix seconds."""
-        hosts = [{"host": f"s-{one.mark:08x}", "dial": f"{HOST}:{one.port}", "site": one.zone, "class": one.kind,
-                  "block": 0, "health": "ready", "share": WEIGHT * (1 if one.kind == "box" else 2),
-                  "born_ms": int((born - AGE) * 1000) if self.scene.cold and one is not self.origin else 0}
-                 for one in (*self.caches, self.parent, self.origin)]
+        hosts = [
+            {
+                "host": f"s-{one.mark:08x}",
+                "dial": f"{HOST}:{one.port}",
+                "site": one.zone,
+                "class": one.kind,
+                "block": 0,
+                "health": "ready",
+                "share": WEIGHT * (1 if one.kind == "box" else 2),
+                "born_ms": int((born - AGE) * 1000) if self.scene.cold and one is not self.origin else 0,
+            }
+            for one in (*self.caches, self.parent, self.origin)
+        ]
         return {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}
--- a/wickhinge/lab/many/trial.py
+++ b/wickhinge/lab/many/trial.py
@@ -24,12 +24,20 @@
 def virtual(schedule: Schedule, plants: tuple[Any, ...] = ()) -> Trial:
     fleet = play.play(schedule, plants)
     span = play.COLD.span
-    return Trial(judges.all_of(fleet.history, schedule) + judges.budgets(fleet.spent, play.BUDGETS)
-                 + judges.toppled(fleet.sent, fleet.bears, span),
-                 [*(judges.peak(spent, most, window)
-                    for spent, (most, window, _) in zip(fleet.spent, play.BUDGETS, strict=True)),
-                  *(judges.peak(sent, fleet.bears, span) for sent in fleet.sent.values())],
-                 len(judges.unfounded(fleet.history, schedule)), fleet.carried)
+    return Trial(
+        judges.all_of(fleet.history, schedule)
+        + judges.budgets(fleet.spent, play.BUDGETS)
+        + judges.toppled(fleet.sent, fleet.bears, span),
+        [
+            *(
+                judges.peak(spent, most, window)
+                for spent, (most, window, _) in zip(fleet.spent, play.BUDGETS, strict=True)
+            ),
+            *(judges.peak(sent, fleet.bears, span) for sent in fleet.sent.values()),
+        ],
+        len(judges.unfounded(fleet.history, schedule)),
+        fleet.carried,
+    )
 
 
 TURN = 7.0  # seconds after which needs move on to the next router
@@ -47,13 +55,21 @@
     from wickhinge.lab.many.rig import Rig
     from wickhinge.lab.many.stands import Scene
 
-    with tempfile.TemporaryDirectory(prefix="wickhinge-") as folder, Rig(
-            Path(folder), schedule, Scene(needs(schedule)), judgements=True, counts=True) as rig:
+    with (
+        tempfile.TemporaryDirectory(prefix="wickhinge-") as folder,
+        Rig(Path(folder), schedule, Scene(needs(schedule)), judgements=True, counts=True) as rig,
+    ):
         history, stands = rig.run().history(), rig.stands
-        return Trial(judges.together(history, schedule) + rig.believed() + rig.crashed() + stands.wrong
-                     + judges.toppled(stands.cold(), stands.bears, stands.span),
-                     [judges.peak(sent, stands.bears, stands.span) for sent in stands.cold().values()],
-                     len(judges.unfounded(history, schedule)), len(rig.seen))
+        return Trial(
+            judges.together(history, schedule)
+            + rig.believed()
+            + rig.crashed()
+            + stands.wrong
+            + judges.toppled(stands.cold(), stands.bears, stands.span),
+            [judges.peak(sent, stands.bears, stands.span) for sent in stands.cold().values()],
+            len(judges.unfounded(history, schedule)),
+            len(rig.seen),
+        )
 
 
 def shrink(schedule: Schedule, plants: tuple[Any, ...] = (), most: int = 60) -> Schedule:
