--- a/wickhinge/lab/play.py
+++ b/wickhinge/lab/play.py
@@ -23,19 +23,47 @@
     """The module as a front builds it, with what the laboratory does not vary. routers: of its location; cold: what
     topples a machine times its capacity, over which seconds, its pace at first, seconds until it is warm."""
     fleet = Fleet(chance, zone, routers, "parent", "origin", True, Cold(*cold), Cold(*cold))
-    return Router(outside, chance, fleet, Shelf(fleet.routers), Purges(6.0), joins=False, direct=True, flow=1000.0,
-                  most_forwards=6, second_copies=True, cancel=True, probes=True, loads=False, follows=False,
-                  ask_within=0.0, longest_wait=0.5)
+    return Router(
+        outside,
+        chance,
+        fleet,
+        Shelf(fleet.routers),
+        Purges(6.0),
+        joins=False,
+        direct=True,
+        flow=1000.0,
+        most_forwards=6,
+        second_copies=True,
+        cancel=True,
+        probes=True,
+        loads=False,
+        follows=False,
+        ask_within=0.0,
+        longest_wait=0.5,
+    )
 
 
 class Asked:
     """A visit as its client knows it."""
 
-    __slots__ = ("number", "since", "until", "key", "part", "exclusive", "answers", "ran", "again", "router",
-                 "forwards", "hit")
-
-    def __init__(self, number: int, since: float, patience: float, key: int, part: int, exclusive: bool, again: int,
-                 router: int) -> None:
+    __slots__ = (
+        "number",
+        "since",
+        "until",
+        "key",
+        "part",
+        "exclusive",
+        "answers",
+        "ran",
+        "again",
+        "router",
+        "forwards",
+        "hit",
+    )
+
+    def __init__(
+        self, number: int, since: float, patience: float, key: int, part: int, exclusive: bool, again: int, router: int
+    ) -> None:
         self.number, self.since, self.until, self.key, self.part = number, since, since + patience, key, part
         self.exclusive, self.again, self.router = exclusive, again, router
         self.answers = self.ran = self.forwards = 0
@@ -50,8 +78,18 @@
     def __init__(self, play: Play, asked: Asked) -> None:
         self.play, self.asked, self.out = play, asked, {}
 
-    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int, oldest: float | None,
-                join: bool, held_only: bool, renew: bool) -> None:
+    def forward(
+        self,
+        forward: Any,
+        cache: Any,
+        patience: float,
+        source: Any,
+        rank: int,
+        oldest: float | None,
+        join: bool,
+        held_only: bool,
+        renew: bool,
+    ) -> None:
         play, asked = self.play, self.asked
         asked.forwards += 1
         came_from = source.mark if source is not None and source is not cache else None
@@ -71,23 +109,34 @@
             forward.visit.ended(forward, outcome, now - began, asked.answers > 0, note, now)
 
         runs = (lambda: play.judge.runs(asked, play.wheel.now)) if asked.exclusive else None
-        self.out[forward] = play.fabric.ask(cache.mark, (asked.key, asked.part), came_from, max(rank, 0), oldest, runs,
-                                            then, held_only)
+        self.out[forward] = play.fabric.ask(
+            cache.mark, (asked.key, asked.part), came_from, max(rank, 0), oldest, runs, then, held_only
+        )
         play.wheel.after(patience, self.silent, forward, began)
 
     def silent(self, forward: Any, began: float) -> None:
         give_up = self.out.pop(forward, None)
         if give_up is not None:
             give_up()
-            forward.visit.ended(forward, Outcome.TIMED_OUT, self.play.wheel.now - began, self.asked.answers > 0, None,
-                                self.play.wheel.now)
+            forward.visit.ended(
+                forward,
+                Outcome.TIMED_OUT,
+                self.play.wheel.now - began,
+                self.asked.answers > 0,
+                None,
+                self.play.wheel.now,
+            )
 
     def withdraw(self, forward: Any) -> None:
         give_up = self.out.pop(forward, None)
         if give_up is not None:
             give_up()
-            self.play.wheel.after(0.0, lambda: forward.visit.ended(
-                forward, Outcome.WITHDRAWN, 0.0, self.asked.answers > 0, None, self.play.wheel.now))
+            self.play.wheel.after(
+                0.0,
+                lambda: forward.visit.ended(
+                    forward, Outcome.WITHDRAWN, 0.0, self.asked.answers > 0, None, self.play.wheel.now
+                ),
+            )
 
     def read(self, copy: Any) -> None:
         raise AssertionError("no copies of their own here")
@@ -123,10 +172,38 @@
             self.machines[PARENTS + place] = machine(PARENTS + place, "parent", s.parent_weight, s.parent_keep)
         self.machines[ORIGIN] = machine(ORIGIN, "origin", s.origin_weight, 1)
         self.fabric = Fabric(self.wheel, self.machines, self.machines[ORIGIN], s.hop_s, s.part_s)
-        self.clips = Tariff("clips", s.promised_s, 2.0, s.patience_s, 1.0, 0.2, Effect.RERUNNABLE, "all", 0.0,
-                            s.fresh_s, 0.0, 0.7, True, False)
-        self.results = Tariff("results", s.promised_s, 2.0, s.patience_s, 3.0, 0.2, Effect.EXCLUSIVE, "all", 0.0, 0.0,
-                              0.0, 0.7, False, True)
+        self.clips = Tariff(
+            "clips",
+            s.promised_s,
+            2.0,
+            s.patience_s,
+            1.0,
+            0.2,
+            Effect.RERUNNABLE,
+            "all",
+            0.0,
+            s.fresh_s,
+            0.0,
+            0.7,
+            True,
+            False,
+        )
+        self.results = Tariff(
+            "results",
+            s.promised_s,
+            2.0,
+            s.patience_s,
+            3.0,
+            0.2,
+            Effect.EXCLUSIVE,
+            "all",
+            0.0,
+            0.0,
+            0.0,
+            0.7,
+            False,
+            True,
+        )
         self.routers = [self.router(number) for number in range(s.routers)]
         for failure in s.failures:
             self.wheel.at(failure.at_s, self.fail, failure)
@@ -136,9 +213,16 @@
         s, chance = self.scenario, Chance(self.scenario.seed * 1000 + number)
         outside = SimpleNamespace(
             wake=lambda delay, call: self.wheel.after(delay, lambda: call(self.wheel.now)),
-            probe=lambda cache: self.wheel.after(2 * s.hop_s, self.probed, number, cache), follow=lambda: None)
-        made = emulated(outside, chance, f"z{number % s.zones}", s.routers // s.zones,
-                        (s.fall_multiple, s.fall_s, s.cold_from, s.cold_s))
+            probe=lambda cache: self.wheel.after(2 * s.hop_s, self.probed, number, cache),
+            follow=lambda: None,
+        )
+        made = emulated(
+            outside,
+            chance,
+            f"z{number % s.zones}",
+            s.routers // s.zones,
+            (s.fall_multiple, s.fall_s, s.cold_from, s.cold_s),
+        )
         made.fleet.listed([self.listing(mark) for mark in self.machines], True, 0.0)
         self.baseline(made)
         made.start(0.0)
@@ -168,13 +252,15 @@
         elif plant == "drains":
             listed = fleet.listed
             fleet.listed = lambda listings, whole, now: listed(
-                [one for one in listings if one.state != "draining"], whole, now)
+                [one for one in listings if one.state != "draining"], whole, now
+            )
 
     def listing(self, mark: int) -> Listing:
         machine = self.machines[mark]
         zone = f"z{(mark - 1) % self.scenario.zones}" if machine.kind == "box" else "hub"
-        return Listing(mark, zone, machine.kind, 0, machine.state, machine.weight,
-                       machine.started if machine.started > 0 else None)
+        return Listing(
+            mark, zone, machine.kind, 0, machine.state, machine.weight, machine.started if machine.started > 0 else None
+        )
 
     # Clients.
 
@@ -222,13 +308,27 @@
         word = "late" if late else word
         if asked.since >= self.scenario.warm_s:
             self.words[word] += 1
-        self.rows.append((asked.number, asked.since, asked.router, "results" if asked.exclusive else "clips", asked.key,
-                          asked.part, word, now - asked.since, asked.forwards, asked.again, asked.hit))
+        self.rows.append(
+            (
+                asked.number,
+                asked.since,
+                asked.router,
+                "results" if asked.exclusive else "clips",
+                asked.key,
+                asked.part,
+                word,
+                now - asked.since,
+                asked.forwards,
+                asked.again,
+                asked.hit,
+            )
+        )
 
     def came_back(self, asked: Asked, wait: float) -> None:
         if asked.again < 2 and self.random.random() < self.scenario.again:
-            self.wheel.after(wait + 0.2 * self.random.random(), self.ask, asked.key, asked.part, asked.exclusive,
-                             asked.again + 1)
+            self.wheel.after(
+                wait + 0.2 * self.random.random(), self.ask, asked.key, asked.part, asked.exclusive, asked.again + 1
+            )
 
     # Failures.
 
@@ -237,8 +337,11 @@
 
     def boxes(self, share: float, zone: int | None) -> list[Machine]:
         """A share of all caches, or of those of one location where there are several."""
-        boxes = [one for one in self.machines.values() if one.kind == "box" and (
-            zone is None or (one.mark - 1) % self.scenario.zones == zone)]
+        boxes = [
+            one
+            for one in self.machines.values()
+            if one.kind == "box" and (zone is None or (one.mark - 1) % self.scenario.zones == zone)
+        ]
         return boxes[: max(round(share * len(boxes)), 1)]
 
     def fail(self, failure: Failure) -> None:
@@ -308,13 +411,19 @@
 
         origin = self.machines[ORIGIN]
         return {
-            "scenario": s.name, "seed": s.seed, "policy": s.policy, "visits": counted, "events": self.wheel.done,
+            "scenario": s.name,
+            "seed": s.seed,
+            "policy": s.policy,
+            "visits": counted,
+            "events": self.wheel.done,
             "honoured_share": round(self.words["honoured"] / max(counted, 1), 4),
             "late_share": round(self.words["late"] / max(counted, 1), 4),
             "denied_share": round(self.words["denied"] / max(counted, 1), 4),
             "abandoned": self.words["abandoned"],
             "hit_share": round(sum(hits) / max(len(hits), 1), 4),
-            "p50_s": at(0.5), "p99_s": at(0.99), "p999_s": at(0.999),
+            "p50_s": at(0.5),
+            "p99_s": at(0.99),
+            "p999_s": at(0.999),
             "origin_asked": origin.asked,
             "forwards_a_visit": round(sum(row[8] for row in self.rows) / max(len(self.rows), 1), 3),
             "peak_over_cold": round(max(one.peak for one in self.machines.values()), 3),
--- a/wickhinge/lab/report.py
+++ b/wickhinge/lab/report.py
@@ -17,8 +17,10 @@
 import matplotlib.pyplot as plt  # noqa: E402 - the backend first
 
 COLOURS = {"honoured": "#3b7d4f", "late": "#d9a441", "denied": "#b5483a", "abandoned": "#5a4a78"}
-STYLE = ("body{font:15px/1.5 sans-serif;max-width:60em;margin:2em auto;color:#222}table{border-collapse:collapse}"
-         "td,th{padding:.2em .8em;text-align:left;border-bottom:1px solid #ddd}img{max-width:100%}.bad{color:#b5483a}")
+STYLE = (
+    "body{font:15px/1.5 sans-serif;max-width:60em;margin:2em auto;color:#222}table{border-collapse:collapse}"
+    "td,th{padding:.2em .8em;text-align:left;border-bottom:1px solid #ddd}img{max-width:100%}.bad{color:#b5483a}"
+)
 
 
 def png(figure: Any) -> bytes:
@@ -71,19 +73,32 @@
 
 
 def page(scenario: Scenario, result: dict[str, Any], rows: list[tuple[Any, ...]], scenario_text: str) -> str:
-    pictures = [("Visits by what became of them; failures are shaded", over_time(scenario, rows)),
-                ("How long served visits took", latency(scenario, rows))]
+    pictures = [
+        ("Visits by what became of them; failures are shaded", over_time(scenario, rows)),
+        ("How long served visits took", latency(scenario, rows)),
+    ]
     broken = result["rules_broken"]
-    words = "No rule was broken." if not broken else "Broken rules: " + ", ".join(
-        f"rule {rule}, {count} times" for rule, count in broken.items())
-    table = "".join(f"<tr><th>{html.escape(name)}</th><td>{html.escape(str(value))}</td></tr>"
-                    for name, value in result.items() if name not in ("rules_broken", "first_breaks"))
-    breaks = "".join(f"<li>{when} s, rule {rule}: {html.escape(what)}</li>"
-                     for when, rule, what in result["first_breaks"])
-    images = "".join(f'<h2>{title}</h2><img alt="{title}" src="data:image/png;base64,'
-                     f'{base64.b64encode(data).decode()}">' for title, data in pictures)
-    return (f"<!doctype html><meta charset=utf-8><title>{html.escape(scenario.name)}</title><style>{STYLE}</style>"
-            f"<h1>{html.escape(scenario.name)}</h1><p>Simulated in virtual time: {scenario.routers} routers, "
-            f"{scenario.caches} caches, {scenario.parents} parents, seed {scenario.seed}, policy {scenario.policy}. "
-            f"<span class={'bad' if broken else 'good'}>{words}</span></p><ul>{breaks}</ul><table>{table}</table>"
-            f"{images}<h2>The scenario</h2><pre>{html.escape(scenario_text)}</pre>")
+    words = (
+        "No rule was broken."
+        if not broken
+        else "Broken rules: " + ", ".join(f"rule {rule}, {count} times" for rule, count in broken.items())
+    )
+    table = "".join(
+        f"<tr><th>{html.escape(name)}</th><td>{html.escape(str(value))}</td></tr>"
+        for name, value in result.items()
+        if name not in ("rules_broken", "first_breaks")
+    )
+    breaks = "".join(
+        f"<li>{when} s, rule {rule}: {html.escape(what)}</li>" for when, rule, what in result["first_breaks"]
+    )
+    images = "".join(
+        f'<h2>{title}</h2><img alt="{title}" src="data:image/png;base64,{base64.b64encode(data).decode()}">'
+        for title, data in pictures
+    )
+    return (
+        f"<!doctype html><meta charset=utf-8><title>{html.escape(scenario.name)}</title><style>{STYLE}</style>"
+        f"<h1>{html.escape(scenario.name)}</h1><p>Simulated in virtual time: {scenario.routers} routers, "
+        f"{scenario.caches} caches, {scenario.parents} parents, seed {scenario.seed}, policy {scenario.policy}. "
+        f"<span class={'bad' if broken else 'good'}>{words}</span></p><ul>{breaks}</ul><table>{table}</table>"
+        f"{images}<h2>The scenario</h2><pre>{html.escape(scenario_text)}</pre>"
+    )
--- a/wickhinge/lab/scenario.py
+++ b/wickhinge/lab/scenario.py
@@ -75,5 +75,8 @@
 def bundled() -> dict[str, str]:
     """Names of the scenarios that come along, and their texts."""
     folder = resources.files("wickhinge.lab") / "scenarios"
-    return {one.name.removesuffix(".cue"): one.read_text() for one in sorted(folder.iterdir(), key=lambda one: one.name)
-            if one.name.endswith(".cue")}
+    return {
+        one.name.removesuffix(".cue"): one.read_text()
+        for one in sorted(folder.iterdir(), key=lambda one: one.name)
+        if one.name.endswith(".cue")
+    }
--- a/wickhinge/lab/stats.py
+++ b/wickhinge/lab/stats.py
@@ -7,8 +7,28 @@
 from typing import Any
 
 # Student's t, two-sided 95%, by degrees of freedom; past them the normal's.
-T95 = (12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131, 2.120,
-       2.110, 2.101, 2.093, 2.086)
+T95 = (
+    12.706,
+    4.303,
+    3.182,
+    2.776,
+    2.571,
+    2.447,
+    2.365,
+    2.306,
+    2.262,
+    2.228,
+    2.201,
+    2.179,
+    2.160,
+    2.145,
+    2.131,
+    2.120,
+    2.110,
+    2.101,
+    2.093,
+    2.086,
+)
 
 
 def interval(values: list[float]) -> tuple[float, float]:
@@ -29,5 +49,8 @@
         verdict = "better" if (mean > 0) == larger_is_better else "worse"
     elif half <= least:
         verdict = "no difference"
-    return {"difference": round(mean, 5), "half_width": round(half, 5) if half < float("inf") else None,
-            "verdict": verdict}
+    return {
+        "difference": round(mean, 5),
+        "half_width": round(half, 5) if half < float("inf") else None,
+        "verdict": verdict,
+    }
--- a/wickhinge/membership/members.py
+++ b/wickhinge/membership/members.py
@@ -16,9 +16,21 @@
 class Members:
     """tell([(statement, state, trusted)]) lists machines for the fleet; probe(statement) asks one; log(event, ...)."""
 
-    def __init__(self, tell: Callable[..., None], probe: Callable[[Statement], None], log: Callable[..., None],
-                 chance: Any, deployment: str, routers: int, upper: tuple[str | None, ...], after: float,
-                 hint: float, untold: float, quiet: float, done: float) -> None:
+    def __init__(
+        self,
+        tell: Callable[..., None],
+        probe: Callable[[Statement], None],
+        log: Callable[..., None],
+        chance: Any,
+        deployment: str,
+        routers: int,
+        upper: tuple[str | None, ...],
+        after: float,
+        hint: float,
+        untold: float,
+        quiet: float,
+        done: float,
+    ) -> None:
         self.tell, self.probe, self.log, self.deployment = tell, probe, log, deployment
         self.after, self.done, self.quiet = after, done, quiet
         self.book = Book()
@@ -89,8 +101,15 @@
         if source == self.source and source != LIVE:
             return
         was, self.source, self.since, self.why = self.source, source, now, why
-        self.log("list_source", source=source, was=was, why=why, machines=len(self.book.machines),
-                 age=None if age is None else round(age, 1), heard=self.heard or None)
+        self.log(
+            "list_source",
+            source=source,
+            was=was,
+            why=why,
+            machines=len(self.book.machines),
+            age=None if age is None else round(age, 1),
+            heard=self.heard or None,
+        )
 
     # The live service.
 
@@ -99,8 +118,11 @@
         if whole:
             told = compare.compare(self.book.machines.values(), statements)
             if self.book.machines and self.source != LIVE or told["doubts"]:
-                self.log("list_compared", doubts=told["doubts"], **{
-                    name: len(marks) for name, marks in told.items() if name != "doubts"})
+                self.log(
+                    "list_compared",
+                    doubts=told["doubts"],
+                    **{name: len(marks) for name, marks in told.items() if name != "doubts"},
+                )
             for mark in self.book.whole(statements, now):
                 self.answered.pop(mark, None)
             self.proving.machines.clear()
@@ -165,8 +187,14 @@
         if not self.heard and self.memory is not None and (age := self.age(now)) is not None:
             heard = age
         rows = [remembered.row(one._replace(said=max(now - one.said, 0.0))) for one in self.book.machines.values()]
-        return siblings.Told(self.deployment, heard, self.number, rows, list(self.book.gone)[-1000:],
-                             [(key, group, stamp) for (key, group), stamp in self.purges.items()])
+        return siblings.Told(
+            self.deployment,
+            heard,
+            self.number,
+            rows,
+            list(self.book.gone)[-1000:],
+            [(key, group, stamp) for (key, group), stamp in self.purges.items()],
+        )
 
     # What becomes of probes and visits.
 
@@ -214,8 +242,10 @@
         if not self.whole:
             return None
         purges = [(key, group, stamp) for (key, group), stamp in self.purges.items() if now - stamp <= self.done]
-        rows = [remembered.row(one, self.stage(one.mark), self.answered.get(one.mark, 0.0))
-                for one in self.book.machines.values()]
+        rows = [
+            remembered.row(one, self.stage(one.mark), self.answered.get(one.mark, 0.0))
+            for one in self.book.machines.values()
+        ]
         gone = list(self.book.gone.items())[-2000:]
         return remembered.Memory(self.deployment, now, self.heard, self.number, rows, gone, purges, self.usual)
 
@@ -224,6 +254,13 @@
         return one.stage.value if one is not None else "vouched" if self.source == LIVE else "unknown"
 
     def figures(self, now: float) -> dict[str, Any]:
-        return {"source": self.source, "since": round(now - self.since, 1), "why": self.why,
-                "machines": len(self.book.machines), "gone": len(self.book.gone), "probes": self.proving.probes,
-                "heard": round(now - self.heard, 1) if self.heard else None, **self.proving.counts()}
+        return {
+            "source": self.source,
+            "since": round(now - self.since, 1),
+            "why": self.why,
+            "machines": len(self.book.machines),
+            "gone": len(self.book.gone),
+            "probes": self.proving.probes,
+            "heard": round(now - self.heard, 1) if self.heard else None,
+            **self.proving.counts(),
+        }
--- a/wickhinge/membership/remembered.py
+++ b/wickhinge/membership/remembered.py
@@ -82,10 +82,32 @@
 
 
 def row(one: Statement, stage: str = "", proven: float = 0.0) -> Row:
-    return Row(one.mark, *one.address, one.state, one.zone, one.kind, one.cell, one.weight, one.started, one.said,
-               one.source, stage, proven)
+    return Row(
+        one.mark,
+        *one.address,
+        one.state,
+        one.zone,
+        one.kind,
+        one.cell,
+        one.weight,
+        one.started,
+        one.said,
+        one.source,
+        stage,
+        proven,
+    )
 
 
 def statement(one: Row, source: str = REMEMBERED) -> Statement:
-    return Statement(one.mark, (one.host, one.port), one.state, one.zone, one.kind, one.cell, one.weight, one.started,
-                     one.said, source)
+    return Statement(
+        one.mark,
+        (one.host, one.port),
+        one.state,
+        one.zone,
+        one.kind,
+        one.cell,
+        one.weight,
+        one.started,
+        one.said,
+        source,
+    )
--- a/wickhinge/membership/talk.py
+++ b/wickhinge/membership/talk.py
@@ -54,8 +54,14 @@
 
     noisy = False
 
-    def __init__(self, key: bytes, now: Callable[[], float], after: Callable[..., None],
-                 telling: Callable[[], siblings.Told], log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        key: bytes,
+        now: Callable[[], float],
+        after: Callable[..., None],
+        telling: Callable[[], siblings.Told],
+        log: Callable[..., None],
+    ) -> None:
         self.key, self.now, self.after, self.telling, self.log = key, now, after, telling, log
         self.open: set[Answer] = set()
 
@@ -92,8 +98,14 @@
         self.finish(None, reason.getErrorMessage())
 
 
-def ask(reactor: Any, after: Callable[..., None], address: tuple[str, int], key: bytes, now: float,
-        then: Callable[[siblings.Told | None, str], None]) -> None:
+def ask(
+    reactor: Any,
+    after: Callable[..., None],
+    address: tuple[str, int],
+    key: bytes,
+    now: float,
+    then: Callable[[siblings.Told | None, str], None],
+) -> None:
     """then(list, "") or then(None, why), once, within WITHIN seconds."""
     made = Ask(key, now, then)
     attempt = Dial(reactor, address, made, lambda failure: made.finish(None, failure.getErrorMessage()))
--- a/wickhinge/membership/trust.py
+++ b/wickhinge/membership/trust.py
@@ -71,8 +71,9 @@
         """A list, or a newer one beside it; what was proven in this run stays so unless its address changed."""
         self.terms = Terms(age, len(statements), self.hint)
         spread = SPREAD * self.routers  # a hundred routers that start at once do not ask one machine at once
-        order = sorted(statements, key=lambda one: (
-            (one.kind not in self.upper) == self.terms.upper_first, self.chance.draw()))
+        order = sorted(
+            statements, key=lambda one: ((one.kind not in self.upper) == self.terms.upper_first, self.chance.draw())
+        )
         for place, one in enumerate(order):
             old = self.machines.get(one.mark)
             if one.state != "ready":
--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -63,8 +63,9 @@
 
     def count(self, messages: list[Any]) -> None:
         """Hundreds at once are refused whole, before the first of them costs a cache anything."""
-        asked = [message[0] for message in messages
-                 if type(message) is list and len(message) > 2 and message[2] != "ping"]
+        asked = [
+            message[0] for message in messages if type(message) is list and len(message) > 2 and message[2] != "ping"
+        ]
         if len(self.open) + len(self.later) + asked.count(0) - asked.count(2) > OPEN:
             raise msgpack.Unreadable(f"more than {OPEN} requests open")
 
@@ -80,8 +81,12 @@
             if message[2] == "ping":
                 self.write(msgpack.pack([1, call, None, [not self.clients.leaving, {}]]))
                 return
-            if (call in self.open or any(call == other[1] for other, _ in self.later)
-                    or type(message[2]) is not str or len(self.open) + len(self.later) >= OPEN):
+            if (
+                call in self.open
+                or any(call == other[1] for other, _ in self.later)
+                or type(message[2]) is not str
+                or len(self.open) + len(self.later) >= OPEN
+            ):
                 raise msgpack.Unreadable("a request with an id in use, one too many, or with no method")
             if self.held:
                 self.later.append((message, self.clients.deadlines.now()))
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -255,8 +255,11 @@
 
     def send(self, tag: bytes, number: int, payload: bytes) -> Line | None:
         caches = self.caches
-        lines = [line for line in self.lines if not line.doubted and tag not in line.left
-                 and tag not in line.open and len(line.open) < caches.streams]
+        lines = [
+            line
+            for line in self.lines
+            if not line.doubted and tag not in line.left and tag not in line.open and len(line.open) < caches.streams
+        ]
         line = min(lines, key=lambda line: (len(line.open), not line.up), default=None)
         while line is not None and line.up and not line.open and not line.check():
             lines.remove(line)
@@ -297,8 +300,18 @@
 class Caches:
     """All machines by id. What comes back from them goes to answered, ended and log."""
 
-    def __init__(self, reactor: Any, deadlines: Deadlines, pool: Pool, connect_within: float, idle: float,
-                 streams: int, most: int, log: Callable[..., None], fault: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        deadlines: Deadlines,
+        pool: Pool,
+        connect_within: float,
+        idle: float,
+        streams: int,
+        most: int,
+        log: Callable[..., None],
+        fault: Callable[[str], None],
+    ) -> None:
         self.reactor, self.deadlines, self.pool = reactor, deadlines, pool
         self.connect_within, self.idle, self.streams, self.most = connect_within, EARLY * idle, streams, most
         self.log, self.fault = log, fault
--- a/wickhinge/net/copies.py
+++ b/wickhinge/net/copies.py
@@ -19,8 +19,9 @@
 class Copies:
     """The module's Copies; reads under way are in numbered slots, each with a deadline."""
 
-    def __init__(self, store: Store, deadlines: Deadlines, pool: Pool, link: Link, within: float,
-                 fault: Callable[[str], None]) -> None:
+    def __init__(
+        self, store: Store, deadlines: Deadlines, pool: Pool, link: Link, within: float, fault: Callable[[str], None]
+    ) -> None:
         self.store, self.deadlines, self.pool, self.link, self.within = store, deadlines, pool, link, within
         self.fault = fault
         self.visit, self.find, self.proven, self.held = store.visit, store.find, store.proven, store.held
@@ -38,8 +39,9 @@
             self.deadlines.soon(self.ended, number, True, "told")
             return
         self.deadlines.after(self.within, self.ended, number, None, "late")
-        self.store.read(copy, lambda data, memory: self.deadlines.soon(
-            self.ended, number, data, "memory" if memory else "disk"))
+        self.store.read(
+            copy, lambda data, memory: self.deadlines.soon(self.ended, number, data, "memory" if memory else "disk")
+        )
 
     def ended(self, number: int, data: Any, how: str) -> None:
         """data: the bytes, True where the client has them, None where they could not be had in time."""
@@ -83,8 +85,15 @@
         return {**self.store.figures(), "served": self.served}
 
 
-def make(options: Any, reactor: Any, deadlines: Deadlines, pool: Pool, link: tuple[float, float],
-         log: Callable[..., None], fault: Callable[[str], None]) -> Copies | None:
+def make(
+    options: Any,
+    reactor: Any,
+    deadlines: Deadlines,
+    pool: Pool,
+    link: tuple[float, float],
+    log: Callable[..., None],
+    fault: Callable[[str], None],
+) -> Copies | None:
     store = make_store(options.store, options.journal, reactor, deadlines.now, deadlines.after, log, fault)
     if store is None:
         return None
--- a/wickhinge/net/dial.py
+++ b/wickhinge/net/dial.py
@@ -23,8 +23,9 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, address: tuple[str, int], protocol: Protocol,
-                 failed: Callable[[Failure], None]) -> None:
+    def __init__(
+        self, reactor: Any, address: tuple[str, int], protocol: Protocol, failed: Callable[[Failure], None]
+    ) -> None:
         self.made: Protocol | None = protocol
         self.failed: Callable[[Failure], None] | None = failed
         self.connector = reactor.connectTCP(*address, self, timeout=None)
--- a/wickhinge/net/ends.py
+++ b/wickhinge/net/ends.py
@@ -59,8 +59,16 @@
     End.CLOSED_BY_US: None,
 }
 
-WORDS = {b"OK": End.SERVED, b"SAME": End.SAME, b"MISS": End.MISS, b"BUSY": End.BUSY, b"ERR": End.ERR,
-         b"VOID": End.VOID, b"UP": End.UP, b"DOWN": End.DOWN}
+WORDS = {
+    b"OK": End.SERVED,
+    b"SAME": End.SAME,
+    b"MISS": End.MISS,
+    b"BUSY": End.BUSY,
+    b"ERR": End.ERR,
+    b"VOID": End.VOID,
+    b"UP": End.UP,
+    b"DOWN": End.DOWN,
+}
 
 
 def unconnected(reason: Failure) -> End:
--- a/wickhinge/net/fellows.py
+++ b/wickhinge/net/fellows.py
@@ -42,8 +42,9 @@
         self.node, self.keys, self.closed = node, keys, False
         self.after, self.log = node.deadlines.after, node.log.event
         self.unreadable = self.unsent = self.left = self.taken = 0
-        self.circle = Circle(roster, Chance(seed), clock(), self.send, lambda event, **told: self.log(
-            f"peers_{event}", **told))
+        self.circle = Circle(
+            roster, Chance(seed), clock(), self.send, lambda event, **told: self.log(f"peers_{event}", **told)
+        )
         self.seen: Any = None  # of the last view that the log was told
         self.purse: Any = None  # where the settings switch `shared` on
         self.judge: Any = None  # and `shared.judgements`
@@ -148,27 +149,50 @@
     def figures(self) -> dict[str, Any]:
         now, circle = clock(), self.circle
         view = circle.view(now)
-        return {"share": round(view.share, 3), "zones": {zone: round(part, 3) for zone, part in view.zones.items()},
-                "cut_s": None if view.cut_since is None else round(now - view.cut_since, 1), "unheard": view.unheard,
-                "oldest_s": round(view.oldest, 1), "epoch": circle.epoch, "twin": view.twin, "rosters": view.rosters,
-                "doubt": circle.doubt, "sent": circle.sent, "unreadable": self.unreadable, "unsent": self.unsent,
-                "left": self.left, "states": {name: STATES[entry.state] for name, entry in sorted(
-                    circle.entries.items())[:SHOWN]},
-                **({} if self.purse is None else {"shared": self.purse.figures(now)}),
-                **({} if self.judge is None else {"judgements": self.judge.figures(now)}),
-                **({} if self.counts is None else {"counts": self.counts.figures(now)})}
+        return {
+            "share": round(view.share, 3),
+            "zones": {zone: round(part, 3) for zone, part in view.zones.items()},
+            "cut_s": None if view.cut_since is None else round(now - view.cut_since, 1),
+            "unheard": view.unheard,
+            "oldest_s": round(view.oldest, 1),
+            "epoch": circle.epoch,
+            "twin": view.twin,
+            "rosters": view.rosters,
+            "doubt": circle.doubt,
+            "sent": circle.sent,
+            "unreadable": self.unreadable,
+            "unsent": self.unsent,
+            "left": self.left,
+            "states": {name: STATES[entry.state] for name, entry in sorted(circle.entries.items())[:SHOWN]},
+            **({} if self.purse is None else {"shared": self.purse.figures(now)}),
+            **({} if self.judge is None else {"judgements": self.judge.figures(now)}),
+            **({} if self.counts is None else {"counts": self.counts.figures(now)}),
+        }
 
     def shown(self) -> dict[str, Any]:
         """For `wickhinge peers show`: the figures, and all fellows one by one."""
         now, circle, told = clock(), self.circle, self.figures()
         told.pop("states")
-        fellows = [{"name": name, "zone": circle.roster.places[name].zone, "state": STATES[entry.state],
-                    "epoch": entry.epoch, "since_s": round(now - entry.since, 1) if entry.state else None,
-                    "word_s": round(now - entry.word, 1) if entry.word > 0 else None,
-                    "roster": circle.others_rosters.get(name, circle.roster.version) == circle.roster.version}
-                   for name, entry in sorted(circle.entries.items())]
-        return {"name": circle.roster.mine.name, "zone": circle.roster.mine.zone,
-                "roster": f"{circle.roster.version:016x}", "settled": circle.epoch > 0, **told, "fellows": fellows}
+        fellows = [
+            {
+                "name": name,
+                "zone": circle.roster.places[name].zone,
+                "state": STATES[entry.state],
+                "epoch": entry.epoch,
+                "since_s": round(now - entry.since, 1) if entry.state else None,
+                "word_s": round(now - entry.word, 1) if entry.word > 0 else None,
+                "roster": circle.others_rosters.get(name, circle.roster.version) == circle.roster.version,
+            }
+            for name, entry in sorted(circle.entries.items())
+        ]
+        return {
+            "name": circle.roster.mine.name,
+            "zone": circle.roster.mine.zone,
+            "roster": f"{circle.roster.version:016x}",
+            "settled": circle.epoch > 0,
+            **told,
+            "fellows": fellows,
+        }
 
     def reload(self, options: Any) -> None:
         """Another roster and other keys from now on; shares move by the roster at once. Raises Malformed, and then
@@ -179,9 +203,11 @@
         if self.purse is not None:
             division = divided(options, roster, self.node.router.fleet.zone)
             if division != self.purse.division:
-                raise Malformed(f"shared.names, shared.processes: are {self.purse.division.names} and "
-                                f"{self.purse.division.processes} until a restart, not {division.names} and "
-                                f"{division.processes}")
+                raise Malformed(
+                    f"shared.names, shared.processes: are {self.purse.division.names} and "
+                    f"{self.purse.division.processes} until a restart, not {division.names} and "
+                    f"{division.processes}"
+                )
         self.keys = keys
         self.seat(roster.mine.name)
         self.circle.reload(roster, clock())
@@ -213,8 +239,10 @@
 
     mine = roster.mine
     if mine.zone != zone and any(one.zone for one in roster.places.values()):
-        raise Malformed(f"peers.roster: {mine.name} stands in zone {mine.zone!r}, the platform's settings say "
-                        f"{zone!r}: caches' limits are dealt among a zone's routers")
+        raise Malformed(
+            f"peers.roster: {mine.name} stands in zone {mine.zone!r}, the platform's settings say "
+            f"{zone!r}: caches' limits are dealt among a zone's routers"
+        )
     names = options.shared.names or len(roster)
     return Division(names, options.shared.processes or names + SPARE)
 
@@ -224,6 +252,9 @@
     roster, found = told_by(options, name)
     made = Fellows(node, roster, found, node.seed ^ 0xFE110)
     if options.shared.mode == "on":
-        made.share(divided(options, roster, node.router.fleet.zone), options.shared.judgements == "on",
-                   options.shared.counts == "on")
+        made.share(
+            divided(options, roster, node.router.fleet.zone),
+            options.shared.judgements == "on",
+            options.shared.counts == "on",
+        )
     return made
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -30,8 +30,7 @@
 
 
 class Forwards:
-    def __init__(self, caches: Caches, deadlines: Deadlines, probe_within: float,
-                 fault: Callable[[str], None]) -> None:
+    def __init__(self, caches: Caches, deadlines: Deadlines, probe_within: float, fault: Callable[[str], None]) -> None:
         self.caches, self.deadlines, self.probe_within = caches, deadlines, probe_within
         self.fault = fault
         self.slots = Slots()
@@ -40,8 +39,19 @@
         self.members: Any = None  # who says what is there while nobody vouches for it, where that is on
         caches.answered, caches.ended = self.answered, self.ended
 
-    def send(self, door: Any, forward: Any, cache: Any, patience: float, source: Any, rank: int,
-             oldest: float | None, join: bool, held_only: bool, renew: bool) -> int:
+    def send(
+        self,
+        door: Any,
+        forward: Any,
+        cache: Any,
+        patience: float,
+        source: Any,
+        rank: int,
+        oldest: float | None,
+        join: bool,
+        held_only: bool,
+        renew: bool,
+    ) -> int:
         fields = f"{door.passed},budget={max(int(patience * 1000), 1)}"
         if source is not None and source is not cache:
             fields += f",src=s-{source.mark:08x}"
@@ -129,9 +139,13 @@
                 body.release()
             return None
         if sent is not None and (
-                (end in PROBED) != (sent.door is None)
-                or end is End.SAME and (sent.offered is None or b"made=" not in told)
-                or end is End.SERVED and sent.door is not None and not sent.door.fits(told, body)):
+            (end in PROBED) != (sent.door is None)
+            or end is End.SAME
+            and (sent.offered is None or b"made=" not in told)
+            or end is End.SERVED
+            and sent.door is not None
+            and not sent.door.fits(told, body)
+        ):
             end = End.UNREADABLE
         if end is End.MISS and sent is not None and sent.door is not None:
             sent.door.missed = sent.line
--- a/wickhinge/net/journal.py
+++ b/wickhinge/net/journal.py
@@ -81,9 +81,18 @@
 class Journal:
     """told_list(whole, records) and told_purge(key, group, milliseconds) hear each event once, in order."""
 
-    def __init__(self, reactor: Any, deadlines: Deadlines, address: tuple[str, int], last: int,
-                 connect_within: float, told_list: Callable[..., None], told_purge: Callable[..., None],
-                 log: Callable[..., None], caught_up: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        deadlines: Deadlines,
+        address: tuple[str, int],
+        last: int,
+        connect_within: float,
+        told_list: Callable[..., None],
+        told_purge: Callable[..., None],
+        log: Callable[..., None],
+        caught_up: Callable[[], None] = lambda: None,
+    ) -> None:
         self.deadlines, self.last = deadlines, last
         self.listed = last  # lists up to here are known: where purges are told again, those are not
         self.unbroken = False  # all since a number of an earlier start has been told, in one count
@@ -133,8 +142,9 @@
             return
         self.round += 1
         told, self.asked = self.round, self.deadlines.now()
-        attempt = Dial(self.reactor, self.address, Reading(self, told),
-                       lambda failure: self.again(failure.getErrorMessage(), told))
+        attempt = Dial(
+            self.reactor, self.address, Reading(self, told), lambda failure: self.again(failure.getErrorMessage(), told)
+        )
         self.deadlines.after(self.connect_within, attempt.stop)  # which does nothing to one that is up
 
     def connected(self, reading: Reading, told: int) -> None:
--- a/wickhinge/net/members.py
+++ b/wickhinge/net/members.py
@@ -28,16 +28,20 @@
 class Membership:
     """The router's Members; files are written by a worker, siblings are asked in turn."""
 
-    def __init__(self, node: Any, members: Members, keeper: Keeper | None, options: Any, key: bytes,
-                 static: list[Statement]) -> None:
+    def __init__(
+        self, node: Any, members: Members, keeper: Keeper | None, options: Any, key: bytes, static: list[Statement]
+    ) -> None:
         self.node, self.members, self.keeper, self.key, self.static = node, members, keeper, key, static
         self.now, self.after, self.log = node.deadlines.now, node.deadlines.after, node.log.event
         self.every = 60.0 / options.writes_a_minute
         self.listen = options.listen
         self.saved, self.saving, self.closed = 0.0, False, False
         chance = members.proving.chance
-        self.asking = Backoff([endpoint(one) for one in options.siblings], chance, 0.5,
-                              options.longest_backoff_s) if options.siblings else None
+        self.asking = (
+            Backoff([endpoint(one) for one in options.siblings], chance, 0.5, options.longest_backoff_s)
+            if options.siblings
+            else None
+        )
         self.workers = Workers(node.reactor, 1, node.fault) if keeper is not None else None
         self.backoff: Backoff | None = None
         members.told_purge = self.told_purge
@@ -45,8 +49,9 @@
     def follow(self, journal: Any, options: Any) -> None:
         """Before the start: reads what was kept, and lets the journal go on from there where it keeps its numbers."""
         addresses = [journal.address, *(endpoint(one) for one in options.discovery.addresses)]
-        self.backoff = Backoff(addresses, self.members.proving.chance, options.discovery.backoff_s,
-                               options.discovery.longest_backoff_s)
+        self.backoff = Backoff(
+            addresses, self.members.proving.chance, options.discovery.backoff_s, options.discovery.longest_backoff_s
+        )
         journal.turn = self.backoff.failed
         memory = None
         if self.keeper is not None:
@@ -103,9 +108,14 @@
 
     def live(self, whole: bool, machines: list[tuple[Any, ...]]) -> None:
         now = self.now()
-        self.members.live(whole, [
-            Statement(mark, where, state, zone, kind, cell, weight, started, now, LIVE)
-            for mark, where, state, zone, kind, cell, weight, started in machines], now)
+        self.members.live(
+            whole,
+            [
+                Statement(mark, where, state, zone, kind, cell, weight, started, now, LIVE)
+                for mark, where, state, zone, kind, cell, weight, started in machines
+            ],
+            now,
+        )
         self.saved = min(self.saved, now - self.every + 1.0)  # soon, yet not for each of a burst
 
     def moved(self, address: tuple[str, int]) -> None:
@@ -191,8 +201,20 @@
     for place, one in enumerate(found.static):
         if one.zone not in node.zones or one.kind not in node.kinds:
             raise Malformed(f"discovery.static[{place}]: zone or kind is none of the settings'")
-        static.append(Statement(int(one.id[2:], 16), endpoint(one.dial), "ready", one.zone, one.kind, one.cell,
-                                one.weight, None, 0.0, STATIC))
+        static.append(
+            Statement(
+                int(one.id[2:], 16),
+                endpoint(one.dial),
+                "ready",
+                one.zone,
+                one.kind,
+                one.cell,
+                one.weight,
+                None,
+                0.0,
+                STATIC,
+            )
+        )
     keeper = None
     if found.dir:
         keeper = Keeper(Files(), found.dir)
@@ -204,9 +226,18 @@
     box: list[Membership] = []
     chance = Chance(node.seed ^ 0x5EED)
     members = Members(
-        lambda machines: box[0].tell(machines), lambda one: box[0].probe(one), node.log.event, chance,
+        lambda machines: box[0].tell(machines),
+        lambda one: box[0].probe(one),
+        node.log.event,
+        chance,
         remembered.deployment(node.zones, node.kinds, sorted(settings.tariffs(conf))),
-        found.routers or fleet.routers, (fleet.parent_kind, fleet.origin_kind), found.after_s, found.hint_after_s,
-        found.untold_s, options.journal.quiet_s, node.router.purges.done)
+        found.routers or fleet.routers,
+        (fleet.parent_kind, fleet.origin_kind),
+        found.after_s,
+        found.hint_after_s,
+        found.untold_s,
+        options.journal.quiet_s,
+        node.router.purges.done,
+    )
     box.append(Membership(node, members, keeper, found, key, static))
     return box[0]
--- a/wickhinge/net/msgpack.py
+++ b/wickhinge/net/msgpack.py
@@ -10,13 +10,30 @@
 DEPTH = 6
 ITEMS = 64
 
-FORMS = {0xCC: Struct(">B"), 0xCD: Struct(">H"), 0xCE: Struct(">I"), 0xCF: Struct(">Q"),
-         0xD0: Struct(">b"), 0xD1: Struct(">h"), 0xD2: Struct(">i"), 0xD3: Struct(">q"),
-         0xCA: Struct(">f"), 0xCB: Struct(">d")}
-HEADS = {0xC4: ("bin", FORMS[0xCC]), 0xC5: ("bin", FORMS[0xCD]), 0xC6: ("bin", FORMS[0xCE]),
-         0xD9: ("str", FORMS[0xCC]), 0xDA: ("str", FORMS[0xCD]), 0xDB: ("str", FORMS[0xCE]),
-         0xDC: ("array", FORMS[0xCD]), 0xDD: ("array", FORMS[0xCE]),
-         0xDE: ("map", FORMS[0xCD]), 0xDF: ("map", FORMS[0xCE])}
+FORMS = {
+    0xCC: Struct(">B"),
+    0xCD: Struct(">H"),
+    0xCE: Struct(">I"),
+    0xCF: Struct(">Q"),
+    0xD0: Struct(">b"),
+    0xD1: Struct(">h"),
+    0xD2: Struct(">i"),
+    0xD3: Struct(">q"),
+    0xCA: Struct(">f"),
+    0xCB: Struct(">d"),
+}
+HEADS = {
+    0xC4: ("bin", FORMS[0xCC]),
+    0xC5: ("bin", FORMS[0xCD]),
+    0xC6: ("bin", FORMS[0xCE]),
+    0xD9: ("str", FORMS[0xCC]),
+    0xDA: ("str", FORMS[0xCD]),
+    0xDB: ("str", FORMS[0xCE]),
+    0xDC: ("array", FORMS[0xCD]),
+    0xDD: ("array", FORMS[0xCE]),
+    0xDE: ("map", FORMS[0xCD]),
+    0xDF: ("map", FORMS[0xCE]),
+}
 PLAIN = {0xC0: None, 0xC2: False, 0xC3: True}
 
 
@@ -168,5 +185,6 @@
         return bin_head(len(value)) + value
     if isinstance(value, dict):
         return head(0x80, 15, (0, 0xDE, 0xDF), len(value)) + b"".join(
-            pack(key) + pack(held) for key, held in value.items())
+            pack(key) + pack(held) for key, held in value.items()
+        )
     return head(0x90, 15, (0, 0xDC, 0xDD), len(value)) + b"".join(pack(held) for held in value)
--- a/wickhinge/net/opening.py
+++ b/wickhinge/net/opening.py
@@ -24,8 +24,15 @@
 class Opening:
     """Owns the listening address. Of `caught_up`, `trusted` and the time limit the first opens, `leave` ends it."""
 
-    def __init__(self, reactor: Any, address: tuple[str, int], clients: Any, deadlines: Any,
-                 log: Callable[..., None], taken: Callable[[OSError], None]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: tuple[str, int],
+        clients: Any,
+        deadlines: Any,
+        log: Callable[..., None],
+        taken: Callable[[OSError], None],
+    ) -> None:
         """Raises OSError where the address is in use; taken(problem) where another that waited got it meanwhile:
         the system lets several be bound who may use it again, and one listen."""
         self.taken = taken
--- a/wickhinge/net/resp.py
+++ b/wickhinge/net/resp.py
@@ -14,8 +14,10 @@
 
 
 # Nearly every answer: ID WORD FIELDS and the body's length line, whole and read in one go.
-USUAL = re.compile(rb"\*4\r\n\$(\d{1,4})\r\n([^\r\n]{1,64})\r\n\$(\d{1,2})\r\n([A-Z]{1,8})\r\n"
-                   rb"\$(\d{1,4})\r\n([^\r\n]{0,512})\r\n\$(\d{1,6})\r\n")
+USUAL = re.compile(
+    rb"\*4\r\n\$(\d{1,4})\r\n([^\r\n]{1,64})\r\n\$(\d{1,2})\r\n([A-Z]{1,8})\r\n"
+    rb"\$(\d{1,4})\r\n([^\r\n]{0,512})\r\n\$(\d{1,6})\r\n"
+)
 
 
 class Unreadable(Exception):
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -48,8 +48,9 @@
         self.collect_over = memory * 700  # in KB: 0.7 of the limit
         connect_within, idle, streams = config.times(conf)
         self.pool = Pool(max((memory - BASE) * 500_000 // SIZE, 128), self.pause, self.resume)
-        self.caches = Caches(reactor, self.deadlines, self.pool, connect_within, idle, streams, sockets // 3,
-                             self.log.event, self.fault)
+        self.caches = Caches(
+            reactor, self.deadlines, self.pool, connect_within, idle, streams, sockets // 3, self.log.event, self.fault
+        )
         self.forwards = Forwards(self.caches, self.deadlines, PROBE_WITHIN, self.fault)
         conf_settings = config.settings(conf)
         self.zones = settings.names(conf_settings, "zones")
@@ -65,8 +66,9 @@
         if options is not None and options.store.mode == "on":
             from wickhinge.net import copies  # what is off costs nothing
 
-            self.copies = copies.make(options, reactor, self.deadlines, self.pool, config.link(conf),
-                                      self.log.event, self.fault)
+            self.copies = copies.make(
+                options, reactor, self.deadlines, self.pool, config.link(conf), self.log.event, self.fault
+            )
         self.router.copies = self.visits.copies = self.forwards.copies = self.copies
         self.members: Any = None
         if options is not None and options.discovery.mode == "on":
@@ -80,8 +82,17 @@
 
             self.fellows = fellows.make(options, config.name(conf), self)
         last, events = config.known(conf)
-        self.journal = Journal(reactor, self.deadlines, config.journal(conf), last, connect_within,
-                               self.told_records, self.told_purge, self.log.event, self.caught_up)
+        self.journal = Journal(
+            reactor,
+            self.deadlines,
+            config.journal(conf),
+            last,
+            connect_within,
+            self.told_records,
+            self.told_purge,
+            self.log.event,
+            self.caught_up,
+        )
         if self.members is not None:
             self.members.follow(self.journal, options)
         self.purges_resumed = False  # all since the number of the store's purge log is told
@@ -95,8 +106,7 @@
 
     def start(self) -> None:
         """Raises OSError where the address to listen on cannot be had."""
-        self.opening = Opening(self.reactor, self.listen, self.clients, self.deadlines, self.log.event,
-                               self.taken)
+        self.opening = Opening(self.reactor, self.listen, self.clients, self.deadlines, self.log.event, self.taken)
         self.started = True
         self.router.start(self.deadlines.now())
         self.reactor.addSystemEventTrigger("before", "shutdown", self.log.flush)
@@ -146,8 +156,18 @@
                 self.log.event("bad_record", cache=f"{mark:08x}", state=state, zone=zone, kind=kind)
                 continue
             host = ".".join(str(octet) for octet in address.to_bytes(4))
-            machines.append((mark, (host, port), STATES[state], self.zones[zone], self.kinds[kind], cell,
-                             weight / 1000.0, started / 1000.0 or None))
+            machines.append(
+                (
+                    mark,
+                    (host, port),
+                    STATES[state],
+                    self.zones[zone],
+                    self.kinds[kind],
+                    cell,
+                    weight / 1000.0,
+                    started / 1000.0 or None,
+                )
+            )
         self.told_list(whole, machines)
 
     def told_list(self, whole: bool, machines: list[tuple[Any, ...]]) -> None:
@@ -162,13 +182,13 @@
             if mark not in self.router.fleet.known and not (self.members is not None and self.members.knows(mark)):
                 machine.leave()
         self.forwards.overtaken(lambda sent: sent.cache.state == "ready" == sent.forward.source.state)
-        self.log.event("list", whole=whole, machines=[
-            [f"{m[0]:08x}", m[2], m[3], m[4], m[7]] for m in machines])
+        self.log.event("list", whole=whole, machines=[[f"{m[0]:08x}", m[2], m[3], m[4], m[7]] for m in machines])
 
     def told_purge(self, key: int | None, group: int, stamp: float) -> None:
         self.router.purges.told(key, group, stamp / 1000.0, self.deadlines.now())
-        self.forwards.overtaken(lambda sent: sent.forward.visit.group != group if key is None
-                                else sent.forward.visit.item.key != key)
+        self.forwards.overtaken(
+            lambda sent: sent.forward.visit.group != group if key is None else sent.forward.visit.item.key != key
+        )
         if self.copies is not None:  # of those known at the start the numbers are not told
             self.copies.store.purge(key, group, stamp / 1000.0, self.journal.last + 1 if self.started else 0)
         if self.members is not None:
@@ -204,17 +224,28 @@
             self.collect_over = usage.ru_maxrss + 5000
             self.log.event("collected", objects=found)
         self.log.event(
-            "report", taken=self.visits.taken, open=self.visits.open(), clients=len(self.clients.all),
-            answers=self.visits.answers, user=round(usage.ru_utime, 3), system=round(usage.ru_stime, 3),
+            "report",
+            taken=self.visits.taken,
+            open=self.visits.open(),
+            clients=len(self.clients.all),
+            answers=self.visits.answers,
+            user=round(usage.ru_utime, 3),
+            system=round(usage.ru_stime, 3),
             lines=sum(len(machine.lines) for machine in self.caches.machines.values()),
-            buffers=self.pool.peak, late_ms=round(self.deadlines.late * 1000, 1),
-            late_answers=self.caches.lates, peak_kb=usage.ru_maxrss, closed=self.clients.closed,
-            faults=self.clients.faults, known=len(self.router.fleet.known),
-            machines=len(self.caches.machines), objects=len(self.router.shelf.items),
+            buffers=self.pool.peak,
+            late_ms=round(self.deadlines.late * 1000, 1),
+            late_answers=self.caches.lates,
+            peak_kb=usage.ru_maxrss,
+            closed=self.clients.closed,
+            faults=self.clients.faults,
+            known=len(self.router.fleet.known),
+            machines=len(self.caches.machines),
+            objects=len(self.router.shelf.items),
             deadlines=len(self.deadlines.heap),
             **({} if self.members is None else {"list": self.members.figures()}),
             **({} if self.fellows is None else {"peers": self.fellows.figures()}),
-            **({} if self.copies is None else {"store": self.copies.figures()}))
+            **({} if self.copies is None else {"store": self.copies.figures()}),
+        )
         self.clients.faults = {}
         self.deadlines.late = 0.0
         self.deadlines.after(REPORT, self.report)
@@ -276,8 +307,9 @@
         if now >= last:
             self.clients.begin_all()
             self.visits.give_up()
-        return now < last + LATEST and bool(self.visits.open() or self.clients.unwritten() or self.clients.unread()
-                                            or self.opening.untaken())
+        return now < last + LATEST and bool(
+            self.visits.open() or self.clients.unwritten() or self.clients.unread() or self.opening.untaken()
+        )
 
     def end(self, last: float) -> None:
         """The machines are hung up on: who still comes is denied."""
@@ -286,5 +318,3 @@
             self.deadlines.after(0.01, self.end, last)
             return
         self.reactor.stop()
-
-
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -28,8 +28,25 @@
 
 
 class Door:
-    __slots__ = ("visits", "client", "call", "rid", "passed", "body", "tariff", "since", "final", "answer",
-                 "visit", "out", "number", "steps", "until", "cached", "missed")
+    __slots__ = (
+        "visits",
+        "client",
+        "call",
+        "rid",
+        "passed",
+        "body",
+        "tariff",
+        "since",
+        "final",
+        "answer",
+        "visit",
+        "out",
+        "number",
+        "steps",
+        "until",
+        "cached",
+        "missed",
+    )
 
     def __init__(self, visits: Visits, client: Any, call: int, rid: str, tariff: Any, since: float) -> None:
         self.visits, self.client, self.call, self.tariff, self.since = visits, client, call, tariff, since
@@ -44,11 +61,20 @@
 
     # The module's Caller.
 
-    def forward(self, forward: Any, cache: Any, patience: float, source: Any, rank: int,
-                oldest: float | None, join: bool, held_only: bool, renew: bool) -> None:
+    def forward(
+        self,
+        forward: Any,
+        cache: Any,
+        patience: float,
+        source: Any,
+        rank: int,
+        oldest: float | None,
+        join: bool,
+        held_only: bool,
+        renew: bool,
+    ) -> None:
         self.visit = forward.visit
-        number = self.visits.forwards.send(
-            self, forward, cache, patience, source, rank, oldest, join, held_only, renew)
+        number = self.visits.forwards.send(self, forward, cache, patience, source, rank, oldest, join, held_only, renew)
         self.out[forward] = number
 
     def withdraw(self, forward: Any) -> None:
@@ -105,9 +131,16 @@
         return body is not None and (self.tariff.passes_on or b"etag=" in told and b"made=" in told)
 
     def trace(self, sent: Any, end: Any, took: float, fields: dict[str, str]) -> None:
-        self.steps.append([f"{sent.cache.mark:08x}", round((sent.since - self.since) * 1000, 1),
-                           round(took * 1000, 1), end.value, fields.get("detail", ""),
-                           fields.get("ttfb", "")])
+        self.steps.append(
+            [
+                f"{sent.cache.mark:08x}",
+                round((sent.since - self.since) * 1000, 1),
+                round(took * 1000, 1),
+                end.value,
+                fields.get("detail", ""),
+                fields.get("ttfb", ""),
+            ]
+        )
 
     def forgotten(self, forward: Any) -> None:
         self.out.pop(forward, None)
@@ -120,8 +153,15 @@
 
 
 class Visits:
-    def __init__(self, forwards: Forwards, deadlines: Deadlines, pool: Pool, tariffs: dict[str, Any],
-                 log: Callable[..., None], fault: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        forwards: Forwards,
+        deadlines: Deadlines,
+        pool: Pool,
+        tariffs: dict[str, Any],
+        log: Callable[..., None],
+        fault: Callable[[str], None],
+    ) -> None:
         self.forwards, self.deadlines, self.pool, self.tariffs = forwards, deadlines, pool, tariffs
         self.log, self.fault = log, fault
         self.slots = Slots()
@@ -132,8 +172,7 @@
         self.taken = 0
         self.answers: dict[str, int] = {}
 
-    def take(self, client: Any, call: int, method: str, fields: dict[str, str], body: bytes,
-             held: float = 0.0) -> Door:
+    def take(self, client: Any, call: int, method: str, fields: dict[str, str], body: bytes, held: float = 0.0) -> Door:
         """held: seconds since it was read; besides, it may have waited for that as long as deadlines lately did."""
         now = self.deadlines.now()
         tariff = self.tariffs.get(method)
@@ -170,8 +209,7 @@
         self.taken += 1
         door.until = now + patience - SLACK
         try:
-            visit = self.router.take(door, tariff, key, part, group, 0.0, patience, "again" in fields, now,
-                                     waited)
+            visit = self.router.take(door, tariff, key, part, group, 0.0, patience, "again" in fields, now, waited)
             if not door.final:  # over already, it would only close the circle that ended() opens
                 door.visit = visit
         except Exception:
@@ -218,11 +256,19 @@
         self.answers[door.answer] = self.answers.get(door.answer, 0) + 1
         if door.steps is None:
             return
-        self.log("visit", rid=door.rid.decode(), tariff=door.tariff.name, end=door.answer,
-                 ms=round((self.deadlines.now() - door.since) * 1000, 1), steps=door.steps,
-                 patience=round((door.until - door.since) * 1000), repeat=visit.repeat if visit else None,
-                 part=visit.part if visit else None, work=round(visit.work * 1000) if visit else None,
-                 exclusive=door.tariff.effect is Effect.EXCLUSIVE)
+        self.log(
+            "visit",
+            rid=door.rid.decode(),
+            tariff=door.tariff.name,
+            end=door.answer,
+            ms=round((self.deadlines.now() - door.since) * 1000, 1),
+            steps=door.steps,
+            patience=round((door.until - door.since) * 1000),
+            repeat=visit.repeat if visit else None,
+            part=visit.part if visit else None,
+            work=round(visit.work * 1000) if visit else None,
+            exclusive=door.tariff.effect is Effect.EXCLUSIVE,
+        )
 
 
 def digits(fields: dict[str, str], field: str) -> str:
--- a/wickhinge/options/load.py
+++ b/wickhinge/options/load.py
@@ -242,8 +242,7 @@
         if wanted.kind == "every":
             if given.kind != "list":
                 raise self.fault(given.line, key, "is not a list")
-            return [self.meet(wanted.value, node, f"{key}[{place}]")
-                    for place, node in enumerate(given.value)]
+            return [self.meet(wanted.value, node, f"{key}[{place}]") for place, node in enumerate(given.value)]
         if wanted.kind == "either":
             faults = []
             for node in wanted.value:
@@ -270,8 +269,10 @@
         if wanted.kind == "literal":
             fits, why = type(value) is type(wanted.value) and value == wanted.value, f"is not {wanted.value!r}"
         elif wanted.kind == "type" and wanted.value in ("int", "number"):
-            fits, why = numeric and (wanted.value == "number" or isinstance(value, int)), (
-                "is not a number" if wanted.value == "number" else "is not a whole number")
+            fits, why = (
+                numeric and (wanted.value == "number" or isinstance(value, int)),
+                ("is not a number" if wanted.value == "number" else "is not a whole number"),
+            )
         elif wanted.kind == "type":
             fits, why = isinstance(value, TYPES[wanted.value]), f"is not of type {wanted.value}"
         else:
@@ -302,8 +303,12 @@
         raise Fault(f"{name}: discovery.key_file: is missing; siblings are not talked to without a key")
     if found.dir and found.dir == options.store.dir:
         raise Fault(f"{name}: discovery.dir: is the store's own")
-    for key, values in (("listen", [found.listen] * bool(found.listen)), ("siblings", found.siblings),
-                        ("addresses", found.addresses), ("static", [one.dial for one in found.static])):
+    for key, values in (
+        ("listen", [found.listen] * bool(found.listen)),
+        ("siblings", found.siblings),
+        ("addresses", found.addresses),
+        ("static", [one.dial for one in found.static]),
+    ):
         for place, value in enumerate(values):
             if endpoint(value) is None:
                 raise Fault(f"{name}: discovery.{key}[{place}]: {value!r} is not an address as 127.0.0.1:10080")
--- a/wickhinge/peers/circle.py
+++ b/wickhinge/peers/circle.py
@@ -111,8 +111,14 @@
 class Circle:
     """One router among its fellows. send(item) is called within tick and heard; log(event, **fields) for operators."""
 
-    def __init__(self, roster: Roster, chance: Any, now: float, send: Callable[[Item], None],
-                 log: Callable[..., None] = lambda *a, **k: None) -> None:
+    def __init__(
+        self,
+        roster: Roster,
+        chance: Any,
+        now: float,
+        send: Callable[[Item], None],
+        log: Callable[..., None] = lambda *a, **k: None,
+    ) -> None:
         self.chance, self.send_item, self.log = chance, send, log
         self.lines: dict[str, Line] = {}
         self.left: dict[str, Line] = {}  # of names that are not on the roster any more, the latest LEFT
@@ -211,8 +217,9 @@
             self.larger[sender] = (epoch, life)
             # One alone may lie, or be mistaken; of two in all there is no second to ask.
             if len(self.larger) >= min(2, len(self.roster.others)):
-                self.log("replaced", name=self.roster.mine.name, epoch=self.epoch, by=epoch,
-                         told_by=sorted(self.larger)[:4])
+                self.log(
+                    "replaced", name=self.roster.mine.name, epoch=self.epoch, by=epoch, told_by=sorted(self.larger)[:4]
+                )
                 self.born(now)
 
     def refute(self, count: int) -> None:
@@ -264,15 +271,16 @@
         self.turns += 1
         if not self.epoch and self.told and self.turns % 2:  # the same few again, until they agree
             return self.shuffled(list(self.told))[0]
-        for here in ((False, True) if self.turns % 4 == 0 else (True, False)):
+        for here in (False, True) if self.turns % 4 == 0 else (True, False):
             waiting = self.order if here else self.aside
             for _ in range(2):
                 while waiting:
                     name = waiting.pop()
                     if (self.entries[name].state in (ALIVE, SUSPECT)) == here:
                         return name
-                waiting += self.shuffled([one.name for one in self.entries.values()
-                                          if (one.state in (ALIVE, SUSPECT)) == here])
+                waiting += self.shuffled(
+                    [one.name for one in self.entries.values() if (one.state in (ALIVE, SUSPECT)) == here]
+                )
         return None
 
     def shuffled(self, names: list[str]) -> list[str]:
@@ -282,8 +290,9 @@
         return names
 
     def some(self, most: int, but: str) -> list[str]:
-        return self.shuffled([one.name for one in self.entries.values()
-                              if one.state == ALIVE and one.name != but])[:most]
+        return self.shuffled([one.name for one in self.entries.values() if one.state == ALIVE and one.name != but])[
+            :most
+        ]
 
     def failed(self, probe: Probe, now: float) -> None:
         self.probe = None
@@ -325,10 +334,25 @@
         line, entry = self.lines[to], self.entries[to]
         token = line.challenge(self.chance, now)
         self.sent += 1
-        self.send_item(Item(
-            to, self.roster.mine.name, self.epoch, self.life, line.next(), token, line.theirs, self.roster.version,
-            self.count, (line.epoch, line.life, entry.count, entry.state), kind, serial, about,
-            self.news(to) if self.epoch else (), self.rider(to) if self.epoch else b""))
+        self.send_item(
+            Item(
+                to,
+                self.roster.mine.name,
+                self.epoch,
+                self.life,
+                line.next(),
+                token,
+                line.theirs,
+                self.roster.version,
+                self.count,
+                (line.epoch, line.life, entry.count, entry.state),
+                kind,
+                serial,
+                about,
+                self.news(to) if self.epoch else (),
+                self.rider(to) if self.epoch else b"",
+            )
+        )
 
     def news(self, to: str) -> tuple[tuple[str, int, int, int, int], ...]:
         most = 3 * ceil(log2(len(self.roster) + 1))
@@ -400,7 +424,8 @@
         if (item.epoch, item.life) > (entry.epoch, entry.life):
             self.believe(entry, item.epoch, item.life, item.count, ALIVE, now)
         elif (item.epoch, item.life) == (entry.epoch, entry.life) and (
-                item.count > entry.count or entry.state == UNKNOWN or entry.count - item.count > FORGED):
+            item.count > entry.count or entry.state == UNKNOWN or entry.count - item.count > FORGED
+        ):
             # Only a name itself raises its count: one that is far over its own word was another's invention, which
             # the name could not even refute.
             self.believe(entry, item.epoch, item.life, item.count, ALIVE, now)
@@ -416,9 +441,16 @@
             asker, serial, _, _ = self.helping.pop(item.serial)
             if asker in self.entries:
                 self.send(asker, REACHED, serial, now, item.sender)
-        elif self.probe is not None and item.serial == self.probe.serial and (
-                item.kind == ACK and item.sender == self.probe.name
-                or item.kind == REACHED and item.about == self.probe.name):
+        elif (
+            self.probe is not None
+            and item.serial == self.probe.serial
+            and (
+                item.kind == ACK
+                and item.sender == self.probe.name
+                or item.kind == REACHED
+                and item.about == self.probe.name
+            )
+        ):
             self.probe = None
             self.answered = now
             self.doubt = max(self.doubt - 1, 0)
@@ -447,7 +479,7 @@
             elif name not in self.aside[-1:]:
                 self.aside.append(name)  # asked itself soon: its own word is better
                 if len(self.aside) > 2 * len(self.entries):
-                    self.aside = self.aside[-len(self.entries):]
+                    self.aside = self.aside[-len(self.entries) :]
             return
         if (epoch, life) < (entry.epoch, entry.life) or count > entry.count + LEAP:
             return
@@ -486,7 +518,13 @@
             count[0] += place.name in alive or place is mine
             count[1] += 1
         lately = [when for when in self.accused.values() if now - when <= 2 * CUT * PERIOD]
-        return View((len(alive) + 1) / len(self.roster), {zone: here / of for zone, (here, of) in zones.items()}, cut,
-                    2 * len(lately) > len(alive) > 0,
-                    max((now - self.entries[name].word for name in alive), default=0.0), self.epoch > 0, self.twin,
-                    sum(self.others_rosters.get(name, self.roster.version) != self.roster.version for name in alive))
+        return View(
+            (len(alive) + 1) / len(self.roster),
+            {zone: here / of for zone, (here, of) in zones.items()},
+            cut,
+            2 * len(lately) > len(alive) > 0,
+            max((now - self.entries[name].word for name in alive), default=0.0),
+            self.epoch > 0,
+            self.twin,
+            sum(self.others_rosters.get(name, self.roster.version) != self.roster.version for name in alive),
+        )
--- a/wickhinge/peers/desk.py
+++ b/wickhinge/peers/desk.py
@@ -88,11 +88,13 @@
             more = answers(ask.more)
         if len(more) > EACH * PARTS:
             more = msgspec.json.encode({"error": f"an answer of {len(more)} bytes is longer than {EACH * PARTS}"})
-        pieces = [more[start:start + EACH] for start in range(0, len(more), EACH)] or [b""]
+        pieces = [more[start : start + EACH] for start in range(0, len(more), EACH)] or [b""]
         if not self.rate.take(len(pieces), now):
             return []
-        return [pack(self.key, PART, Part(ask.number, ask.cookie, place, len(pieces), piece))
-                for place, piece in enumerate(pieces, 1)]
+        return [
+            pack(self.key, PART, Part(ask.number, ask.cookie, place, len(pieces), piece))
+            for place, piece in enumerate(pieces, 1)
+        ]
 
 
 class Asking:
--- a/wickhinge/peers/wire.py
+++ b/wickhinge/peers/wire.py
@@ -19,8 +19,23 @@
 MAGIC = b"WP1"
 MAC = 16
 LONGEST = 1400  # bytes; one that would be longer goes without its rider, then with less news
-BODY = tuple[str, str, int, int, int, int, int, int, int, tuple[int, int, int, int], int, int, str,
-             list[tuple[str, int, int, int, int]], bytes]
+BODY = tuple[
+    str,
+    str,
+    int,
+    int,
+    int,
+    int,
+    int,
+    int,
+    int,
+    tuple[int, int, int, int],
+    int,
+    int,
+    str,
+    list[tuple[str, int, int, int, int]],
+    bytes,
+]
 decoder = msgspec.msgpack.Decoder(BODY)
 encoder = msgspec.msgpack.Encoder()
 
@@ -57,9 +72,29 @@
     """At most LONGEST bytes."""
     news, rider = item.news, item.rider
     while True:
-        data = sealed(key, MAGIC, encoder.encode((
-            item.to, item.sender, item.epoch, item.life, item.counter, item.token, item.echo, item.roster, item.count,
-            item.known, item.kind, item.serial, item.about, news, rider)))
+        data = sealed(
+            key,
+            MAGIC,
+            encoder.encode(
+                (
+                    item.to,
+                    item.sender,
+                    item.epoch,
+                    item.life,
+                    item.counter,
+                    item.token,
+                    item.echo,
+                    item.roster,
+                    item.count,
+                    item.known,
+                    item.kind,
+                    item.serial,
+                    item.about,
+                    news,
+                    rider,
+                )
+            ),
+        )
         if len(data) <= LONGEST or not (news or rider):
             return data
         news, rider = (news, b"") if rider else (news[:-1], b"")
--- a/wickhinge/settings.py
+++ b/wickhinge/settings.py
@@ -55,9 +55,7 @@
             revenue=number(where, entry, "importance"),
             late_share=number(where, entry, "lateValue", 0.0),
             effect=effect,
-            group=word(where, entry, "group", ("all", "zone", "cell"))
-            if effect is Effect.TICKETED
-            else "all",
+            group=word(where, entry, "group", ("all", "zone", "cell")) if effect is Effect.TICKETED else "all",
             window=seconds(where, entry, "windowMs") if effect is Effect.TICKETED else 0.0,
             fresh=fresh[place] / 1000.0,
             grace=grace[place] / 1000.0,
@@ -106,11 +104,7 @@
         edge,
         upper,
     )
-    wait = (
-        seconds("conf.limits", limits, "maxRetryAfterMs")
-        if flag("conf.limits", limits, "retryAfter")
-        else 0.0
-    )
+    wait = seconds("conf.limits", limits, "maxRetryAfterMs") if flag("conf.limits", limits, "retryAfter") else 0.0
     router = Router(
         outside,
         chance,
--- a/wickhinge/shared/cold.py
+++ b/wickhinge/shared/cold.py
@@ -87,6 +87,6 @@
     def sweep(self, late: float) -> None:
         """Machines that nobody here wants to send to hold no bucket; a new one starts empty."""
         self.swept = late
-        for budget in self.purse.budgets[self.first:self.first + 2]:
+        for budget in self.purse.budgets[self.first : self.first + 2]:
             for mark in [mark for mark, held in budget.buckets.items() if late - held.wished > IDLE]:
                 del budget.buckets[mark]
--- a/wickhinge/shared/counts.py
+++ b/wickhinge/shared/counts.py
@@ -99,8 +99,9 @@
         self.number += 1
         self.own = [min(len(cache.pending), MOST) for cache in caches]
         mates = self.mates()
-        for name in [name for name, known in self.known.items()
-                     if not 0.0 <= now - known.when <= STALE or name not in mates]:
+        for name in [
+            name for name, known in self.known.items() if not 0.0 <= now - known.when <= STALE or name not in mates
+        ]:
             del self.known[name]
         fresh = [known.tally.out for known in self.known.values() if known.tally.view == self.view]
         self.fleet.told = min(len(fresh), self.fleet.routers - 1)
@@ -160,6 +161,10 @@
                 self.merge(tally, now - tally.age, tally.name == name)
 
     def figures(self, now: float) -> dict[str, Any]:
-        return {"heard": sum(known.tally.view == self.view for known in self.known.values()), "of": len(self.mates()),
-                "oldest_s": round(max((now - known.when for known in self.known.values()), default=0.0), 2),
-                "refused": self.refused, "unreadable": self.unreadable}
+        return {
+            "heard": sum(known.tally.view == self.view for known in self.known.values()),
+            "of": len(self.mates()),
+            "oldest_s": round(max((now - known.when for known in self.known.values()), default=0.0), 2),
+            "refused": self.refused,
+            "unreadable": self.unreadable,
+        }
--- a/wickhinge/shared/judge.py
+++ b/wickhinge/shared/judge.py
@@ -63,8 +63,9 @@
 
 
 class Judge:
-    def __init__(self, circle: Circle, fleet: Any, look: Callable[[Any], None],
-                 log: Callable[..., None] = lambda *a, **k: None) -> None:
+    def __init__(
+        self, circle: Circle, fleet: Any, look: Callable[[Any], None], log: Callable[..., None] = lambda *a, **k: None
+    ) -> None:
         """fleet: decide.Fleet; look(cache) probes one machine."""
         self.circle, self.fleet, self.look, self.log = circle, fleet, look, log
         self.seen: dict[int, Seen] = {}
@@ -113,8 +114,7 @@
 
     def concerns(self, name: str, cache: Any) -> bool:
         place = self.circle.roster.places.get(name)
-        return place is not None and (
-            not self.edge(cache) or place.zone == self.circle.roster.mine.zone)
+        return place is not None and (not self.edge(cache) or place.zone == self.circle.roster.mine.zone)
 
     def edge(self, cache: Any) -> bool:
         """Whether it is a cache of our location, and no parent."""
@@ -132,8 +132,13 @@
             del self.seen[mark]
         paces = {True: self.pace(self.fleet.mine), False: self.pace(self.fleet.parents)}
         for mark, cache in machines.items():
-            self.own(self.seen.setdefault(mark, Seen(cache, heard=cache.heard, lost=cache.lost)),
-                     paces[self.edge(cache)], gap, now, policy_now)
+            self.own(
+                self.seen.setdefault(mark, Seen(cache, heard=cache.heard, lost=cache.lost)),
+                paces[self.edge(cache)],
+                gap,
+                now,
+                policy_now,
+            )
         for mark in list(self.told):
             found = {name: told for name, told in self.told[mark].items() if 0.0 <= now - told[0] <= FADE}
             if found and mark in machines:
@@ -185,8 +190,12 @@
         for edge in (True, False):
             tier = [seen for seen in self.seen.values() if self.edge(seen.cache) is edge]
             room[edge] = max(int(len(tier) * SHARE), 1) - sum(now - seen.under <= FADE for seen in tier)
-        judged = [(len(said), mark, verdict, said) for mark in self.told
-                  for verdict, said in [self.heard_of(mark, sick)] if verdict != WELL]
+        judged = [
+            (len(said), mark, verdict, said)
+            for mark in self.told
+            for verdict, said in [self.heard_of(mark, sick)]
+            if verdict != WELL
+        ]
         for _, mark, verdict, said in sorted(judged, key=lambda one: (-one[0], one[1])):
             seen = self.seen[mark]
             edge, under = self.edge(seen.cache), now - seen.under <= FADE
@@ -239,8 +248,14 @@
             if seen.verdict == WELL and seen.cache.mark not in self.told or not self.concerns(to, seen.cache):
                 continue  # nobody asks
             if 0.0 <= now - seen.when <= FADE:
-                said.append(Word(seen.cache.mark, seen.verdict, round(min(seen.amount, words.LONGEST), 3),
-                                 round(now - seen.when, 2)))
+                said.append(
+                    Word(
+                        seen.cache.mark,
+                        seen.verdict,
+                        round(min(seen.amount, words.LONGEST), 3),
+                        round(now - seen.when, 2),
+                    )
+                )
         if len(said) > words.MOST:  # in turn, by chance: a storm is told over some datagrams
             said = [said[int(self.circle.chance.draw() * len(said))] for _ in range(words.MOST)]
         return words.pack(said)
@@ -268,9 +283,21 @@
 
     def figures(self, now: float) -> dict[str, Any]:
         sick = self.sick_witnesses()
-        return {"sick": self.sick, "sick_fellows": sorted(sick)[:16], "acted": self.acted,
-                "unreadable": self.unreadable, "machines": {
-                    f"s-{mark:08x}": {"own": words.VERDICTS[self.seen[mark].verdict], "under": now - self.seen[
-                        mark].under <= FADE, **{word: sum(told.verdict == number for _, told in found.values())
-                                                for number, word in enumerate(words.VERDICTS)}}
-                    for mark, found in sorted(self.told.items())[:64] if mark in self.seen}}
+        return {
+            "sick": self.sick,
+            "sick_fellows": sorted(sick)[:16],
+            "acted": self.acted,
+            "unreadable": self.unreadable,
+            "machines": {
+                f"s-{mark:08x}": {
+                    "own": words.VERDICTS[self.seen[mark].verdict],
+                    "under": now - self.seen[mark].under <= FADE,
+                    **{
+                        word: sum(told.verdict == number for _, told in found.values())
+                        for number, word in enumerate(words.VERDICTS)
+                    },
+                }
+                for mark, found in sorted(self.told.items())[:64]
+                if mark in self.seen
+            },
+        }
--- a/wickhinge/shared/purse.py
+++ b/wickhinge/shared/purse.py
@@ -83,12 +83,20 @@
 
 
 class Purse:
-    def __init__(self, circle: Circle, division: Division, budgets: list[Dealt], now: float,
-                 log: Callable[..., None] = lambda *a, **k: None) -> None:
+    def __init__(
+        self,
+        circle: Circle,
+        division: Division,
+        budgets: list[Dealt],
+        now: float,
+        log: Callable[..., None] = lambda *a, **k: None,
+    ) -> None:
         """Raises ValueError where the roster has more names than the division counts."""
         if not len(circle.roster) <= division.names <= division.processes:
-            raise ValueError(f"{len(circle.roster)} names on the roster, divided among {division.names} names and "
-                             f"{division.processes} processes")
+            raise ValueError(
+                f"{len(circle.roster)} names on the roster, divided among {division.names} names and "
+                f"{division.processes} processes"
+            )
         self.circle, self.division, self.log = circle, division, log
         self.late, self.ticked = 0.0, now
         self.budgets = [Budget(one, division.within(circle.roster, one.zone), self.late) for one in budgets]
@@ -170,8 +178,10 @@
         own = max(self.home(budget, now) - budget.loans.lent(self.late), 0.0)
         share = FLOOR / budget.division.processes + own + budget.loans.borrowed(now)
         budget.shared(share, self.late)
-        budget.need = max((min(bucket.wanted / bucket.rate, 1.0) for bucket in budget.buckets.values()
-                           if bucket.rate > 0.0), default=0.0)
+        budget.need = max(
+            (min(bucket.wanted / bucket.rate, 1.0) for bucket in budget.buckets.values() if bucket.rate > 0.0),
+            default=0.0,
+        )
         budget.missing = max(min(1.2 * budget.need, 1.0) - share, 0.0)
         budget.spare = min(max(share - 1.1 * budget.need, 0.0), own)
 
@@ -196,10 +206,17 @@
             self.offer(number, budget, now)
             return
         missing -= sum(one.amount for serial, one in loans.asked.items() if serial not in loans.had)
-        spares = sorted(((levels[number][1] * (0.5 + self.circle.chance.draw()), name)
-                         for name, (when, levels) in self.told.items()
-                         if 0.0 <= now - when <= WORD and len(levels) > number and levels[number][1] > LEAST
-                         and self.among(name, budget)), reverse=True)
+        spares = sorted(
+            (
+                (levels[number][1] * (0.5 + self.circle.chance.draw()), name)
+                for name, (when, levels) in self.told.items()
+                if 0.0 <= now - when <= WORD
+                and len(levels) > number
+                and levels[number][1] > LEAST
+                and self.among(name, budget)
+            ),
+            reverse=True,
+        )
         for _, name in spares[:LENDERS]:
             levels = self.told[name][1]
             lacks, spare = levels[number]
@@ -213,9 +230,14 @@
     def offer(self, number: int, budget: Budget, now: float) -> None:
         """To who lacks most, as far as we know: every datagram says what we can spare."""
         if budget.spare > LEAST:
-            lacks, name = max(((levels[number][0], name) for name, (when, levels) in self.told.items()
-                               if 0.0 <= now - when <= WORD and len(levels) > number and self.among(name, budget)),
-                              default=(0.0, ""))
+            lacks, name = max(
+                (
+                    (levels[number][0], name)
+                    for name, (when, levels) in self.told.items()
+                    if 0.0 <= now - when <= WORD and len(levels) > number and self.among(name, budget)
+                ),
+                default=(0.0, ""),
+            )
             if lacks > LEAST and name in self.circle.entries:
                 self.told[name][1][number] = 0.0, self.told[name][1][number][1]  # until it says so again
                 self.circle.send(name, HELLO, 0, now)
@@ -232,9 +254,14 @@
         now = self.ticked
         answers, granted = self.stamps.pop(to, (0.0, False))
         words = self.words.pop(to, ([], [], []))
-        return riders.pack((self.division.names, self.division.processes), now, answers, granted,
-                           [(round(one.missing, 4), round(one.spare, 4)) for one in self.budgets],
-                           *(many[:riders.MOST] for many in words))
+        return riders.pack(
+            (self.division.names, self.division.processes),
+            now,
+            answers,
+            granted,
+            [(round(one.missing, 4), round(one.spare, 4)) for one in self.budgets],
+            *(many[: riders.MOST] for many in words),
+        )
 
     def ridden(self, name: str, data: bytes, now: float) -> None:
         try:
@@ -291,8 +318,20 @@
     def figures(self, now: float) -> dict[str, Any]:
         """For operators: by what this router spends, and until when it is vouched for."""
         self.refresh(now)
-        return {"vouched_s": round(max(self.vouched - now, 0.0), 1), "names": self.division.names,
-                "processes": self.division.processes, "differ": len(self.differ), "budgets": [
-                    {"zone": one.zone, "share": round(one.share, 4), "need": round(one.need, 4),
-                     "lent": round(one.loans.lent(self.late), 4), "borrowed": round(one.loans.borrowed(now), 4),
-                     "machines": len(one.buckets)} for one in self.budgets]}
+        return {
+            "vouched_s": round(max(self.vouched - now, 0.0), 1),
+            "names": self.division.names,
+            "processes": self.division.processes,
+            "differ": len(self.differ),
+            "budgets": [
+                {
+                    "zone": one.zone,
+                    "share": round(one.share, 4),
+                    "need": round(one.need, 4),
+                    "lent": round(one.loans.lent(self.late), 4),
+                    "borrowed": round(one.loans.borrowed(now), 4),
+                    "machines": len(one.buckets),
+                }
+                for one in self.budgets
+            ],
+        }
--- a/wickhinge/shared/riders.py
+++ b/wickhinge/shared/riders.py
@@ -18,8 +18,16 @@
 LONGEST = 400
 MOST = 8  # of each kind in a datagram
 BUDGETS = 8
-BODY = tuple[tuple[int, int], float, float, bool, list[tuple[float, float]], list[tuple[int, int, float]],
-             list[tuple[int, int, float]], list[tuple[int, int]]]
+BODY = tuple[
+    tuple[int, int],
+    float,
+    float,
+    bool,
+    list[tuple[float, float]],
+    list[tuple[int, int, float]],
+    list[tuple[int, int, float]],
+    list[tuple[int, int]],
+]
 decoder = msgspec.msgpack.Decoder(BODY)
 encoder = msgspec.msgpack.Encoder()
 
--- a/wickhinge/shared/words.py
+++ b/wickhinge/shared/words.py
@@ -39,7 +39,10 @@
     if len(found) > MOST:
         raise Unreadable("more than a datagram holds")
     for word in found:
-        if not (0 <= word.mark < 1 << 32 and WELL <= word.verdict <= COLD and all(
-                isfinite(number) and 0.0 <= number <= LONGEST for number in (word.amount, word.age))):
+        if not (
+            0 <= word.mark < 1 << 32
+            and WELL <= word.verdict <= COLD
+            and all(isfinite(number) and 0.0 <= number <= LONGEST for number in (word.amount, word.age))
+        ):
             raise Unreadable("a word that is none")
     return found
--- a/wickhinge/store/counts.py
+++ b/wickhinge/store/counts.py
@@ -50,8 +50,9 @@
         bucket = self.places[start : start + WAYS]
         at = next((place for place, word in enumerate(bucket) if word >> 16 == mark), -1)
         if at < 0:
-            at = min(range(WAYS), key=lambda place: (self.faded(bucket[place]),
-                                                     -(self.age - (bucket[place] >> 8) & 255)))
+            at = min(
+                range(WAYS), key=lambda place: (self.faded(bucket[place]), -(self.age - (bucket[place] >> 8) & 255))
+            )
             self.pushed_out += bool(self.faded(bucket[at]))
         self.places[start + at] = mark << 16 | self.age << 8 | min(k, MOST) if k > 0 else 0
 
--- a/wickhinge/store/format.py
+++ b/wickhinge/store/format.py
@@ -75,8 +75,7 @@
     return int.from_bytes(mark[:8], "big") ^ segment & MASK
 
 
-def record(key: int, part: int, group: int, tag: bytes, made: float, serial: int, body: bytes,
-           seed: int) -> bytes:
+def record(key: int, part: int, group: int, tag: bytes, made: float, serial: int, body: bytes, seed: int) -> bytes:
     view = memoryview(body)
     sums = [xxh3_64_intdigest(view[at : at + CHUNK], seed) for at in range(0, len(body), CHUNK)]
     head = HEAD.pack(MAGIC, VERSION, len(tag), key, part, group, len(sums), round(made * 1000), len(body), serial)
@@ -106,15 +105,24 @@
 def intact(head: Head, body: bytes | memoryview, seed: int) -> bool:
     """Each chunk by its own checksum; a body cut short is not."""
     return len(body) == head.size and all(
-        xxh3_64_intdigest(body[place * CHUNK : (place + 1) * CHUNK], seed) == one
-        for place, one in enumerate(head.sums))
+        xxh3_64_intdigest(body[place * CHUNK : (place + 1) * CHUNK], seed) == one for place, one in enumerate(head.sums)
+    )
 
 
 def line(sequence: int, kind: int, purge: Purge) -> bytes:
     """One line of the purge log. group: 65535 for everything, the group's otherwise."""
     named = purge.key is not None
-    data = LINE.pack(LINE_MAGIC, kind << 1 | named, VERSION, sequence, purge.key if named else 0,
-                     purge.group & 0xFFFF, round(purge.stamp * 1000), purge.segment, purge.number)
+    data = LINE.pack(
+        LINE_MAGIC,
+        kind << 1 | named,
+        VERSION,
+        sequence,
+        purge.key if named else 0,
+        purge.group & 0xFFFF,
+        round(purge.stamp * 1000),
+        purge.segment,
+        purge.number,
+    )
     return data + SUM.pack(xxh3_64_intdigest(data))
 
 
@@ -127,8 +135,7 @@
             continue
         magic, kind, version, sequence, key, group, stamp, segment, number = LINE.unpack(piece[:-8])
         if magic == LINE_MAGIC and version == VERSION:
-            purge = Purge(key if kind & 1 else None, -1 if group == 0xFFFF else group, stamp / 1000.0, segment,
-                          number)
+            purge = Purge(key if kind & 1 else None, -1 if group == 0xFFFF else group, stamp / 1000.0, segment, number)
             found.append((sequence, kind >> 1, purge))
     return found
 
--- a/wickhinge/store/keep.py
+++ b/wickhinge/store/keep.py
@@ -19,8 +19,18 @@
 
     __slots__ = ("key", "part", "group", "tag", "made", "size", "serial", "place", "body", "proven")
 
-    def __init__(self, key: int, part: int, group: int, tag: bytes, made: float, size: int, serial: int,
-                 place: tuple[int, int, int] | None = None, proven: bool = True) -> None:
+    def __init__(
+        self,
+        key: int,
+        part: int,
+        group: int,
+        tag: bytes,
+        made: float,
+        size: int,
+        serial: int,
+        place: tuple[int, int, int] | None = None,
+        proven: bool = True,
+    ) -> None:
         self.key, self.part, self.group, self.tag = key, part, group, tag
         self.made = made  # seconds, when the origin gave it out
         self.size, self.serial, self.place, self.proven = size, serial, place, proven
--- a/wickhinge/store/purged.py
+++ b/wickhinge/store/purged.py
@@ -48,7 +48,8 @@
         every = sorted((*self.objects.values(), *self.groups.values()), key=lambda purge: purge.stamp)
         for purge in every[: len(every) // 2]:
             (self.objects if purge.key is not None else self.groups).pop(
-                purge.key if purge.key is not None else purge.group, None)
+                purge.key if purge.key is not None else purge.group, None
+            )
         last = every[len(every) // 2 - 1]
         self.told(Purge(None, -1, last.stamp, max(p.segment for p in every), 0))
 
@@ -66,8 +67,7 @@
         """Drops purges told when no segment that is still there had been begun: how many went."""
         before = len(self.objects) + len(self.groups)
         for book in (self.objects, self.groups):
-            for name in [name for name, purge in book.items()
-                         if purge.segment < oldest and now - purge.stamp > YOUNG]:
+            for name in [name for name, purge in book.items() if purge.segment < oldest and now - purge.stamp > YOUNG]:
                 del book[name]
         return before - len(self.objects) - len(self.groups)
 
--- a/wickhinge/store/space.py
+++ b/wickhinge/store/space.py
@@ -56,8 +56,7 @@
 
     def idle(self) -> list[int]:
         """Segments with nothing alive that nobody reads: to be recycled now."""
-        return [one.number for one in self.segments.values()
-                if one.sealed and one.live <= 0 and one.pins == 0]
+        return [one.number for one in self.segments.values() if one.sealed and one.live <= 0 and one.pins == 0]
 
     def victim(self) -> int | None:
         """The sealed segment with the least alive, once room runs short; its copies move to the front."""
--- a/wickhinge/store/store.py
+++ b/wickhinge/store/store.py
@@ -29,10 +29,25 @@
     Times are Unix seconds. now is the clock, after(delay, call) a timer, workers a `Workers` or a test's stand-in.
     """
 
-    def __init__(self, volume: Volume, workers: Any, now: Callable[[], float], after: Callable[..., None],
-                 log: Callable[..., None], size: int, segment: int, memory: int, objects: int, waiting: int,
-                 write_rate: float, read_within: float, reads_at_once: int, snapshot_every: float,
-                 quiet: float, continues: bool) -> None:
+    def __init__(
+        self,
+        volume: Volume,
+        workers: Any,
+        now: Callable[[], float],
+        after: Callable[..., None],
+        log: Callable[..., None],
+        size: int,
+        segment: int,
+        memory: int,
+        objects: int,
+        waiting: int,
+        write_rate: float,
+        read_within: float,
+        reads_at_once: int,
+        snapshot_every: float,
+        quiet: float,
+        continues: bool,
+    ) -> None:
         self.volume, self.workers, self.now, self.after, self.log = volume, workers, now, after, log
         self.keep = Keep(int(FILL * (size - 2 * segment)), Counts(objects))
         self.memory = Tails(memory)
@@ -42,7 +57,11 @@
         self.breaker = Breaker(read_within)
         self.purged = volume.purged
         self.reads_at_once, self.snapshot_every, self.quiet, self.continues = (
-            reads_at_once, snapshot_every, quiet, continues)
+            reads_at_once,
+            snapshot_every,
+            quiet,
+            continues,
+        )
         self.reads = self.serial = self.moves = 0
         self.heard = 0.0  # when the journal last said that there is nothing more
         self.trusted = False  # copies of an earlier start count as proven
@@ -52,8 +71,25 @@
         self.logging = self.snapping = False
         self.snapped = 0.0
         self.swept: list[int] = []
-        self.counted = dict.fromkeys(("found", "read", "memory", "kept", "unwanted", "refused", "damaged", "errors",
-                                      "evicted", "purged", "renewed", "moved", "recycled", "recovered"), 0)
+        self.counted = dict.fromkeys(
+            (
+                "found",
+                "read",
+                "memory",
+                "kept",
+                "unwanted",
+                "refused",
+                "damaged",
+                "errors",
+                "evicted",
+                "purged",
+                "renewed",
+                "moved",
+                "recycled",
+                "recovered",
+            ),
+            0,
+        )
 
     def start(self) -> None:
         """Takes the directory and begins to recover; copies are found as the recovery goes on. Raises Unusable."""
@@ -66,8 +102,7 @@
             self.log("store_distrusted", dir=self.volume.path)
         began = self.now()
         self.snapped = began
-        self.workers.each("slow", self.recover, self.recovered,
-                          lambda _, problem: self.whole(problem, began))
+        self.workers.each("slow", self.recover, self.recovered, lambda _, problem: self.whole(problem, began))
         self.after(TURN, self.turn)
 
     def recover(self, hand: Callable[[Any], None]) -> None:
@@ -97,8 +132,14 @@
         self.recovering = False
         if problem is not None:
             self.counted["errors"] += 1
-        self.log("store_recovered", copies=self.keep.count, bytes=self.keep.used, purges=len(self.purged),
-                 took=round(self.now() - began, 3), problem=None if problem is None else str(problem))
+        self.log(
+            "store_recovered",
+            copies=self.keep.count,
+            bytes=self.keep.used,
+            purges=len(self.purged),
+            took=round(self.now() - began, 3),
+            problem=None if problem is None else str(problem),
+        )
         self.tidy(self.now())
 
     # What the visits ask.
@@ -147,11 +188,21 @@
         self.reads += 1
         self.space.pin(place[0])
         began = self.now()
-        self.workers.run("read", lambda: self.volume.read(place, copy.key, copy.part),
-                         lambda data, problem: self.came(copy, place, began, data, problem, then))
-
-    def came(self, copy: Copy, place: tuple[int, int, int], began: float, data: bytes | None,
-             problem: BaseException | None, then: Callable[[bytes | None, bool], None]) -> None:
+        self.workers.run(
+            "read",
+            lambda: self.volume.read(place, copy.key, copy.part),
+            lambda data, problem: self.came(copy, place, began, data, problem, then),
+        )
+
+    def came(
+        self,
+        copy: Copy,
+        place: tuple[int, int, int],
+        began: float,
+        data: bytes | None,
+        problem: BaseException | None,
+        then: Callable[[bytes | None, bool], None],
+    ) -> None:
         self.reads -= 1
         self.space.unpin(place[0])
         now = self.now()
@@ -203,11 +254,13 @@
         self.counted["kept"] += 1
         for gone in self.keep.put(copy):
             self.dispose(gone)
-        self.workers.run("write", lambda: self.volume.append(copy, body),
-                         lambda place, problem: self.wrote(copy, body, place, problem))
+        self.workers.run(
+            "write",
+            lambda: self.volume.append(copy, body),
+            lambda place, problem: self.wrote(copy, body, place, problem),
+        )
 
-    def wrote(self, copy: Copy, body: bytes, place: tuple[int, int, int] | None,
-              problem: BaseException | None) -> None:
+    def wrote(self, copy: Copy, body: bytes, place: tuple[int, int, int] | None, problem: BaseException | None) -> None:
         self.pace.done(len(body))
         copy.body = None
         now = self.now()
@@ -360,8 +413,10 @@
             self.move()
 
         def heads() -> list[Any]:
-            return [(head.key, head.part, (number, offset, head.whole))
-                    for head, offset in self.volume.heads(number, 0, False)]
+            return [
+                (head.key, head.part, (number, offset, head.whole))
+                for head, offset in self.volume.heads(number, 0, False)
+            ]
 
         self.workers.run("slow", heads, then)
 
@@ -372,8 +427,11 @@
                 continue
             self.moves += 1
             self.space.pin(place[0])
-            self.workers.run("write", lambda copy=copy, place=place: self.again(copy, place),
-                             lambda new, problem, copy=copy, place=place: self.moved(copy, place, new, problem))
+            self.workers.run(
+                "write",
+                lambda copy=copy, place=place: self.again(copy, place),
+                lambda new, problem, copy=copy, place=place: self.moved(copy, place, new, problem),
+            )
         if not self.moving and not self.moves and self.space.cleaning is not None:
             left = self.space.segments.get(self.space.cleaning)
             if left is None or left.live > 0:
@@ -383,8 +441,9 @@
         """On a worker."""
         return self.volume.append(copy, self.volume.read(place, copy.key, copy.part))
 
-    def moved(self, copy: Copy, place: tuple[int, int, int], new: tuple[int, int, int] | None,
-              problem: BaseException | None) -> None:
+    def moved(
+        self, copy: Copy, place: tuple[int, int, int], new: tuple[int, int, int] | None, problem: BaseException | None
+    ) -> None:
         self.moves -= 1
         self.space.unpin(place[0])
         if new is not None:
@@ -407,8 +466,7 @@
         self.snapping, self.snapped = True, now
         # What is written but not yet told lies past these marks, and is found by the scan.
         marks = {one.number: one.size for one in self.space.segments.values()}
-        objects = [(key, self.keep.k(key), list(parts.values()))
-                   for key, parts in reversed(self.keep.objects.items())]
+        objects = [(key, self.keep.k(key), list(parts.values())) for key, parts in reversed(self.keep.objects.items())]
         counts, serial = self.keep.counts.dump(), self.serial
         self.workers.run("slow", lambda: self.volume.snapshot(objects, marks, counts, serial), self.snapped_now)
 
@@ -432,13 +490,29 @@
             self.volume.close()
 
     def figures(self) -> dict[str, Any]:
-        return {**self.counted, "copies": self.keep.count, "bytes": self.keep.used, "disk": self.space.total,
-                "memory_bytes": self.memory.used, "waiting": self.pace.waiting, "purges": len(self.purged),
-                "unlogged": len(self.unlogged), "bypassed": self.breaker.open, "trusted": self.trusted}
-
-
-def make(options: Any, journal: Any, reactor: Any, now: Callable[[], float], after: Callable[..., None],
-         log: Callable[..., None], fault: Callable[[str], None]) -> Store | None:
+        return {
+            **self.counted,
+            "copies": self.keep.count,
+            "bytes": self.keep.used,
+            "disk": self.space.total,
+            "memory_bytes": self.memory.used,
+            "waiting": self.pace.waiting,
+            "purges": len(self.purged),
+            "unlogged": len(self.unlogged),
+            "bypassed": self.breaker.open,
+            "trusted": self.trusted,
+        }
+
+
+def make(
+    options: Any,
+    journal: Any,
+    reactor: Any,
+    now: Callable[[], float],
+    after: Callable[..., None],
+    log: Callable[..., None],
+    fault: Callable[[str], None],
+) -> Store | None:
     """The store that the settings describe, started; None, and one log event, where its directory can't be used."""
     from wickhinge.store.files import Files
     from wickhinge.store.workers import Workers
@@ -446,10 +520,24 @@
     mega = 1 << 20
     volume = Volume(Files(), options.dir, options.segment_mb * mega, journal.continues)
     workers = Workers(reactor, min(options.reads_at_once, 8), fault)
-    store = Store(volume, workers, now, after, log, options.size_mb * mega, options.segment_mb * mega,
-                  options.memory_mb * mega, options.objects, int(options.waiting_mb * mega),
-                  options.write_mb_s * mega, options.read_within_s, options.reads_at_once, options.snapshot_s,
-                  journal.quiet_s, journal.continues)
+    store = Store(
+        volume,
+        workers,
+        now,
+        after,
+        log,
+        options.size_mb * mega,
+        options.segment_mb * mega,
+        options.memory_mb * mega,
+        options.objects,
+        int(options.waiting_mb * mega),
+        options.write_mb_s * mega,
+        options.read_within_s,
+        options.reads_at_once,
+        options.snapshot_s,
+        journal.quiet_s,
+        journal.continues,
+    )
     try:
         store.start()
     except Unusable as problem:
--- a/wickhinge/store/tools.py
+++ b/wickhinge/store/tools.py
@@ -56,9 +56,16 @@
 def listed(volume: Volume, key: int | None = None) -> Iterator[dict[str, Any]]:
     for copy in live(volume).values():
         if key in (None, copy.key):
-            yield {"object": f"{copy.key:016x}", "part": copy.part, "group": copy.group,
-                   "tag": copy.tag.decode("latin-1"), "made": round(copy.made, 3), "bytes": copy.size,
-                   "segment": copy.place[0], "offset": copy.place[1]}
+            yield {
+                "object": f"{copy.key:016x}",
+                "part": copy.part,
+                "group": copy.group,
+                "tag": copy.tag.decode("latin-1"),
+                "made": round(copy.made, 3),
+                "bytes": copy.size,
+                "segment": copy.place[0],
+                "offset": copy.place[1],
+            }
 
 
 def verify(volume: Volume) -> dict[str, Any]:
--- a/wickhinge/store/volume.py
+++ b/wickhinge/store/volume.py
@@ -153,8 +153,9 @@
         if not self.current or self.end >= self.segment_size:
             self.roll()
         number, offset = self.current, self.end
-        data = format.record(copy.key, copy.part, copy.group, copy.tag, copy.made, copy.serial, body,
-                             format.seed(self.mark, number))
+        data = format.record(
+            copy.key, copy.part, copy.group, copy.tag, copy.made, copy.serial, body, format.seed(self.mark, number)
+        )
         try:
             self.files.write(self.handles[number], data, offset)
         except OSError:
@@ -232,8 +233,7 @@
 
     def purge(self, purges: list[Purge]) -> None:
         """Durable in both files when it returns. After a failure the same lines are written again."""
-        lines = b"".join(format.line(self.sequence + place, believe.PURGE, purge)
-                         for place, purge in enumerate(purges))
+        lines = b"".join(format.line(self.sequence + place, believe.PURGE, purge) for place, purge in enumerate(purges))
         for handle in self.logs:
             self.files.write(handle, lines, self.logged * format.LINE_SIZE)
             self.files.sync(handle)
@@ -265,8 +265,9 @@
 
     # Snapshots and recovery.
 
-    def snapshot(self, objects: Iterable[tuple[int, int, list[Copy]]], marks: dict[int, int], counts: bytes,
-                 serial: int) -> int:
+    def snapshot(
+        self, objects: Iterable[tuple[int, int, list[Copy]]], marks: dict[int, int], counts: bytes, serial: int
+    ) -> int:
         """objects: (object, k, copies), the latest used first. marks: to where each segment is known in them.
         Every byte that it names is made durable first. Returns the generation."""
         for number in marks:
@@ -293,8 +294,9 @@
                 self.files.remove(self.at(name))
         return self.generation
 
-    def blocks(self, objects: Iterable[tuple[int, int, list[Copy]]], marks: dict[int, int], counts: bytes,
-               serial: int) -> Iterator[bytes]:
+    def blocks(
+        self, objects: Iterable[tuple[int, int, list[Copy]]], marks: dict[int, int], counts: bytes, serial: int
+    ) -> Iterator[bytes]:
         yield format.snapshot_head(self.mark)
         yield format.block({"serial": serial, "marks": list(marks.items()), "counts": counts})
         batch: list[Any] = []
@@ -322,15 +324,25 @@
             marks, serial = {number: end for number, end in first["marks"]}, first["serial"]
             begin(serial, first["counts"])
             for block in rest:
-                yield [(key, k, [self.listed(key, row) for row in rows if self.there(row[6])])
-                       for key, k, rows in block]
+                yield [
+                    (key, k, [self.listed(key, row) for row in rows if self.there(row[6])]) for key, k, rows in block
+                ]
             break
         for number in sorted(self.sizes, reverse=True):
             start, batch = believe.covered(marks, number, self.sizes[number]), []
             for head, offset in self.heads(number, start, True):
                 serial = max(serial, head.serial)
-                copy = Copy(head.key, head.part, head.group, head.tag, head.made, head.size, head.serial,
-                            (number, offset, head.whole), proven=False)
+                copy = Copy(
+                    head.key,
+                    head.part,
+                    head.group,
+                    head.tag,
+                    head.made,
+                    head.size,
+                    head.serial,
+                    (number, offset, head.whole),
+                    proven=False,
+                )
                 batch.append((head.key, 0, [copy]))
                 if len(batch) == BATCH:
                     yield batch
@@ -343,8 +355,7 @@
         """The blocks of a snapshot, or None if any is damaged: a part of an index would hide copies that count."""
         handle = self.files.open(self.at(name))
         try:
-            blocks = list(format.read_snapshot(lambda size, offset: self.files.read(handle, size, offset),
-                                               self.mark))
+            blocks = list(format.read_snapshot(lambda size, offset: self.files.read(handle, size, offset), self.mark))
         finally:
             self.files.close(handle)
         return blocks[:-1] if blocks[-1] == "end" else None
--- a/wickhinge/store/workers.py
+++ b/wickhinge/store/workers.py
@@ -22,12 +22,16 @@
     def run(self, lane: str, work: Callable[[], Any], then: Callable[[Any, BaseException | None], None]) -> None:
         """then(result, None) or then(None, problem) on the reactor's thread, never before run returns."""
         deferred = deferToThreadPool(self.reactor, self.pools[lane], work)
-        deferred.addCallbacks(lambda result: then(result, None),
-                              lambda failure: then(None, failure.value))
+        deferred.addCallbacks(lambda result: then(result, None), lambda failure: then(None, failure.value))
         deferred.addErrback(self.failed)
 
-    def each(self, lane: str, work: Callable[[Callable[[Any], None]], Any], part: Callable[[Any], None],
-             then: Callable[[Any, BaseException | None], None]) -> None:
+    def each(
+        self,
+        lane: str,
+        work: Callable[[Callable[[Any], None]], Any],
+        part: Callable[[Any], None],
+        then: Callable[[Any, BaseException | None], None],
+    ) -> None:
         """As run, for work that hands on parts as it goes."""
         self.run(lane, lambda: work(lambda thing: self.reactor.callFromThread(part, thing)), then)
 
