What a client asks for and what the settings allow are typed records of interface.py

Change: Router.take and Visit get one Request, Router one Permitted; tuned values of Shelf are named constants; sets of outcomes have names.

--- a/bench/discovery.py
+++ b/bench/discovery.py
@@ -22,7 +22,7 @@
 
 from bench import told
 from wickhinge.decide import Chance, Router
-from wickhinge.interface import Effect, Listing, Outcome, Tariff
+from wickhinge.interface import Effect, Listing, Outcome, Request, Tariff
 from wickhinge.lab.play import emulated
 from wickhinge.lab.wheel import Wheel
 from wickhinge.membership.keeper import Keeper
@@ -411,17 +411,8 @@
     def arrive(self, rate: float) -> None:
         self.arrivals(rate)
         made, members = self.random.choice(self.routers)
-        made.take(
-            HerdCaller(self, made, members),
-            self.tariff,
-            int(self.random.paretovariate(0.9)) % 5000,
-            0,
-            0,
-            100.0,
-            3.0,
-            False,
-            self.now,
-        )
+        request = Request(int(self.random.paretovariate(0.9)) % 5000, 0, 0, 100.0, 3.0)
+        made.take(HerdCaller(self, made, members), self.tariff, request, self.now)
 
     def run(self, seconds: float) -> dict[str, Any]:
         self.wheel.run(self.began + seconds)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from wickhinge.decide import Chance, Cold, Fleet, Purges, Router, Shelf
-from wickhinge.interface import Effect, Listing, Tariff
+from wickhinge.interface import Effect, Listing, Permitted, Request, Tariff
 
 
 class Recorder:
@@ -68,21 +68,16 @@
     edge, upper = Cold(4.0, 1.0, 0.2, 10.0), Cold(2.0, 1.0, 0.1, 10.0)
     chance = Chance(seed)
     fleet = Fleet(chance, "here", routers, "parent", "origin", weighed, edge, upper)
+    permitted = Permitted(joins, direct, second_copies, cancel, probes, loads=True, follows=False)
     made = Router(
         outside,
         chance,
         fleet,
         Shelf(),
         Purges(6.0),
-        joins=joins,
-        direct=direct,
+        permitted,
         flow=1000.0,
         most_forwards=most_forwards,
-        second_copies=second_copies,
-        cancel=cancel,
-        probes=probes,
-        loads=True,
-        follows=False,
         ask_within=0.0,
         longest_wait=0.5,
     )
@@ -98,7 +93,7 @@
 
 def take(made, kind=None, key=5, part=0, size=100.0, now=100.0, group=3, patience=5.0, repeat=False):
     caller = Recorder()
-    return made.take(caller, kind or tariff(), key, part, group, size, patience, repeat, now), caller
+    return made.take(caller, kind or tariff(), Request(key, part, group, size, patience, repeat), now), caller
 
 
 def end(caller, outcome, now, number=-1, closed=False, took=0.01):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -4,7 +4,7 @@
 from helpers import Recorder, end, listing, router, take, tariff
 
 from wickhinge.decide import NEVER_RAN, Chance, Cold, Item, Purges, Shelf
-from wickhinge.interface import Effect, Outcome
+from wickhinge.interface import Effect, Outcome, Request
 
 MISS, OK, FULL, TIMED = Outcome.MISS, Outcome.HONOURED, Outcome.FULL, Outcome.TIMED_OUT
 
@@ -288,7 +288,8 @@
 def test_a_tariff_whose_promise_does_not_stretch_is_served_before_its_mean_is_learned(waited):
     """Guessed at half of the promised time and stretched by two, each was late, and none ever taught the mean."""
     caller = Recorder()
-    router().take(caller, replace(tariff(), promised=0.3, stretch=0.0), 5, 0, 3, 0.0, 2.0, False, 100.0, waited)
+    short = replace(tariff(), promised=0.3, stretch=0.0)
+    router().take(caller, short, Request(5, 0, 3, 0.0, 2.0), 100.0, waited)
     assert len(caller.forwards) == 1 and not caller.answers
 
 
@@ -557,5 +558,5 @@
 @pytest.mark.parametrize("waited, sent", [(0.0, 1), (0.5, 1), (0.7, 0)])
 def test_a_visit_that_waited_too_long_to_be_read_is_denied_at_once(waited, sent):
     made, caller = router(), Recorder()
-    made.take(caller, tariff(), 5, 0, 3, 100.0, 5.0 - waited, False, 100.0, waited)
+    made.take(caller, tariff(), Request(5, 0, 3, 100.0, 5.0 - waited), 100.0, waited)
     assert len(caller.forwards) == sent and bool(caller.answers) is not bool(sent)
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -14,12 +14,31 @@
 from collections import OrderedDict
 from math import log
 
-from wickhinge.interface import ANSWERED, Caller, Copy, Effect, Listing, Note, Outcome, Outside, Tariff
+from wickhinge.interface import (
+    Caller,
+    Copy,
+    Effect,
+    Listing,
+    Note,
+    Outcome,
+    Outside,
+    Permitted,
+    Request,
+    Tariff,
+)
 
 MASK = 2**64 - 1
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT, Outcome.MOOT, Outcome.MISS)  # others may have
 PASSING = (Outcome.ERROR, Outcome.BROKEN, Outcome.UNSENT)  # the same cache may well answer the next time
 FINE = (Outcome.MISS, Outcome.CURRENT, *PASSING)
+REFUSED = (Outcome.FULL, Outcome.ERROR)
+# The same source may fill the next time.
+NOT_THE_SOURCE = (Outcome.MISS, Outcome.FULL, Outcome.BROKEN, Outcome.UNSENT)
+SHELF_SIZE = 20000  # objects whose k is known
+IDLE = 10.0  # seconds in which k halves, at a location's only router
+OFTEN = 6.0  # requests lately, from which an object is asked for often
+MIDDLE = 0.15  # share of the work kept that goes to rank 2
+LATER = 0.12  # of a visit of part 0 at another router, for each later part seen here
 COMING = 1.0  # what will come while a visit is under way, against what is there when it is taken
 LINK = 0.35  # of the location's link's load as told: it counts fills that still wait, and bursts soon past
 EMPTY = 15.0  # a cache that started less than this ago has nothing to push out
@@ -54,10 +73,8 @@
 
 
 class Shelf:  # the count k of leading parts to keep, for each object
-    def __init__(self, routers: int = 1, size: int = 20000, idle: float = 10.0, often: float = 6.0,
-                 middle: float = 0.15, later: float = 0.12) -> None:
-        self.routers, self.size, self.idle = routers, size, idle * routers
-        self.often, self.middle, self.later = often, middle, later
+    def __init__(self, routers: int = 1, size: int = SHELF_SIZE) -> None:
+        self.routers, self.size, self.idle = routers, size, IDLE * routers
         self.items: OrderedDict[int, Item] = OrderedDict()  # the least lately asked first, found at once
         self.kept = self.kept_middle = 0.0
 
@@ -69,12 +86,12 @@
             del self.items[first.key]
         rests = min((now - item.last) / self.idle, 60.0)
         item.k *= 0.5 ** int(rests)
-        item.heat, item.last = item.heat * 0.5 ** rests, now
+        item.heat, item.last = item.heat * 0.5**rests, now
         if part == 0:
             item.heat += 1
             item.k += self.routers * round(item.heat)
         else:  # its part 0 was asked for, but at another router
-            item.k += self.later * (self.routers - 1)
+            item.k += LATER * (self.routers - 1)
         return item
 
     def rank(self, item: Item, part: int, work: float) -> int:
@@ -82,7 +99,7 @@
         if part >= item.k:
             return 0
         self.kept = self.kept * 0.999 + work
-        middle = item.heat >= self.often and self.kept_middle + work <= self.middle * self.kept
+        middle = item.heat >= OFTEN and self.kept_middle + work <= MIDDLE * self.kept
         self.kept_middle = self.kept_middle * 0.999 + work * middle
         return 1 + middle
 
@@ -184,8 +201,8 @@
 
     def usable(self, now: float) -> bool:
         """One that failed lately is tried again by one visit at a time."""
-        return self.state == "ready" and now >= self.shunned and not (
-            self.lost and (self.pending or self.filling))
+        busy = self.pending or self.filling
+        return self.state == "ready" and now >= self.shunned and not (self.lost and busy)
 
     def failed(self, now: float, outcome: Outcome = Outcome.TIMED_OUT) -> None:
         """Two failures in a row are no chance: it rests, then is as new. A broken connection tells little."""
@@ -203,8 +220,17 @@
 
 
 class Fleet:
-    def __init__(self, chance: Chance, zone: str, routers: int, parent_kind: str | None,
-                 origin_kind: str | None, weighed: bool, edge: Cold, upper: Cold) -> None:
+    def __init__(
+        self,
+        chance: Chance,
+        zone: str,
+        routers: int,
+        parent_kind: str | None,
+        origin_kind: str | None,
+        weighed: bool,
+        edge: Cold,
+        upper: Cold,
+    ) -> None:
         self.chance, self.zone, self.routers, self.weighed = chance, zone, max(routers, 1), weighed
         self.parent_kind, self.origin_kind, self.edge, self.upper = parent_kind, origin_kind, edge, upper
         self.known, self.mine, self.parents, self.origin, self.dealt, self.told = {}, [], [], None, None, 0
@@ -236,9 +262,11 @@
 
     def order(self, caches: list[Cache], salt: int, now: float) -> list[Cache]:
         """Weighted rendezvous: losing a machine moves only its own keys. A cold cache weighs less."""
+
         def score(cache: Cache) -> tuple[float, int]:
             weight = cache.weight * (self.edge.part(cache, now) if cache.zone == self.zone else 1.0)
             return weight / log(((mix(salt, cache.salt) >> 11) + 0.5) / (1 << 53)), cache.mark
+
         return sorted(caches, key=score)
 
     def count(self) -> None:  # pooled: where a hundred share a load, one's own count is chance
@@ -267,12 +295,21 @@
 
 
 class Visit:
-    def __init__(self, router: Router, caller: Caller, tariff: Tariff, item: Item, part: int, group: int,
-                 work: float, known: bool, patience: float, repeat: bool, now: float) -> None:
-        self.router, self.caller, self.tariff, self.item, self.part = router, caller, tariff, item, part
-        self.group, self.repeat, self.salt = group, repeat, mix(part, mix(item.key))
-        self.work, self.known = work, known  # its sending time, or a guess by the tariff's mean
-        self.expires = now + patience
+    def __init__(
+        self,
+        router: Router,
+        caller: Caller,
+        tariff: Tariff,
+        item: Item,
+        request: Request,
+        work: float,
+        now: float,
+    ) -> None:
+        self.router, self.caller, self.tariff, self.item = router, caller, tariff, item
+        self.part, self.group, self.repeat = request.part, request.group, request.repeat
+        self.salt = mix(request.part, mix(item.key))
+        self.work, self.known = work, request.size or item.work  # its sending time; else the tariff's mean
+        self.expires = now + request.patience
         self.due = min(now + tariff.promised + tariff.stretch * work, self.expires)
         self.forwards, self.done, self.held, self.rest = [], False, False, 0.0  # held: waits here, till rest
         self.at = self.copy = None  # whose miss is to be filled; of our own, its tag offered by forwards
@@ -287,8 +324,9 @@
     def allowed(self, cache: Cache, now: float) -> bool:
         """Against a second effect: what may have run is repeated only where a repeat is dropped."""
         risky = self.risky()
-        if len(self.forwards) >= self.router.most_forwards or (
-                not self.router.second_copies and self.pending()) or not self.trusts(cache):
+        if len(self.forwards) >= self.router.most_forwards or not self.trusts(cache):
+            return False
+        if self.pending() and not self.router.second_copies:
             return False
         if not risky or self.tariff.effect is Effect.RERUNNABLE:
             return True
@@ -296,7 +334,8 @@
             return False
         group = self.tariff.group
         return group == "all" or all(
-            f.cache.zone == cache.zone and (group == "zone" or f.cache.cell == cache.cell) for f in risky)
+            f.cache.zone == cache.zone and (group == "zone" or f.cache.cell == cache.cell) for f in risky
+        )
 
     def trusts(self, cache: Cache) -> bool:  # what has effects goes to no machine that only an old list names
         return cache.trusted or self.tariff.effect is Effect.RERUNNABLE
@@ -304,7 +343,8 @@
     def late(self, crowd: float, now: float) -> bool:
         # A repeat's promise mostly ran out with its first try: in a crowd it takes pace from first tries.
         return not self.tariff.passes_on and (
-            now + self.work * (max(crowd, 1.0) + COMING * crowd) > self.due or self.repeat and crowd > 1.0)
+            now + self.work * (max(crowd, 1.0) + COMING * crowd) > self.due or self.repeat and crowd > 1.0
+        )
 
     def fits(self, cache: Cache, now: float) -> bool:
         return cache.usable(now) and self.allowed(cache, now) and self.router.fleet.room(cache, self, now)
@@ -312,9 +352,10 @@
     def own(self, now: float, last: bool = False) -> bool:
         """Whether a copy of ours answers: a fresh one, or in place of a denial one in its grace."""
         copy, tariff, copies = self.copy, self.tariff, self.router.copies
-        answers = copy is not None and copies.proven(copy, now) and (
-            not tariff.fresh or now - copy.made <= tariff.fresh + last * tariff.grace) and (
-            copies.ends(copy, now) <= (self.expires if last else self.due))
+        answers = copy is not None and copies.proven(copy, now)
+        if answers and tariff.fresh:
+            answers = now - copy.made <= tariff.fresh + last * tariff.grace
+        answers = answers and copies.ends(copy, now) <= (self.expires if last else self.due)
         self.copy = None if answers or last else copy
         if answers:
             self.caller.read(copy)
@@ -391,8 +432,10 @@
         self.rest = now + 0.3 * self.router.chance.draw()
         if not self.held:
             self.held = True
-            self.router.outside.wake(max(self.due - 0.9 * self.work - now, 0.001),
-                                     lambda then: self.give_up(then) if self.held else None)
+            self.router.outside.wake(
+                max(self.due - 0.9 * self.work - now, 0.001),
+                lambda then: self.give_up(then) if self.held else None,
+            )
 
     def send(self, cache: Cache, source: Cache, now: float, rank: int = -1, held: bool = False) -> None:
         router, tariff, self.held = self.router, self.tariff, False
@@ -408,8 +451,8 @@
         if source is not cache:
             source.filling.add(forward)
             source.charge(router.mean(tariff))
-        self.caller.forward(forward, cache, self.expires - now, source, rank, oldest,
-                            router.joins and source is not cache, held, bool(rank and tariff.fresh))
+        join, renew = router.joins and source is not cache, bool(rank and tariff.fresh)
+        self.caller.forward(forward, cache, self.expires - now, source, rank, oldest, join, held, renew)
         latest = 0.3 + 2 * (self.work + source.lag(self))
         router.outside.wake(latest, lambda then: self.overdue(forward, then))
 
@@ -429,8 +472,16 @@
             else:
                 self.look(now)
 
-    def ended(self, forward: Forward, outcome: Outcome, took: float, closed: bool, note: Note | None,
-              now: float, load: dict[str, float] | None = None) -> None:
+    def ended(
+        self,
+        forward: Forward,
+        outcome: Outcome,
+        took: float,
+        closed: bool,
+        note: Note | None,
+        now: float,
+        load: dict[str, float] | None = None,
+    ) -> None:
         """closed: the visit has its final answer, by this outcome or earlier. load: as told beside it."""
         router, cache, source = self.router, forward.cache, forward.source
         forward.pending, forward.outcome = False, outcome
@@ -440,7 +491,7 @@
         filled, ours = source is not cache, cache in router.fleet.mine and not self.tariff.passes_on
         if load and cache in router.fleet.mine:
             router.loaded(load)
-        if outcome in ANSWERED:
+        if outcome.answered:
             cache.answered(now)
         elif outcome not in (Outcome.MOOT, Outcome.WITHDRAWN, Outcome.UNSENT) and cache.heard < forward.sent:
             cache.failed(now, outcome)
@@ -465,7 +516,8 @@
         elif self.pending():
             return
         elif now + self.work > self.due or (
-                outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE):
+            outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE
+        ):
             self.give_up(now)
         elif filled and ours and not forward.held and source in self.refusing and cache.usable(now):
             self.at = cache
@@ -494,8 +546,8 @@
         """Given up on: answered at once, with a time to come back where a new try is harmless."""
         if self.done or self.own(now, True):
             return
-        harmless = self.tariff.effect is Effect.RERUNNABLE or not self.risky() or (
-            self.tariff.effect is Effect.TICKETED and self.tariff.group == "all")
+        harmless = self.tariff.effect is Effect.RERUNNABLE or not self.risky()
+        harmless |= self.tariff.effect is Effect.TICKETED and self.tariff.group == "all"
         self.finish(now)
         if harmless:
             return self.caller.deny(self.router.longest_wait)
@@ -503,15 +555,25 @@
 
 
 class Router:
-    def __init__(self, outside: Outside, chance: Chance, fleet: Fleet, shelf: Shelf, purges: Purges,
-                 joins: bool, direct: bool, flow: float, most_forwards: int, second_copies: bool,
-                 cancel: bool, probes: bool, loads: bool, follows: bool, ask_within: float,
-                 longest_wait: float) -> None:
+    def __init__(
+        self,
+        outside: Outside,
+        chance: Chance,
+        fleet: Fleet,
+        shelf: Shelf,
+        purges: Purges,
+        permitted: Permitted,
+        flow: float,
+        most_forwards: int,
+        ask_within: float,
+        longest_wait: float,
+    ) -> None:
         self.outside, self.chance, self.fleet, self.shelf = outside, chance, fleet, shelf
-        self.purges, self.joins, self.direct, self.flow = purges, joins, direct, flow
-        self.most_forwards, self.second_copies, self.cancel = most_forwards, second_copies, cancel
-        self.probes, self.follows, self.longest_wait = probes, follows, longest_wait
-        self.loads = probes and loads  # probes alone bring the machines' load
+        self.purges, self.joins, self.direct, self.flow = purges, permitted.joins, permitted.direct, flow
+        self.most_forwards, self.second_copies = most_forwards, permitted.second_copies
+        self.cancel, self.probes, self.follows = permitted.cancel, permitted.probes, permitted.follows
+        self.longest_wait = longest_wait
+        self.loads = permitted.probes and permitted.loads  # probes alone bring the machines' load
         self.ask_again = ask_within / 8 or 1.0  # a failed call is made up for before the list counts as old
         self.means, self.queue, self.copies = {}, [], None  # by tariffs; visits that wait; of our own, if any
         self.gap = self.turn = 0.0  # between two fetches from an origin that refuses; the next one's time
@@ -526,20 +588,21 @@
     def list_lost(self, now: float) -> None:
         self.outside.wake(self.ask_again * (0.5 + self.chance.draw()), lambda then: self.outside.follow())
 
-    def take(self, caller: Caller, tariff: Tariff, key: int, part: int, group: int, size: float,
-             patience: float, repeat: bool, now: float, waited: float = 0.0) -> Visit:  # size in KB
-        item = self.shelf.visit(key, part, now)
-        work = size / self.flow if size else item.work or self.mean(tariff)
+    def take(
+        self, caller: Caller, tariff: Tariff, request: Request, now: float, waited: float = 0.0
+    ) -> Visit:
+        item = self.shelf.visit(request.key, request.part, now)
+        work = request.size / self.flow if request.size else item.work or self.mean(tariff)
         self.fleet.count()
-        visit = Visit(self, caller, tariff, item, part, group, work, size or item.work, patience, repeat, now)
+        visit = Visit(self, caller, tariff, item, request, work, now)
         visit.due -= waited  # behind with its work, a router takes less instead of answering all too late
         if self.copies and tariff.effect is Effect.RERUNNABLE and not tariff.passes_on:
-            self.copies.visit(key, part)
-            visit.copy = self.copies.find(key, part, now)
+            self.copies.visit(request.key, request.part)
+            visit.copy = self.copies.find(request.key, request.part, now)
         if not visit.own(now):
             visit.look(now)
         if not visit.done:
-            self.outside.wake(max(patience - GIVE_UP, 0.0), visit.give_up)
+            self.outside.wake(max(request.patience - GIVE_UP, 0.0), visit.give_up)
         return visit
 
     def mean(self, tariff: Tariff) -> float:
@@ -554,8 +617,7 @@
 
     def source(self, visit: Visit, now: float) -> Cache | None:
         """The parent on the object's hash, the next where one fails or is too cold, then the origin."""
-        failed = [f.source for f in visit.forwards if not f.pending and f.outcome not in (
-            Outcome.MISS, Outcome.FULL, Outcome.BROKEN, Outcome.UNSENT)]
+        failed = [f.source for f in visit.forwards if not f.pending and f.outcome not in NOT_THE_SOURCE]
         for source in [*self.fleet.order(self.fleet.parents, visit.item.key, now), self.fleet.origin]:
             if source and source.usable(now) and source not in failed and self.fleet.room(source, visit, now):
                 return source
@@ -566,7 +628,7 @@
         source, visit = forward.source, forward.visit
         crowd = max(forward.cache.crowd(), self.link_crowd(), 1.0)
         lag = (took - visit.work * crowd) / (visit.work + 0.1)
-        if refused := outcome in (Outcome.FULL, Outcome.ERROR):
+        if refused := outcome in REFUSED:
             lag = 5.0  # from all routers the same refused fills would come again at once
         origin, name, missed = self.fleet.origin, visit.tariff.name, outcome is Outcome.MISS
         if missed or note is Note.ORIGIN_FAILED:
@@ -587,8 +649,7 @@
             source.answered(now)
         elif note is Note.SOURCE_LOST:
             source.failed(now, Outcome.UNREACHED)
-        elif note is None and outcome in (Outcome.ERROR, Outcome.FULL) and (
-                self.probes and now - source.asked > 1.0):
+        elif note is None and outcome in REFUSED and self.probes and now - source.asked > 1.0:
             source.asked = now  # refused or dead? Nothing tells, so it is asked itself
             self.outside.probe(source)
         self.serve(now)
--- a/wickhinge/interface.py
+++ b/wickhinge/interface.py
@@ -35,8 +35,13 @@
     MOOT = "moot"
     MISS = "miss"
 
+    @property
+    def answered(self) -> bool:
+        """Whether the machine spoke."""
+        return self in ANSWERED
 
-ANSWERED = (Outcome.HONOURED, Outcome.CURRENT, Outcome.MISS, Outcome.FULL, Outcome.ERROR)  # the machine spoke
+
+ANSWERED = (Outcome.HONOURED, Outcome.CURRENT, Outcome.MISS, Outcome.FULL, Outcome.ERROR)
 
 
 class Note(Enum):
@@ -88,6 +93,31 @@
     trusted: bool = True  # False: nobody vouches for it now, and it has yet to prove itself
 
 
+@dataclass(frozen=True, slots=True)
+class Permitted:
+    """What the settings let a router do."""
+
+    joins: bool  # a fill may join one that is under way
+    direct: bool  # a visit may go straight to a parent or the origin
+    second_copies: bool  # a second forward of a visit may go out while one is
+    cancel: bool  # a forward may be withdrawn
+    probes: bool
+    loads: bool  # probes bring the machines' load
+    follows: bool  # the list of machines is asked for, not pushed
+
+
+@dataclass(slots=True)
+class Request:
+    """What a client asks for."""
+
+    key: int  # of the object
+    part: int  # of it, from 0
+    group: int  # of objects, purged together
+    size: float  # in KB; 0 where it is not told
+    patience: float  # seconds until the client gives up
+    repeat: bool = False  # marked by the client as one
+
+
 class Caller(Protocol):
     """Whoever sent the visit; one for each visit. deny and abandon are final answers."""
 
--- a/wickhinge/lab/play.py
+++ b/wickhinge/lab/play.py
@@ -10,7 +10,7 @@
 import numpy as np
 
 from wickhinge.decide import Chance, Cold, Fleet, Purges, Router, Shelf, Visit
-from wickhinge.interface import Effect, Listing, Outcome, Tariff
+from wickhinge.interface import Effect, Listing, Outcome, Permitted, Request, Tariff
 from wickhinge.lab.judge import Judge
 from wickhinge.lab.machines import Fabric, Machine
 from wickhinge.lab.scenario import Failure, Scenario
@@ -23,21 +23,18 @@
     """The module as a front builds it, with what the laboratory does not vary. routers: of its location; cold: what
     topples a machine times its capacity, over which seconds, its pace at first, seconds until it is warm."""
     fleet = Fleet(chance, zone, routers, "parent", "origin", True, Cold(*cold), Cold(*cold))
+    permitted = Permitted(
+        joins=False, direct=True, second_copies=True, cancel=True, probes=True, loads=False, follows=False
+    )
     return Router(
         outside,
         chance,
         fleet,
         Shelf(fleet.routers),
         Purges(6.0),
-        joins=False,
-        direct=True,
+        permitted,
         flow=1000.0,
         most_forwards=6,
-        second_copies=True,
-        cancel=True,
-        probes=True,
-        loads=False,
-        follows=False,
         ask_within=0.0,
         longest_wait=0.5,
     )
@@ -288,7 +285,9 @@
         asked = Asked(self.count, now, s.patience_s, key, part, exclusive, again, number)
         tariff = self.results if exclusive else self.clips
         client = Client(self, asked)
-        visit: Visit = self.routers[number].take(client, tariff, key, part, 0, 0.0, s.patience_s, again > 0, now)
+        visit: Visit = self.routers[number].take(
+            client, tariff, Request(key, part, 0, 0.0, s.patience_s, again > 0), now
+        )
         if s.plant == "repeats" and exclusive and not visit.done:
             self.wheel.after(0.2, self.planted_repeat, client, visit)
         if s.plant == "answers":
--- a/wickhinge/net/members.py
+++ b/wickhinge/net/members.py
@@ -11,7 +11,7 @@
 from wickhinge import settings
 from wickhinge.decide import Chance
 from wickhinge.fields import Malformed, endpoint
-from wickhinge.interface import ANSWERED, Effect, Listing, Outcome
+from wickhinge.interface import Effect, Listing, Outcome
 from wickhinge.membership import remembered, talk
 from wickhinge.membership.backoff import Backoff
 from wickhinge.membership.keeper import Keeper, Unusable
@@ -127,8 +127,8 @@
         self.backoff.well()
 
     def ended(self, sent: Any, outcome: Outcome) -> None:
-        if sent.door.tariff.effect is Effect.RERUNNABLE and outcome in (*ANSWERED, *FAILED):
-            self.members.ended(sent.cache.mark, outcome in ANSWERED, self.now())
+        if sent.door.tariff.effect is Effect.RERUNNABLE and (outcome.answered or outcome in FAILED):
+            self.members.ended(sent.cache.mark, outcome.answered, self.now())
 
     def purge(self, key: int | None, group: int, stamp: float) -> None:
         self.members.purge(key, group, stamp, self.now())
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from wickhinge.interface import Effect
+from wickhinge.interface import Effect, Request
 from wickhinge.net.buffers import Body, Pool
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.forwards import Forwards
@@ -209,7 +209,8 @@
         self.taken += 1
         door.until = now + patience - SLACK
         try:
-            visit = self.router.take(door, tariff, key, part, group, 0.0, patience, "again" in fields, now, waited)
+            request = Request(key, part, group, 0.0, patience, "again" in fields)
+            visit = self.router.take(door, tariff, request, now, waited)
             if not door.final:  # over already, it would only close the circle that ended() opens
                 door.visit = visit
         except Exception:
--- a/wickhinge/settings.py
+++ b/wickhinge/settings.py
@@ -17,7 +17,7 @@
     text,
     word,
 )
-from wickhinge.interface import Effect, Outside, Tariff
+from wickhinge.interface import Effect, Outside, Permitted, Tariff
 
 EFFECTS = {"pure": Effect.RERUNNABLE, "token": Effect.TICKETED, "side_effect": Effect.EXCLUSIVE}
 
@@ -105,21 +105,24 @@
         upper,
     )
     wait = seconds("conf.limits", limits, "maxRetryAfterMs") if flag("conf.limits", limits, "retryAfter") else 0.0
+    permitted = Permitted(
+        joins=flag(info, family, "joins"),
+        direct=flag(info, family, "passThroughOk"),
+        second_copies=flag("conf.limits", limits, "mayDuplicate"),
+        cancel=flag("conf.limits", limits, "cancel"),
+        probes=flag("conf.limits", limits, "probes"),
+        loads=text("conf.stats", stats, "how") == "on_probe",
+        follows=text("conf", conf, "discovery") == "ask",
+    )
     router = Router(
         outside,
         chance,
         fleet,
         Shelf(fleet.routers),
         Purges(seconds(info, family, "goneEverywhereMs")),
-        joins=flag(info, family, "joins"),
-        direct=flag(info, family, "passThroughOk"),
+        permitted,
         flow=number(info, family, "oneFlowKbPerS"),
         most_forwards=integer("conf.limits", limits, "mostTries"),
-        second_copies=flag("conf.limits", limits, "mayDuplicate"),
-        cancel=flag("conf.limits", limits, "cancel"),
-        probes=flag("conf.limits", limits, "probes"),
-        loads=text("conf.stats", stats, "how") == "on_probe",
-        follows=text("conf", conf, "discovery") == "ask",
         ask_within=seconds("conf.rules", rules, "mustAskInMs", 0.0),
         longest_wait=wait,
     )
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -8,7 +8,7 @@
 
 from wickhinge import fields as checks
 from wickhinge.fields import Malformed
-from wickhinge.interface import Listing, Note, Outcome
+from wickhinge.interface import Listing, Note, Outcome, Request
 from wickhinge.settings import build
 from wickhinge.wirehost import codec
 
@@ -150,17 +150,15 @@
             raise Malformed(f"{name}: field kind names no class of the settings", self.number)
         door = self.doors[checks.text(name, fields, "ref")] = Door(self, fields["ref"])
         content = fields.get("contentId")
-        door.visit = self.router.take(
-            door,
-            tariff,
+        request = Request(
             0 if content is None else checks.hexadecimal(name, fields, "contentId"),
             checks.integer(name, fields, "chunk", 0),
             checks.integer(name, fields, "batchId", 0),
             checks.number(name, fields, "lengthKb", 0.0),
             checks.seconds(name, fields, "expiresInMs"),
             checks.flag(name, fields, "repeat", False),
-            now,
         )
+        door.visit = self.router.take(door, tariff, request, now)
 
     def resolved(self, name: str, fields: dict[str, Any], now: float) -> None:
         forward, outcome = self.sent(name, fields), self.outcome(name, fields)
