Change log: entries, messages, codec and the signatures of its state machines

Need: purges and settings of 1,600 routers are to come from an ordered log handed down by relays, and the sockets are written against its messages and state machines. Nothing imports it yet.

--- /dev/null
+++ b/wickhinge/changelog/effects.py
@@ -0,0 +1,65 @@
+"""What a state machine wants done, as values. They are to be done in the order in which they are returned."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wickhinge.changelog.entries import Entry
+from wickhinge.changelog.log import Snapshot
+from wickhinge.changelog.messages import Packet, Record
+
+
+class Send(msgspec.Struct, frozen=True):
+    """One datagram to the process named `to`. It may be lost. `codec.Codec.encode` makes its bytes."""
+
+    to: str
+    packet: Packet
+
+
+class Persist(msgspec.Struct, frozen=True):
+    """To be on stable storage before any later effect is done: epoch, term and vote ("" for none), then the log cut
+    after `kept` (numbers above it are removed) and `records` appended."""
+
+    epoch: int
+    term: int
+    vote: str
+    kept: int
+    records: tuple[Record, ...]
+
+
+class PersistSnapshot(msgspec.Struct, frozen=True):
+    """To be on stable storage before any later effect is done: the snapshot replaces all records up to its number, and
+    all others too where `clear`. `term` is that of the snapshot's last entry."""
+
+    snapshot: Snapshot
+    term: int
+    clear: bool
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """The change proposed has this number if it is committed in this term; another change may get the number if the
+    leader changes first. The proposer waits for a Committed that holds the same change under this number."""
+
+    number: int
+    term: int
+
+
+class Committed(msgspec.Struct, frozen=True):
+    """These entries are committed: they never change within their epoch."""
+
+    entries: tuple[Entry, ...]
+
+
+class Apply(msgspec.Struct, frozen=True):
+    """The next entry in order, once. Noop and Unknown changes, too: whoever does not know them skips them."""
+
+    entry: Entry
+
+
+class Reset(msgspec.Struct, frozen=True):
+    """The state is the snapshot's now: its settings replace all others, its purges are added to those known."""
+
+    snapshot: Snapshot
+
+
+Effect = Send | Persist | PersistSnapshot | Accepted | Committed | Apply | Reset
--- /dev/null
+++ b/wickhinge/changelog/log.py
@@ -0,0 +1,134 @@
+"""The bounded in-memory log of a replica or a relay, and the snapshot that stands for what is no longer retained."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+
+from wickhinge.changelog.entries import (
+    EMPTY_DIGEST,
+    Entry,
+    Purge,
+    Setting,
+    most_size,
+    next_digest,
+    understood,
+)
+
+MOST_RETAINED = 65536
+MOST_SETTINGS = 4096
+MOST_PURGES = 65536
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """The state after entry `number`: the settings in force, sorted by name, and the purges of the last while.
+
+    `incomplete`: a change that had to be understood was not, by the process that cut the snapshot or by one that it
+    had it from.
+    """
+
+    epoch: int
+    number: int
+    digest: bytes
+    settings: tuple[Setting, ...]
+    purges: tuple[Purge, ...]
+    incomplete: bool = False
+
+
+EMPTY_SNAPSHOT = Snapshot(0, 0, EMPTY_DIGEST, (), ())
+
+
+class OutOfOrder(ValueError):
+    """The entry is not the next one of this log."""
+
+
+class Log:
+    """The last `retain` entries, their digests, and the state after the last of them.
+
+    `purge_horizon_s`: how long after its arrival here a purge stays in snapshots, longer than any copy's grace.
+    """
+
+    def __init__(self, retain: int = 16384, purge_horizon_s: float = 120.0) -> None:
+        self.retain = min(max(retain, 1), MOST_RETAINED)
+        self.purge_horizon_s = purge_horizon_s
+        self.epoch = 0
+        self.last = 0  # number of the last entry; 0 where there was none
+        self.digest = EMPTY_DIGEST
+        self.incomplete = False
+        self._entries: deque[tuple[Entry, int, bytes]] = deque()  # with encoded size and digest after it
+        self._base_digest = EMPTY_DIGEST  # before the first retained entry
+        self._settings: dict[str, Setting] = {}
+        self._purges: deque[tuple[float, Purge]] = deque()  # by time of arrival
+
+    @property
+    def first(self) -> int:
+        """Number of the first retained entry; `last` + 1 where none is retained."""
+        return self.last - len(self._entries) + 1
+
+    def append(self, entry: Entry, now: float) -> None:
+        """Raises OutOfOrder."""
+        if entry.epoch != self.epoch or entry.number != self.last + 1:
+            raise OutOfOrder(f"entry {entry.epoch}/{entry.number} after {self.epoch}/{self.last}")
+        self.digest = next_digest(self.digest, entry)
+        self.last = entry.number
+        self._entries.append((entry, most_size(entry.change), self.digest))
+        if len(self._entries) > self.retain:
+            self._base_digest = self._entries.popleft()[2]
+        self._fold(entry, now)
+
+    def entries_from(self, number: int, most_bytes: int, most_entries: int) -> tuple[Entry, ...]:
+        """Entries from `number` on: at least one, else as many as fit by their size at most. Empty where `number` is
+        past the last or no longer retained."""
+        if not self.first <= number <= self.last:
+            return ()
+        found, size = [], 0
+        for place in range(number - self.first, len(self._entries)):
+            entry, entry_size, _ = self._entries[place]
+            size += entry_size
+            if found and (size > most_bytes or len(found) >= most_entries):
+                break
+            found.append(entry)
+        return tuple(found)
+
+    def digest_at(self, number: int) -> bytes | None:
+        """The digest after entry `number`; None where that is not known here."""
+        if number == self.first - 1:
+            return self._base_digest
+        if not self.first <= number <= self.last:
+            return None
+        return self._entries[number - self.first][2]
+
+    def snapshot(self, now: float) -> Snapshot:
+        self._forget_purges(now)
+        settings = tuple(self._settings[name] for name in sorted(self._settings))
+        purges = tuple(purge for _, purge in self._purges)
+        return Snapshot(self.epoch, self.last, self.digest, settings, purges, self.incomplete)
+
+    def load(self, snapshot: Snapshot, now: float) -> None:
+        """Replaces the state. Purges known so far are kept, for as long as if they had come now."""
+        known = set(snapshot.purges)
+        kept = [purge for _, purge in self._purges if purge not in known]
+        self.epoch, self.last = snapshot.epoch, snapshot.number
+        self.digest = self._base_digest = snapshot.digest
+        self.incomplete = snapshot.incomplete
+        self._entries.clear()
+        self._settings = {setting.name: setting for setting in snapshot.settings}
+        self._purges = deque(((now, purge) for purge in [*kept, *snapshot.purges]), maxlen=MOST_PURGES)
+
+    def _fold(self, entry: Entry, now: float) -> None:
+        change = entry.change
+        if isinstance(change, Setting):
+            if change.name in self._settings or len(self._settings) < MOST_SETTINGS:
+                self._settings[change.name] = change
+        elif isinstance(change, Purge):
+            self._purges.append((now, change))
+            self._forget_purges(now)
+        elif not understood(change):
+            self.incomplete = True
+
+    def _forget_purges(self, now: float) -> None:
+        while self._purges and now - self._purges[0][0] > self.purge_horizon_s:
+            self._purges.popleft()
+        while len(self._purges) > MOST_PURGES:
+            self._purges.popleft()
