--- a/wickhinge/changelog/codec.py
+++ b/wickhinge/changelog/codec.py
@@ -245,7 +245,7 @@
 def write_append(writer: Writer, message: messages.Append, form: int) -> None:
     for value in (message.epoch, message.term, message.previous_number, message.previous_term):
         writer.varint(value)
-    for value in (message.commit, message.vouched, min(message.age_ms, MOST_MS), message.round):
+    for value in (message.commit, message.first, min(message.age_ms, MOST_MS), message.round):
         writer.varint(value)
     writer.byte(len(message.records))
     for record in message.records:
@@ -255,13 +255,11 @@
 
 def read_append(reader: Reader, form: int) -> messages.Append:
     epoch, term, previous_number, previous_term = (reader.number() for _ in range(4))
-    commit, vouched, age_ms, count_of_rounds = reader.number(), reader.number(), reader.varint(MOST_MS), reader.number()
+    commit, first, age_ms, round_number = reader.number(), reader.number(), reader.varint(MOST_MS), reader.number()
     terms = [reader.number() for _ in range(reader.byte())]
     entries = read_entries(reader, form, epoch, previous_number + 1, len(terms))
     records = tuple(messages.Record(*pair) for pair in zip(terms, entries, strict=True))
-    return messages.Append(
-        epoch, term, previous_number, previous_term, records, commit, vouched, age_ms, count_of_rounds
-    )
+    return messages.Append(epoch, term, previous_number, previous_term, records, commit, first, age_ms, round_number)
 
 
 def write_appended(writer: Writer, message: messages.Appended, form: int) -> None:
--- /dev/null
+++ b/wickhinge/changelog/echo.py
@@ -0,0 +1,71 @@
+"""Freshness without comparing clocks: a token that is drawn here and comes back in the other side's packets.
+
+A packet that echoes a token, and says that it held it for h, was sent h after the token was drawn, or later.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from wickhinge.changelog.messages import UNVOUCHED
+from wickhinge.changelog.settings import CLOCK_DRIFT
+
+SESSION_BITS = 40
+COUNTER_BITS = 24
+MOST_TOKENS = 64  # remembered
+# A duration measured by another clock, times this, is no longer than the same duration by this clock; divided by
+# this, it is no shorter.
+RATE_FACTOR = (1 - CLOCK_DRIFT) / (1 + CLOCK_DRIFT)
+
+
+class EchoClock:
+    """Draws tokens and dates the packets that echo them. `session`: as for a Follower."""
+
+    def __init__(self, session: int) -> None:
+        self._session = session % (1 << SESSION_BITS)
+        self._count = 0
+        self._drawn: OrderedDict[int, float] = OrderedDict()
+
+    def draw(self, now: float) -> int:
+        """A new token, never 0."""
+        self._count = self._count % ((1 << COUNTER_BITS) - 1) + 1
+        token = self._session << COUNTER_BITS | self._count
+        self._drawn[token] = now
+        if len(self._drawn) > MOST_TOKENS:
+            self._drawn.popitem(last=False)
+        return token
+
+    def sent_after(self, echo: int, held_ms: int) -> float | None:
+        """A time, by this clock, before which the packet was not sent. None for a token that is not ours or too old."""
+        drawn = self._drawn.get(echo)
+        return None if drawn is None else drawn + held_ms / 1000 * RATE_FACTOR
+
+
+class HeldToken:
+    """The latest token of another process, to be echoed to it."""
+
+    __slots__ = ("token", "since")
+
+    def __init__(self) -> None:
+        self.token = 0
+        self.since = 0.0
+
+    def hold(self, token: int, now: float) -> None:
+        if token:
+            self.token, self.since = token, now
+
+    def held_ms(self, now: float) -> int:
+        """Rounded down: the packet must not seem younger than it is."""
+        return max(int((now - self.since) * 1000), 0) if self.token else 0
+
+
+def age_ms(until: float | None, now: float) -> int:
+    """The age of knowledge that is complete until `until`, rounded up; UNVOUCHED where there is none."""
+    if until is None or until == float("-inf"):
+        return UNVOUCHED
+    return min(max(int((now - until) * 1000) + 1, 0), UNVOUCHED)
+
+
+def complete_until(sent_after: float, told_age_ms: int) -> float | None:
+    """The time, by this clock, until which a packet's sender knew all. None where it does not say."""
+    return None if told_age_ms == UNVOUCHED else sent_after - told_age_ms / 1000 / RATE_FACTOR
--- a/wickhinge/changelog/effects.py
+++ b/wickhinge/changelog/effects.py
@@ -29,10 +29,9 @@
 
 class PersistSnapshot(msgspec.Struct, frozen=True):
     """To be on stable storage before any later effect is done: the snapshot replaces all records up to its number, and
-    all others too where `clear`. `term` is that of the snapshot's last entry."""
+    all others too where `clear`."""
 
     snapshot: Snapshot
-    term: int
     clear: bool
 
 
--- a/wickhinge/changelog/follower.py
+++ b/wickhinge/changelog/follower.py
@@ -4,9 +4,14 @@
 
 from collections.abc import Callable, Sequence
 
-from wickhinge.changelog.effects import Effect
-from wickhinge.changelog.messages import NEWEST_FORMAT, Packet
-from wickhinge.changelog.settings import FollowSettings
+from wickhinge.changelog.effects import Apply, Effect, Reset
+from wickhinge.changelog.entries import Unknown, understood
+from wickhinge.changelog.messages import NEWEST_FORMAT, UNVOUCHED, Packet
+from wickhinge.changelog.settings import CLOCK_DRIFT, FollowSettings
+from wickhinge.changelog.subscription import Subscription
+
+LEAST_AGE = 0.001  # seconds; never 0, which would mean no limit
+NEVER = float("-inf")
 
 
 class Follower:
@@ -25,26 +30,80 @@
         now: float,
         newest_format: int = NEWEST_FORMAT,
     ) -> None:
-        raise NotImplementedError
+        self._settings = settings
+        self._subscription = Subscription(name, sources, settings, chance, session, now, newest_format)
+        self._informed_until = NEVER
+        self.skipped = 0  # entries of unknown kinds
+        self.not_understood = 0  # of them, those that had to be understood: uninformed until the next start
+
+    @property
+    def epoch(self) -> int:
+        """0 before the first snapshot."""
+        return self._subscription.sequencer.epoch
+
+    @property
+    def number(self) -> int:
+        """Of the last entry applied."""
+        return self._subscription.sequencer.last
+
+    @property
+    def source(self) -> str:
+        """The relay that is followed."""
+        return self._subscription.sources.current.name
 
     def tick(self, now: float) -> list[Effect]:
         """To be called every TICK_S. Effects: Send."""
-        raise NotImplementedError
+        effects = self._subscription.tick(now, self._uninformed_ms(now))
+        self._learn(now)
+        return effects
 
     def heard(self, packet: Packet, now: float) -> list[Effect]:
         """One packet as `codec` read it. Effects: Send, Apply, Reset."""
-        raise NotImplementedError
+        effects = self._subscription.heard(packet, now)
+        for effect in effects:
+            if isinstance(effect, Apply):
+                self._count(effect)
+            elif isinstance(effect, Reset):
+                self.not_understood += effect.snapshot.incomplete
+        self._learn(now)
+        return effects
 
     def informed_until(self, now: float) -> float:
         """The latest time, by this clock, such that each change that was at the replicas' majority before it is known
         here; -inf where there is none."""
-        raise NotImplementedError
+        self._learn(now)
+        return self._informed_until
 
     def uninformed(self, now: float) -> bool:
         """Whether changes older than the bound may be missing here."""
-        raise NotImplementedError
+        self._learn(now)
+        if self.not_understood or self._subscription.disputed(now):
+            return True
+        return now - self._informed_until > self._settings.bound_s * (1 - CLOCK_DRIFT)
 
     def oldest(self, now: float, grace: float) -> float | None:
         """None while informed. Else the greatest age in seconds of a copy that may be served: none of that age is
-        older than a purge whose grace is over."""
-        raise NotImplementedError
+        older than a purge whose grace is over. Where the bound is longer than `grace` allows, being informed is not
+        enough, and the age is given, too."""
+        safe = grace * (1 - CLOCK_DRIFT)
+        unknown_for = now - self._informed_until + self._settings.ingest_s
+        if not self.uninformed(now) and unknown_for <= safe:
+            return None
+        return max(safe - LEAST_AGE, LEAST_AGE)
+
+    def _learn(self, now: float) -> None:
+        if not self.not_understood and not self._subscription.disputed(now):
+            self._informed_until = max(self._informed_until, self._subscription.known_until())
+
+    def _count(self, effect: Apply) -> None:
+        change = effect.entry.change
+        if isinstance(change, Unknown):
+            self.skipped += 1
+            self.not_understood += not understood(change)
+
+    def _uninformed_ms(self, now: float) -> int:
+        if not self.uninformed(now):
+            return 0
+        if self._informed_until == NEVER:
+            return UNVOUCHED
+        return max(int((now - self._informed_until) * 1000), 1)
--- /dev/null
+++ b/wickhinge/changelog/leadership.py
@@ -0,0 +1,50 @@
+"""What a leader knows of the other replicas: how far their logs agree, and which rounds they have answered."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+MOST_ROUNDS = 1024  # remembered until a majority has answered them
+
+
+class Leadership:
+    def __init__(self, peers: Iterable[str], last: int, now: float) -> None:
+        self.match = dict.fromkeys(peers, 0)  # the logs agree up to here
+        self.next = dict.fromkeys(self.match, last + 1)  # to be sent next
+        self.resent_at_round = dict.fromkeys(self.match, 0)
+        self.round = 0
+        self.broadcast_at = now
+        self.confirmed_at = now  # when a majority last answered
+        self.behind = False  # records have been appended since the last round
+        self._answered = dict.fromkeys(self.match, 0)
+        self._rounds: OrderedDict[int, tuple[float, int]] = OrderedDict()  # when, and the last number then
+
+    def begin_round(self, now: float, last: int) -> None:
+        self.round += 1
+        self.broadcast_at, self.behind = now, False
+        self._rounds[self.round] = now, last
+        if len(self._rounds) > MOST_ROUNDS:
+            self._rounds.popitem(last=False)
+
+    def answered(self, peer: str, round_number: int, now: float) -> tuple[float, int] | None:
+        """Notes an answer. Where it makes a later round one that a majority has answered: when that round was begun,
+        and the last number then. No other leader had been elected at that time."""
+        self._answered[peer] = max(self._answered[peer], min(round_number, self.round))
+        confirmed = self.majority(self._answered, self.round)
+        found = None
+        while self._rounds and next(iter(self._rounds)) <= confirmed:
+            found = self._rounds.popitem(last=False)[1]
+        if found is not None:
+            self.confirmed_at = now
+        return found
+
+    def stored_at_majority(self, last: int) -> int:
+        """The highest number that a majority has, `last` being this replica's own."""
+        return self.majority(self.match, last)
+
+    @staticmethod
+    def majority(values: dict[str, int], own: int) -> int:
+        """The highest value that a majority of the replicas has reached."""
+        ordered = sorted([own, *values.values()], reverse=True)
+        return ordered[len(ordered) // 2]
--- a/wickhinge/changelog/log.py
+++ b/wickhinge/changelog/log.py
@@ -8,6 +8,7 @@
 
 from wickhinge.changelog.entries import (
     EMPTY_DIGEST,
+    Change,
     Entry,
     Purge,
     Setting,
@@ -25,7 +26,7 @@
     """The state after entry `number`: the settings in force, sorted by name, and the purges of the last while.
 
     `incomplete`: a change that had to be understood was not, by the process that cut the snapshot or by one that it
-    had it from.
+    had it from. `term` is the replicas' term of entry `number`, 0 where it is not known.
     """
 
     epoch: int
@@ -34,6 +35,7 @@
     settings: tuple[Setting, ...]
     purges: tuple[Purge, ...]
     incomplete: bool = False
+    term: int = 0
 
 
 EMPTY_SNAPSHOT = Snapshot(0, 0, EMPTY_DIGEST, (), ())
@@ -91,6 +93,16 @@
             found.append(entry)
         return tuple(found)
 
+    def size_of(self, number: int, count: int) -> int:
+        """Bytes of `count` retained entries from `number` on, at most."""
+        start = number - self.first
+        return sum(self._entries[place][1] for place in range(start, start + count))
+
+    def has_room(self, change: Change) -> bool:
+        """Whether a setting would be within the bound of how many there may be."""
+        is_new = isinstance(change, Setting) and change.name not in self._settings
+        return not is_new or len(self._settings) < MOST_SETTINGS
+
     def digest_at(self, number: int) -> bytes | None:
         """The digest after entry `number`; None where that is not known here."""
         if number == self.first - 1:
--- a/wickhinge/changelog/messages.py
+++ b/wickhinge/changelog/messages.py
@@ -107,7 +107,8 @@
 
 class Append(msgspec.Struct, frozen=True):
     """A leader's records after `previous_number`, none in a plain heartbeat. All that was stored at a majority `age_ms`
-    ago has numbers up to `vouched`. `round` counts the leader's rounds of this message."""
+    ago has numbers up to `commit`. `first`: the leader retains records from this number on; who needs earlier ones
+    fetches a snapshot. `round` counts the leader's rounds of this message."""
 
     epoch: int
     term: int
@@ -115,7 +116,7 @@
     previous_term: int
     records: tuple[Record, ...]
     commit: int
-    vouched: int
+    first: int
     age_ms: int
     round: int
 
--- a/wickhinge/changelog/relay.py
+++ b/wickhinge/changelog/relay.py
@@ -4,22 +4,12 @@
 
 from collections.abc import Callable, Sequence
 
-import msgspec
-
-from wickhinge.changelog.effects import Effect
+from wickhinge.changelog.effects import Apply, Effect, Reset, Send
+from wickhinge.changelog.feed import Feed, SubscriberRow
+from wickhinge.changelog.log import Log
 from wickhinge.changelog.messages import NEWEST_FORMAT, Packet
 from wickhinge.changelog.settings import RelaySettings
-
-
-class SubscriberRow(msgspec.Struct, frozen=True):
-    """One subscriber for a `show` command. `age_s`: since it was last heard; `uninformed_s`: as it said itself."""
-
-    name: str
-    number: int
-    lag: int
-    age_s: float
-    uninformed_s: float
-    watch: bool
+from wickhinge.changelog.subscription import Subscription
 
 
 class Relay:
@@ -35,15 +25,39 @@
         now: float,
         newest_format: int = NEWEST_FORMAT,
     ) -> None:
-        raise NotImplementedError
+        self.log = Log(settings.retain, settings.purge_horizon_s)
+        self._replicas = frozenset(replicas)
+        self._subscription = Subscription(name, replicas, settings.follow, chance, session, now, newest_format)
+        self._feed = Feed(name, self.log, settings.feed, newest_format, now)
+
+    @property
+    def source(self) -> str:
+        """The replica that is followed."""
+        return self._subscription.sources.current.name
 
     def tick(self, now: float) -> list[Effect]:
         """To be called every TICK_S. Effects: Send."""
-        raise NotImplementedError
+        effects = self._subscription.tick(now, 0)
+        return effects + self._feed.tick(now, self.vouched_until(now))
 
     def heard(self, packet: Packet, now: float) -> list[Effect]:
         """One packet as `codec` read it, of a replica or of a router. Effects: Send."""
-        raise NotImplementedError
+        if packet.sender not in self._replicas:
+            return list(self._feed.heard(packet, now, self.vouched_until(now)))
+        sends: list[Effect] = []
+        for effect in self._subscription.heard(packet, now):
+            if isinstance(effect, Apply):
+                self.log.append(effect.entry, now)
+            elif isinstance(effect, Reset):
+                self.log.load(effect.snapshot, now)
+            elif isinstance(effect, Send):
+                sends.append(effect)
+        return sends
+
+    def vouched_until(self, now: float) -> float | None:
+        """All changes that were at the replicas' majority before this time, by this clock, are in this log. None while
+        the replicas' logs are seen to differ."""
+        return None if self._subscription.disputed(now) else self._subscription.known_until()
 
     def rows(self, now: float) -> list[SubscriberRow]:
-        raise NotImplementedError
+        return self._feed.rows(now)
--- a/wickhinge/changelog/replica.py
+++ b/wickhinge/changelog/replica.py
@@ -1,30 +1,62 @@
-"""One of the replicas that order and keep the log, by raft."""
+"""One of the replicas that order and keep the log, by raft with pre-votes."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from enum import Enum
 
 import msgspec
 
-from wickhinge.changelog.effects import Effect
-from wickhinge.changelog.entries import Change
-from wickhinge.changelog.log import EMPTY_SNAPSHOT, Snapshot
-from wickhinge.changelog.messages import NEWEST_FORMAT, Packet, Record
+from wickhinge.changelog.codec import MOST_BATCH_ENTRIES, MOST_ENTRIES_BYTES, MOST_RECORD_EXTRA
+from wickhinge.changelog.echo import EchoClock, HeldToken, age_ms, complete_until
+from wickhinge.changelog.effects import Accepted, Committed, Effect, Persist, PersistSnapshot, Send
+from wickhinge.changelog.entries import EMPTY_DIGEST, Change, Entry, Noop, check
+from wickhinge.changelog.feed import Feed, SubscriberRow
+from wickhinge.changelog.leadership import Leadership
+from wickhinge.changelog.log import EMPTY_SNAPSHOT, Log, Snapshot
+from wickhinge.changelog.messages import (
+    NEWEST_FORMAT,
+    OLDEST_FORMAT,
+    Append,
+    Appended,
+    FetchSnapshot,
+    Message,
+    Packet,
+    Record,
+    RequestVote,
+    SnapshotPart,
+    Subscribe,
+    Vote,
+)
+from wickhinge.changelog.records import Records
 from wickhinge.changelog.settings import ReplicaSettings
+from wickhinge.changelog.snapshots import Assembly
+from wickhinge.changelog.vouches import Vouches
+
+LEAST_BROADCAST_S = 0.01  # between two rounds for new records; more wait for the next tick
+SNAPSHOT_FETCH_S = 0.15  # between two requests for parts of a snapshot
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    PROBER = "prober"  # asks whether it would be elected
+    CANDIDATE = "candidate"
+    LEADER = "leader"
 
 
 class Stored(msgspec.Struct, frozen=True):
-    """What a replica finds on stable storage: the sum of all that it was told to persist.
+    """What a replica finds on stable storage: the sum of all that it was told to persist. `records` begin after the
+    snapshot's number.
 
-    A new replica has epoch 1 and nothing else. An operator who restarts the log from a backup gives each replica the
-    same backup as `snapshot`, with a higher epoch, no vote and no records.
+    A new replica has what this has by default. An operator who restarts the log from a backup gives the replicas the
+    same backup as `snapshot`, with a higher epoch in it and here, and nothing else. A replica whose snapshot is of
+    another epoch is blank: it votes and waits for a snapshot, and does not stand for election.
     """
 
     epoch: int = 1
     term: int = 0
     vote: str = ""
-    snapshot: Snapshot = EMPTY_SNAPSHOT
-    snapshot_term: int = 0
+    snapshot: Snapshot = Snapshot(1, 0, EMPTY_DIGEST, (), ())
     records: tuple[Record, ...] = ()
 
 
@@ -37,7 +69,7 @@
 
 
 class Overloaded(Exception):
-    """Too many proposals wait for a majority."""
+    """Too many proposals wait for a majority, or too many settings are in force."""
 
 
 class Replica:
@@ -57,18 +89,352 @@
         stored: Stored,
         newest_format: int = NEWEST_FORMAT,
     ) -> None:
-        raise NotImplementedError
+        self._name, self._settings, self._chance, self._newest = name, settings, chance, newest_format
+        self._peers = tuple(peer for peer in replicas if peer != name)
+        self._formats = dict.fromkeys(self._peers, OLDEST_FORMAT)
+        self._tokens = {peer: HeldToken() for peer in self._peers}
+        self._echo = EchoClock(session)
+        self._out: list[Effect] = []
+        self._vouches = Vouches()
+        self.log = Log(settings.retain, settings.purge_horizon_s)  # of what is committed
+        self.epoch, self.term, self.vote = stored.epoch, stored.term, stored.vote
+        self.blank = stored.snapshot.epoch != stored.epoch
+        self._start_records(EMPTY_SNAPSHOT if self.blank else stored.snapshot, now)
+        for record in () if self.blank else stored.records:
+            self.records.append(record)
+        self._feed = Feed(name, self.log, settings.feed, newest_format, now, self._committed_term)
+        self.role, self.leader = Role.FOLLOWER, ""
+        self._leadership: Leadership | None = None  # while the leader
+        self._votes: set[str] = set()
+        self._leader_heard_at = float("-inf")
+        self._assembly: Assembly | None = None  # while a snapshot is wanted of the leader
+        self._fetch_at = now
+        self._await_election(now)
+
+    @property
+    def commit(self) -> int:
+        """The last committed number, as far as it is known here."""
+        return self.log.last
 
     def tick(self, now: float) -> list[Effect]:
         """To be called every TICK_S. Effects: Persist, Send, Committed."""
-        raise NotImplementedError
+        if self._leadership is not None:
+            self._lead(self._leadership, now)
+        elif now >= self._election_at and not self.blank:
+            self._campaign(now, probe=True)
+        self._fetch_snapshot(now)
+        self._out += self._feed.tick(now, self.vouched_until())
+        return self._drained()
 
     def heard(self, packet: Packet, now: float) -> list[Effect]:
         """One packet as `codec` read it, of a replica or of a relay. Effects: Persist, PersistSnapshot, Send,
         Committed."""
-        raise NotImplementedError
+        message = packet.message
+        if not isinstance(message, RequestVote | Vote | Append | Appended | SnapshotPart):
+            return list(self._feed.heard(packet, now, self.vouched_until()))
+        if packet.sender not in self._tokens or message.epoch < self.epoch:
+            return []
+        if message.epoch > self.epoch:
+            self._adopt_epoch(message.epoch, now)
+        self._formats[packet.sender] = packet.newest
+        self._tokens[packet.sender].hold(packet.token, now)
+        if isinstance(message, RequestVote):
+            self._on_request_vote(packet.sender, message, now)
+        elif isinstance(message, Vote):
+            self._on_vote(packet.sender, message, now)
+        elif isinstance(message, Append):
+            self._on_append(packet, message, now)
+        elif isinstance(message, Appended):
+            self._on_appended(packet.sender, message, now)
+        else:
+            self._on_snapshot_part(packet.sender, message, now)
+        return self._drained()
 
     def propose(self, change: Change, now: float) -> list[Effect]:
         """Effects: Persist, Accepted, Send, and Committed where this replica is alone. Raises NotLeader, Overloaded,
         entries.InvalidChange."""
-        raise NotImplementedError
+        if self._leadership is None:
+            raise NotLeader(self.leader)
+        check(change)
+        if self.records.last - self.commit >= self._settings.most_uncommitted or not self.log.has_room(change):
+            raise Overloaded
+        self._append_own(change)
+        self._out.append(Accepted(self.records.last, self.term))
+        self._leadership.behind = True
+        if now - self._leadership.broadcast_at >= LEAST_BROADCAST_S:
+            self._broadcast(self._leadership, now)
+        self._commit_stored(self._leadership, now)
+        return self._drained()
+
+    def vouched_until(self) -> float:
+        """All that was stored at a majority before this time, by this clock, is committed here. -inf: nothing known."""
+        return self._vouches.reached(self.commit)
+
+    def rows(self, now: float) -> list[SubscriberRow]:
+        return self._feed.rows(now)
+
+    # Elections.
+
+    def _campaign(self, now: float, probe: bool) -> None:
+        self._votes = {self._name}
+        self.leader = ""
+        self._await_election(now)
+        term = self.term + 1
+        if probe:
+            self.role = Role.PROBER
+        else:
+            self.role, self.term, self.vote = Role.CANDIDATE, term, self._name
+            self._persist(self.records.last)
+        request = RequestVote(self.epoch, term, self.records.last, self.records.last_term, probe)
+        for peer in self._peers:
+            self._send(peer, request, now)
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        if 2 * len(self._votes) <= len(self._peers) + 1:
+            return
+        if self.role is Role.PROBER:
+            self._campaign(now, probe=False)
+        elif self.role is Role.CANDIDATE:
+            self._become_leader(now)
+
+    def _on_request_vote(self, sender: str, message: RequestVote, now: float) -> None:
+        standing = (message.last_term, message.last_number)
+        is_current = standing >= (self.records.last_term, self.records.last)
+        if message.probe:
+            hears_leader = self._leadership is not None or now - self._leader_heard_at < self._settings.election_s
+            granted = message.term > self.term and is_current and not hears_leader
+            self._send(sender, Vote(self.epoch, message.term if granted else self.term, granted, True), now)
+            return
+        if message.term > self.term:
+            self._follow_term(message.term, now)
+        granted = message.term == self.term and self.vote in ("", sender) and is_current
+        if granted and not self.vote:
+            self.vote = sender
+            self._persist(self.records.last)
+        if granted:
+            self._await_election(now)
+        self._send(sender, Vote(self.epoch, self.term, granted, False), now)
+
+    def _on_vote(self, sender: str, message: Vote, now: float) -> None:
+        if message.term > self.term and not (message.granted and message.probe):
+            self._follow_term(message.term, now)
+            return
+        expected = self.term + 1 if message.probe else self.term
+        wanted = self.role is (Role.PROBER if message.probe else Role.CANDIDATE)
+        if message.granted and wanted and message.term == expected:
+            self._votes.add(sender)
+            self._count_votes(now)
+
+    def _follow_term(self, term: int, now: float) -> None:
+        """A later term is known of: no vote has been given in it."""
+        self.term, self.vote = term, ""
+        self._persist(self.records.last)
+        self._step_down("", now)
+
+    def _step_down(self, leader: str, now: float) -> None:
+        self.role, self.leader, self._leadership = Role.FOLLOWER, leader, None
+        self._await_election(now)
+
+    def _await_election(self, now: float) -> None:
+        self._election_at = now + self._settings.election_s * (1 + self._chance())
+
+    # The leader.
+
+    def _become_leader(self, now: float) -> None:
+        self.role, self.leader = Role.LEADER, self._name
+        self._assembly = None
+        self._leadership = Leadership(self._peers, self.records.last, now)
+        self._append_own(Noop())
+        self._broadcast(self._leadership, now)
+        self._commit_stored(self._leadership, now)
+
+    def _lead(self, leadership: Leadership, now: float) -> None:
+        if self._peers and now - leadership.confirmed_at > 2 * self._settings.election_s:
+            self._step_down("", now)  # no majority answers
+        elif leadership.behind or now - leadership.broadcast_at >= self._settings.heartbeat_s:
+            self._broadcast(leadership, now)
+
+    def _append_own(self, change: Change) -> None:
+        record = Record(self.term, Entry(self.epoch, self.records.last + 1, change))
+        self.records.append(record)
+        self._persist(record.entry.number - 1, (record,))
+
+    def _broadcast(self, leadership: Leadership, now: float) -> None:
+        leadership.begin_round(now, self.records.last)
+        for peer in self._peers:
+            self._send_append(leadership, peer, now)
+
+    def _send_append(self, leadership: Leadership, peer: str, now: float) -> None:
+        previous = max(leadership.next[peer] - 1, self.records.base)
+        records = self.records.that_fit(previous, MOST_ENTRIES_BYTES, MOST_BATCH_ENTRIES, MOST_RECORD_EXTRA)
+        leadership.next[peer] = previous + len(records) + 1
+        message = Append(
+            self.epoch,
+            self.term,
+            previous,
+            self.records.term_at(previous),
+            records,
+            self.commit,
+            self.records.base + 1,
+            age_ms(self.vouched_until(), now),
+            leadership.round,
+        )
+        self._send(peer, message, now)
+
+    def _on_appended(self, peer: str, message: Appended, now: float) -> None:
+        if message.term > self.term:
+            self._follow_term(message.term, now)
+        leadership = self._leadership
+        if leadership is None or message.term < self.term:
+            return
+        confirmed = leadership.answered(peer, message.round, now)
+        if confirmed is not None:
+            self._vouches.add(*confirmed)
+        if message.success:
+            leadership.match[peer] = max(leadership.match[peer], min(message.match, self.records.last))
+            leadership.next[peer] = max(leadership.next[peer], leadership.match[peer] + 1)
+            self._commit_stored(leadership, now)
+            if leadership.next[peer] <= self.records.last:
+                self._send_append(leadership, peer, now)
+        elif message.round > leadership.resent_at_round[peer]:
+            leadership.resent_at_round[peer] = leadership.round
+            leadership.next[peer] = max(min(message.match, self.records.last), leadership.match[peer]) + 1
+            self._send_append(leadership, peer, now)
+
+    def _commit_stored(self, leadership: Leadership, now: float) -> None:
+        """What a majority has is committed, once its last record is of this term."""
+        stored = leadership.stored_at_majority(self.records.last)
+        if stored > self.commit and self.records.term_at(stored) == self.term:
+            self._advance_commit(stored, now)
+
+    # Following a leader.
+
+    def _on_append(self, packet: Packet, message: Append, now: float) -> None:
+        if message.term < self.term:
+            self._reply(packet.sender, message, False, 0, now)
+            return
+        if message.term > self.term:
+            self._follow_term(message.term, now)
+        self._step_down(packet.sender, now)
+        self._leader_heard_at = now
+        sent_after = self._echo.sent_after(packet.echo, packet.held_ms)
+        until = None if sent_after is None else complete_until(min(sent_after, now), message.age_ms)
+        if until is not None:
+            self._vouches.add(until, message.commit)
+        try_next = 0 if self.blank else self._disagreement(message)
+        if try_next is not None:
+            self._reply(packet.sender, message, False, try_next, now)
+            if self.blank or try_next + 1 < message.first:
+                self._want_snapshot(packet.sender)
+            return
+        self._take(message)
+        end = message.previous_number + len(message.records)
+        self._reply(packet.sender, message, True, max(end, self.records.base), now)
+        self._advance_commit(min(message.commit, end), now)
+
+    def _disagreement(self, message: Append) -> int | None:
+        """None where the log has the message's previous record; else where the leader should try next."""
+        previous = message.previous_number
+        if previous < self.records.base:
+            return None  # committed, hence the same
+        term = self.records.term_at(previous)
+        if term is None:
+            return self.records.last
+        if term != message.previous_term:
+            return max(self.records.conflict_start(previous), self.commit)
+        return None
+
+    def _take(self, message: Append) -> None:
+        new = [record for record in message.records if record.entry.number > self.records.base]
+        while new and self.records.term_at(new[0].entry.number) == new[0].term:
+            new.pop(0)
+        if not new:
+            return
+        kept = new[0].entry.number - 1
+        self.records.cut_after(kept)
+        for record in new:
+            self.records.append(record)
+        self._persist(kept, tuple(new))
+
+    def _reply(self, leader: str, message: Append, success: bool, match: int, now: float) -> None:
+        answer = Appended(self.epoch, self.term, success, match, message.round)
+        self._send(leader, answer, now, self._echo.draw(now))
+
+    # Snapshots and epochs.
+
+    def _want_snapshot(self, leader: str) -> None:
+        if self._assembly is None or self._assembly.source != leader:
+            self._assembly = Assembly(leader)
+
+    def _fetch_snapshot(self, now: float) -> None:
+        if self._assembly is None or now < self._fetch_at:
+            return
+        self._fetch_at = now + SNAPSHOT_FETCH_S
+        subscribe = Subscribe(0, self.commit, self.log.digest, True, 0)
+        self._send(self._assembly.source, subscribe, now)
+        self._send(self._assembly.source, FetchSnapshot(self.epoch, self._assembly.number, self._assembly.missing), now)
+
+    def _on_snapshot_part(self, sender: str, part: SnapshotPart, now: float) -> None:
+        if self._assembly is None or self._assembly.source != sender:
+            return
+        snapshot = self._assembly.add(part)
+        if snapshot is None:
+            return
+        self._assembly = None
+        if not self.blank and snapshot.number <= self.commit:
+            return
+        agrees = not self.blank and self.records.term_at(snapshot.number) == snapshot.term
+        following = self.records.between(snapshot.number, self.records.last) if agrees else ()
+        self._out.append(PersistSnapshot(snapshot, not agrees))
+        self._start_records(snapshot, now)
+        for record in following:
+            self.records.append(record)
+        self.blank = False
+
+    def _start_records(self, snapshot: Snapshot, now: float) -> None:
+        self.records = Records(snapshot.number, snapshot.term)
+        self.log.load(snapshot, now)
+
+    def _adopt_epoch(self, epoch: int, now: float) -> None:
+        """The log was restarted elsewhere: this replica is blank in the new epoch. The new epoch is persisted first, so
+        that a replica that ends meanwhile is not blank in the old one."""
+        self.epoch, self.term, self.vote = epoch, 0, ""
+        self.blank = True
+        self._start_records(EMPTY_SNAPSHOT, now)
+        self._vouches.forget_pending()
+        self._assembly = None
+        self._persist(0)
+        self._out.append(PersistSnapshot(EMPTY_SNAPSHOT, True))
+        self._step_down("", now)
+
+    def _advance_commit(self, number: int, now: float) -> None:
+        if number <= self.commit:
+            return
+        entries = tuple(record.entry for record in self.records.between(self.commit, number))
+        for entry in entries:
+            self.log.append(entry, now)
+        self._out.append(Committed(entries))
+        if self.commit - self.records.base > 2 * self._settings.retain:
+            snapshot = msgspec.structs.replace(self.log.snapshot(now), term=self._committed_term(self.commit))
+            self._out.append(PersistSnapshot(snapshot, False))
+            self.records.cut_up_to(self.commit - self._settings.retain)
+
+    def _committed_term(self, number: int) -> int:
+        return self.records.term_at(number) or 0
+
+    # Output.
+
+    def _persist(self, kept: int, records: tuple[Record, ...] = ()) -> None:
+        self._out.append(Persist(self.epoch, self.term, self.vote, kept, records))
+
+    def _send(self, to: str, message: Message, now: float, token: int = 0) -> None:
+        written = min(self._newest, self._formats[to])
+        held = self._tokens[to]
+        self._out.append(
+            Send(to, Packet(self._name, written, self._newest, token, held.token, held.held_ms(now), message))
+        )
+
+    def _drained(self) -> list[Effect]:
+        effects, self._out = self._out, []
+        return effects
--- a/wickhinge/changelog/settings.py
+++ b/wickhinge/changelog/settings.py
@@ -16,19 +16,20 @@
     batches_at_once: int = 8  # datagrams of new entries for each subscriber in one go
     catch_up_bytes_s: float = 2_000_000.0  # over all subscribers, for what was missed
     catch_up_burst: float = 200_000.0  # bytes
-    pieces_at_once: int = 4  # datagrams in answer to one request
+    pieces_at_once: int = 8  # datagrams in answer to one request
     most_subscribers: int = 1024
     forget_s: float = 10.0  # a subscriber silent for so long is forgotten
-    snapshot_keep_s: float = 10.0  # an encoded snapshot is handed out for so long
+    snapshot_keep_s: float = 30.0  # an encoded snapshot is handed out for so long
 
 
 class FollowSettings(msgspec.Struct, frozen=True):
     """How a router follows relays, or a relay replicas."""
 
     bound_s: float = 3.1  # knowledge older than this makes the follower uninformed
+    ingest_s: float = 0.5  # from a purge's stamp to its place at the replicas' majority, at most
     subscribe_s: float = 1.0  # between two of its own heartbeats
     silent_s: float = 1.5  # a source silent for so long is left
-    lag_s: float = 1.0  # a source behind the second one for so long is left
+    lag_s: float = 0.7  # a source behind the second one for so long, or by so much, is left
     gap_wait_s: float = 0.06  # before what is missing is asked for; entries may come out of order
     fetch_timeout_s: float = 0.25  # before a request for missing entries is repeated, doubled each time
     most_fetch_timeout_s: float = 2.0
@@ -56,4 +57,4 @@
     retain: int = 16384
     purge_horizon_s: float = 120.0
     feed: FeedSettings = FeedSettings()
-    follow: FollowSettings = FollowSettings(fetch_timeout_s=0.15)
+    follow: FollowSettings = FollowSettings(subscribe_s=0.5, silent_s=1.0, lag_s=0.5, fetch_timeout_s=0.15)
--- /dev/null
+++ b/wickhinge/lab/changelog/oracle.py
@@ -0,0 +1,182 @@
+"""Sees what replicas stored and committed and what followers applied and claim, and judges it by the invariants."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+
+import msgspec
+
+from wickhinge.changelog.effects import Apply, Reset
+from wickhinge.changelog.entries import Entry, Purge, Setting
+from wickhinge.changelog.messages import Record
+
+ROUNDING_S = 0.002  # ages and times held are told in milliseconds
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """What a follower claimed at the true time `at_s`."""
+
+    at_s: float
+    name: str
+    epoch: int
+    number: int
+    informed_until_s: float  # true time
+    uninformed: bool
+
+
+class Applied(msgspec.Struct, frozen=True):
+    at_s: float
+    name: str
+    entry: Entry
+
+
+class Model:
+    """What a follower's machine has been told, as an application of the log would keep it."""
+
+    def __init__(self) -> None:
+        self.epoch = self.number = 0
+        self.settings: dict[str, bytes] = {}
+        self.purges: set[Purge] = set()
+
+
+class Oracle:
+    def __init__(self, majority: int) -> None:
+        self.faults: list[str] = []
+        self.samples: list[Sample] = []
+        self.applied: list[Applied] = []
+        self.resets: list[tuple[float, str, int, int, dict[str, bytes]]] = []
+        self.committed: dict[int, dict[int, Entry]] = defaultdict(dict)  # by epoch and number
+        self.stored_s: dict[int, dict[int, float]] = defaultdict(dict)  # when a majority had it, likewise
+        self.bases: dict[int, dict[str, bytes]] = {1: {}}  # settings at an epoch's start
+        self.base_numbers: dict[int, int] = {1: 0}
+        self._majority = majority
+        self._holders: dict[tuple[int, int, int], set[str]] = defaultdict(set)
+        self._majority_s: dict[tuple[int, int, int], float] = {}
+
+    def fault(self, text: str) -> None:
+        if len(self.faults) < 50:
+            self.faults.append(text)
+
+    # Replicas.
+
+    def stored(self, at_s: float, replica: str, record: Record) -> None:
+        key = (record.entry.epoch, record.entry.number, record.term)
+        holders = self._holders[key]
+        holders.add(replica)
+        if len(holders) >= self._majority:
+            self._majority_s.setdefault(key, at_s)
+
+    def commits(self, at_s: float, replica: str, entry: Entry, term: int) -> None:
+        known = self.committed[entry.epoch]
+        if entry.number not in known:
+            known[entry.number] = entry
+            key = (entry.epoch, entry.number, term)
+            if key not in self._majority_s:
+                self.fault(f"{at_s:.3f} {replica}: commits {key}, which no majority has stored")
+            self.stored_s[entry.epoch][entry.number] = self._majority_s.get(key, at_s)
+        elif known[entry.number] != entry:
+            self.fault(f"{at_s:.3f} {replica}: commits another entry {entry.epoch}/{entry.number}")
+
+    # Followers.
+
+    def reset(self, at_s: float, name: str, model: Model, effect: Reset) -> None:
+        snapshot = effect.snapshot
+        if snapshot.epoch < model.epoch:
+            self.fault(f"{at_s:.3f} {name}: goes back to epoch {snapshot.epoch}")
+        if snapshot.epoch == model.epoch and snapshot.number < model.number:
+            self.fault(f"{at_s:.3f} {name}: goes back to {snapshot.number} from {model.number}")
+        model.epoch, model.number = snapshot.epoch, snapshot.number
+        model.settings = {setting.name: setting.value for setting in snapshot.settings}
+        model.purges |= set(snapshot.purges)
+        self.resets.append((at_s, name, snapshot.epoch, snapshot.number, dict(model.settings)))
+
+    def applies(self, at_s: float, name: str, model: Model, effect: Apply) -> None:
+        entry = effect.entry
+        if entry.epoch != model.epoch or entry.number != model.number + 1:
+            self.fault(f"{at_s:.3f} {name}: applies {entry.epoch}/{entry.number} after {model.epoch}/{model.number}")
+        model.epoch, model.number = entry.epoch, entry.number
+        if isinstance(entry.change, Setting):
+            model.settings[entry.change.name] = entry.change.value
+        elif isinstance(entry.change, Purge):
+            model.purges.add(entry.change)
+        self.applied.append(Applied(at_s, name, entry))
+
+    # Judging, at the end.
+
+    def judge_values(self) -> None:
+        for applied in self.applied:
+            entry = applied.entry
+            if self.committed[entry.epoch].get(entry.number) != entry:
+                self.fault(f"{applied.at_s:.3f} {applied.name}: applied {entry}, which was not committed")
+        states: dict[tuple[int, int], dict[str, bytes]] = {}
+        for at_s, name, epoch, number, settings in self.resets:
+            if (epoch, number) not in states:
+                states[epoch, number] = self._settings_at(epoch, number)
+            if settings != states[epoch, number]:
+                self.fault(f"{at_s:.3f} {name}: a snapshot at {epoch}/{number} with other settings")
+
+    def judge_claims(self) -> None:
+        """Who claims to be informed until T has all that a majority had stored before T."""
+        reached = {epoch: self._running(times) for epoch, times in self.stored_s.items()}
+        for sample in self.samples:
+            for epoch, (times, numbers) in reached.items():
+                place = bisect_left(times, sample.informed_until_s - ROUNDING_S)
+                if not place or (epoch, numbers[place - 1]) <= (sample.epoch, sample.number):
+                    continue
+                self.fault(
+                    f"{sample.at_s:.3f} {sample.name}: claims to be informed until {sample.informed_until_s:.3f} at "
+                    f"{sample.epoch}/{sample.number}, and {epoch}/{numbers[place - 1]} was stored at "
+                    f"{times[place - 1]:.3f}"
+                )
+
+    def judge_outages(self, outages: list[tuple[float, float]], bound_s: float) -> None:
+        """Where no majority of replicas runs, all know after the bound that they are uninformed."""
+        for start, end in outages:
+            for sample in self.samples:
+                if start + bound_s < sample.at_s < end and not sample.uninformed:
+                    self.fault(f"{sample.at_s:.3f} {sample.name}: counts as informed, without replicas since {start}")
+
+    def judge_bound(self, calm: list[tuple[float, float]], up: dict[str, list[tuple[float, float]]], bound_s: float):
+        """Each entry stored in a calm time is at each follower that ran within the bound. The worst delay."""
+        first: dict[tuple[str, int, int], float] = {}
+        for applied in self.applied:
+            first.setdefault((applied.name, applied.entry.epoch, applied.entry.number), applied.at_s)
+        covered: dict[str, list[tuple[float, int, int]]] = defaultdict(list)
+        for at_s, name, epoch, number, _ in self.resets:
+            covered[name].append((at_s, epoch, number))
+        worst = 0.0
+        for epoch, times in self.stored_s.items():
+            for number, stored_s in times.items():
+                if not any(start <= stored_s and stored_s + bound_s <= end for start, end in calm):
+                    continue
+                for name, spans in up.items():
+                    if not any(start <= stored_s and stored_s + bound_s <= end for start, end in spans):
+                        continue
+                    came_s = [first.get((name, epoch, number), float("inf"))]
+                    came_s += [at_s for at_s, *place in covered[name] if tuple(place) >= (epoch, number)]
+                    delay_s = min(came_s) - stored_s
+                    worst = max(worst, delay_s)
+                    if delay_s > bound_s:
+                        self.fault(f"{stored_s:.3f} {name}: has {epoch}/{number} after {delay_s:.3f} s")
+        return worst
+
+    def _settings_at(self, epoch: int, number: int) -> dict[str, bytes]:
+        state = dict(self.bases[epoch])
+        for place in range(self.base_numbers[epoch] + 1, number + 1):
+            entry = self.committed[epoch].get(place)
+            if entry is None:
+                self.fault(f"a snapshot at {epoch}/{number}, and {place} was not committed")
+                break
+            if isinstance(entry.change, Setting):
+                state[entry.change.name] = entry.change.value
+        return state
+
+    @staticmethod
+    def _running(times: dict[int, float]) -> tuple[list[float], list[int]]:
+        """Numbers in order, and by when all up to each had been stored."""
+        numbers, latest, running = sorted(times), float("-inf"), []
+        for number in numbers:
+            latest = max(latest, times[number])
+            running.append(latest)
+        return running, numbers
--- /dev/null
+++ b/wickhinge/lab/changelog/schedule.py
@@ -0,0 +1,110 @@
+"""What breaks when, drawn from a seed."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+REPLICAS = tuple(f"p{place}" for place in range(5))
+RELAYS = tuple(f"r{place}" for place in range(6))
+REGIONS = 3
+FAULTS_FROM_S, FAULTS_UNTIL_S = 6.0, 34.0
+CALM_S = 16.0  # at the end
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """`kind` happens to `names` from `at_s` for `for_s`.
+
+    kill, pause: the processes. cut_out, cut_in: nothing that they send to, or are sent by, `others` arrives. restore:
+    all replicas end; `names` start from a backup with a higher epoch, the others with what they have.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float
+    names: tuple[str, ...]
+    others: tuple[str, ...] = ()
+
+    @property
+    def end_s(self) -> float:
+        return self.at_s + self.for_s
+
+
+class Schedule(msgspec.Struct, frozen=True):
+    """`loss` and `duplication` are shares of all packets, `jitter_s` a mean; they last from start to end."""
+
+    seed: int
+    followers: tuple[str, ...]
+    region: dict[str, int]
+    loss: float
+    duplication: float
+    jitter_s: float
+    faults: tuple[Fault, ...]
+    end_s: float
+
+
+def one_relay_lost(schedule: Schedule) -> bool:
+    """Whether nothing else happens than that single relays end or stand still, one after the other: no follower is cut
+    off then, and each entry is due within the bound throughout."""
+    faults = sorted(schedule.faults, key=lambda fault: fault.at_s)
+    alone = all(fault.kind in ("kill", "pause") and set(fault.names) <= set(RELAYS) for fault in faults)
+    single = all(len(fault.names) == 1 for fault in faults)
+    apart = all(later.at_s > fault.end_s + 8.0 for fault, later in zip(faults, faults[1:], strict=False))
+    return alone and single and apart
+
+
+def draw(seed: int, followers: int = 24) -> Schedule:
+    rand = random.Random(seed)
+    names = tuple(f"f{place}" for place in range(followers))
+    everyone = (*REPLICAS, *RELAYS, *names)
+    region = {name: rand.randrange(REGIONS) for name in everyone}
+    if rand.random() < 0.2:
+        faults = _single_relays(rand)
+    else:
+        faults = [_fault(rand, names, region) for _ in range(rand.randint(2, 6))]
+        if rand.random() < 0.5:
+            faults.append(_restore(rand))
+    faults.sort(key=lambda fault: fault.at_s)
+    end_s = max(fault.end_s for fault in faults) + CALM_S
+    loss = rand.choice((0.0, 0.005, 0.02))
+    duplication = rand.choice((0.0, 0.01, 0.1))
+    return Schedule(seed, names, region, loss, duplication, rand.choice((0.002, 0.02, 0.05)), tuple(faults), end_s)
+
+
+def _single_relays(rand: random.Random) -> list[Fault]:
+    kinds = [rand.choice(("kill", "pause")) for _ in range(3)]
+    return [Fault(kind, 6.0 + 11.0 * place, 2.5, (rand.choice(RELAYS),)) for place, kind in enumerate(kinds)]
+
+
+def _restore(rand: random.Random) -> Fault:
+    restored = tuple(rand.sample(REPLICAS, rand.choice((3, 4, 5))))
+    return Fault("restore", round(rand.uniform(14.0, 30.0), 3), round(rand.uniform(0.5, 4.0), 3), restored)
+
+
+def _fault(rand: random.Random, followers: tuple[str, ...], region: dict[str, int]) -> Fault:
+    at_s = round(rand.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S), 3)
+    for_s = round(rand.choice((0.3, 1.0, 3.0, 8.0)), 3)
+    everyone = (*REPLICAS, *RELAYS, *followers)
+    kind = rand.choice(("kill", "kill", "pause", "one_way", "region", "zone", "minority", "relay_cut", "leaders"))
+    if kind in ("kill", "pause"):
+        return Fault(kind, at_s, for_s, tuple(rand.sample(everyone, rand.choice((1, 2, 5)))))
+    if kind == "minority":
+        return Fault("kill", at_s, max(for_s, 5.0), tuple(rand.sample(REPLICAS, rand.choice((3, 4, 5)))))
+    if kind == "leaders":  # replicas end and are back at once: what they answered has to be on their disks
+        return Fault("kill", at_s, 0.05, tuple(rand.sample(REPLICAS, rand.choice((2, 3, 4)))))
+    if kind == "one_way":
+        names = tuple(rand.sample(everyone, rand.randint(1, len(everyone) // 2)))
+        return Fault(rand.choice(("cut_out", "cut_in")), at_s, for_s, names, _rest(everyone, names))
+    if kind == "region":
+        apart = rand.randrange(REGIONS)
+        names = tuple(name for name in everyone if region[name] == apart)
+        return Fault("cut", at_s, for_s, names, _rest(everyone, names))
+    if kind == "zone":
+        names = tuple(rand.sample(followers, min(4, len(followers))))
+        return Fault("cut", at_s, for_s, names, _rest(everyone, names))
+    return Fault("cut", at_s, max(for_s, 3.0), tuple(rand.sample(RELAYS, rand.choice((1, 2)))), REPLICAS)
+
+
+def _rest(everyone: tuple[str, ...], names: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(name for name in everyone if name not in names)
--- /dev/null
+++ b/wickhinge/lab/changelog/walk.py
@@ -0,0 +1,226 @@
+"""Plays one seed's schedule and judges it. `python -m wickhinge.lab.changelog.walk --seeds 0-19 [--plant NAME]`."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import time
+
+import msgspec
+
+from wickhinge.changelog.entries import Change, Purge, Setting
+from wickhinge.changelog.log import Snapshot
+from wickhinge.changelog.replica import Stored
+from wickhinge.lab.changelog import plants, schedule
+from wickhinge.lab.changelog.plants import Plant
+from wickhinge.lab.changelog.schedule import REPLICAS, Fault, Schedule
+from wickhinge.lab.changelog.world import FOLLOW_SETTINGS, World
+
+BOUND_S = 3.1  # an entry is everywhere within
+SETTLED_S = 9.0  # after a fault, until the bound holds again
+STARTED_S = 4.0
+UNINFORMED_S = FOLLOW_SETTINGS.bound_s + 0.2  # a sample comes each 0.2 s
+CHANGES_A_SECOND = 8.0
+SAMPLE_S = 0.2
+BACKUP_S = 10.0  # when a backup is taken
+
+
+class Report(msgspec.Struct, frozen=True):
+    seed: int
+    faults: list[str]
+    committed: int
+    applied: int
+    packets: int
+    worst_delay_s: float
+    played_s: float  # wall time
+
+
+class Walk:
+    def __init__(self, drawn: Schedule, plant: Plant) -> None:
+        self.schedule = drawn
+        self.world = World(drawn, plant)
+        self.rand = random.Random(drawn.seed * 104729 + 3)
+        self.backup = Stored()
+        self.outages: list[tuple[float, float]] = []  # no majority of replicas runs, or they are kept apart
+        self._changes = 0
+
+    def play(self) -> None:
+        world = self.world
+        for name in world.processes:
+            world.start(name)
+        for fault in self.schedule.faults:
+            world.at(fault.at_s, lambda fault=fault: self._begin(fault))
+            world.at(fault.end_s, lambda fault=fault: self._end(fault))
+        world.at(BACKUP_S, self._back_up)
+        world.at(1.0, self._propose)
+        world.at(1.0, self._sample)
+        world.run(self.schedule.end_s)
+        for name, process in world.processes.items():
+            if process.machine is not None:
+                world.up[name].append((process.started_s, world.now_s))
+
+    def judge(self) -> float:
+        """The worst delay of an entry in calm time, seconds."""
+        oracle = self.world.oracle
+        if oracle.faults:
+            return 0.0
+        oracle.judge_values()
+        oracle.judge_claims()
+        oracle.judge_outages(self.outages, UNINFORMED_S)
+        worst = oracle.judge_bound(self._calm(), self._spans(), BOUND_S)
+        self._judge_end()
+        return worst
+
+    # Load.
+
+    def _propose(self) -> None:
+        self.world.at(self.world.now_s + self.rand.expovariate(CHANGES_A_SECOND), self._propose)
+        self.world.propose(self._change())
+
+    def _change(self) -> Change:
+        self._changes += 1
+        stamp_ms = 1_700_000_000_000 + int(self.world.now_s * 1000)
+        if self.rand.random() < 0.1:
+            value = self.rand.randbytes(self.rand.choice((0, 10, 300, 1000)))
+            return Setting(f"name{self.rand.randrange(8)}", value, stamp_ms)
+        group = self.rand.choice((0, 0, 0, 7))
+        key = None if group and self.rand.random() < 0.5 else self._changes
+        return Purge(key, group, stamp_ms)
+
+    # Faults.
+
+    def _begin(self, fault: Fault) -> None:
+        world, kind = self.world, fault.kind
+        if kind == "kill":
+            for name in fault.names:
+                world.kill(name)
+        elif kind == "pause":
+            for name in fault.names:
+                world.pause(name, True)
+        elif kind == "restore":
+            for name in REPLICAS:
+                world.kill(name)
+        else:
+            world.cuts += self._cuts(fault)
+
+    def _end(self, fault: Fault) -> None:
+        world, kind = self.world, fault.kind
+        if kind == "pause":
+            for name in fault.names:
+                world.pause(name, False)
+        elif kind == "restore":
+            self._restore(fault)
+        elif kind != "kill":
+            for cut in self._cuts(fault):
+                world.cuts.remove(cut)
+        if kind in ("kill", "restore"):
+            for name in REPLICAS if kind == "restore" else fault.names:
+                world.start(name)
+
+    def _cuts(self, fault: Fault) -> list[tuple[frozenset[str], frozenset[str]]]:
+        names, others = frozenset(fault.names), frozenset(fault.others)
+        ways = {"cut": [(names, others), (others, names)], "cut_out": [(names, others)], "cut_in": [(others, names)]}
+        return ways[fault.kind]
+
+    def _back_up(self) -> None:
+        """From the first replica that runs; where none does, later."""
+        for name in REPLICAS:
+            machine = self.world.processes[name].machine
+            if machine is not None and not machine.blank:
+                snapshot = machine.log.snapshot(self.world.processes[name].clock.at(self.world.now_s))
+                self.backup = Stored(snapshot=snapshot)
+                return
+        self.world.at(self.world.now_s + 0.5, self._back_up)
+
+    def _restore(self, fault: Fault) -> None:
+        world = self.world
+        epoch = max(process.stored.epoch for process in world.processes.values()) + 1
+        snapshot: Snapshot = msgspec.structs.replace(self.backup.snapshot, epoch=epoch, term=0)
+        world.oracle.bases[epoch] = {setting.name: setting.value for setting in snapshot.settings}
+        world.oracle.base_numbers[epoch] = snapshot.number
+        for name in fault.names:
+            world.kill(name)  # where another fault has ended meanwhile
+            world.processes[name].stored = Stored(epoch=epoch, snapshot=snapshot)
+
+    # Judging.
+
+    def _sample(self) -> None:
+        world = self.world
+        world.at(world.now_s + SAMPLE_S, self._sample)
+        for name in self.schedule.followers:
+            if world.runs(name):
+                world.sample(name)
+        self._note_outage()
+
+    def _note_outage(self) -> None:
+        """Spans in which fewer than a majority of replicas run; one that lasts is prolonged."""
+        now_s = self.world.now_s
+        if 2 * sum(self.world.runs(name) for name in REPLICAS) > len(REPLICAS):
+            return
+        if self.outages and now_s - self.outages[-1][1] < 1.5 * SAMPLE_S:
+            self.outages[-1] = (self.outages[-1][0], now_s)
+        else:
+            self.outages.append((now_s, now_s))
+
+    def _spans(self) -> dict[str, list[tuple[float, float]]]:
+        """When each follower ran."""
+        return {name: self.world.up[name] for name in self.schedule.followers}
+
+    def _calm(self) -> list[tuple[float, float]]:
+        """Times in which each entry is due within the bound."""
+        if schedule.one_relay_lost(self.schedule):
+            return [(STARTED_S, self.schedule.end_s)]
+        spans, start = [], STARTED_S
+        for fault in sorted(self.schedule.faults, key=lambda fault: fault.at_s):
+            spans.append((start, fault.at_s))
+            start = max(start, fault.end_s + SETTLED_S)
+        return [*spans, (start, self.schedule.end_s)]
+
+    def _judge_end(self) -> None:
+        """After the calm at the end all followers have all but the last changes, and are informed."""
+        world, oracle = self.world, self.world.oracle
+        epoch = max(oracle.committed)
+        due = [n for n, at_s in oracle.stored_s[epoch].items() if at_s < world.now_s - BOUND_S]
+        for name in self.schedule.followers:
+            process = world.processes[name]
+            follower, now = process.machine, process.clock.at(world.now_s)
+            if (follower.epoch, follower.number) < (epoch, max(due, default=0)) or follower.uninformed(now):
+                known_s = process.clock.true(follower.informed_until(now))
+                oracle.fault(
+                    f"{world.now_s:.3f} {name}: ends at {follower.epoch}/{follower.number} of "
+                    f"{epoch}/{max(due, default=0)}, informed until {known_s:.3f}"
+                )
+
+
+def walk(seed: int, plant: Plant = plants.NONE, followers: int = 24) -> Report:
+    began = time.monotonic()
+    played = Walk(schedule.draw(seed, followers), plant)
+    played.play()
+    worst_s = played.judge()
+    oracle = played.world.oracle
+    return Report(
+        seed,
+        oracle.faults,
+        sum(map(len, oracle.committed.values())),
+        len(oracle.applied),
+        played.world.packets,
+        worst_s,
+        time.monotonic() - began,
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="0-9", help="one, or first-last")
+    parser.add_argument("--plant", choices=sorted(plants.PLANTS))
+    parser.add_argument("--followers", type=int, default=24)
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    plant = plants.PLANTS[options.plant] if options.plant else plants.NONE
+    for seed in range(int(first), int(last or first) + 1):
+        report = walk(seed, plant, options.followers)
+        print(msgspec.json.encode(report).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
