--- a/wickhinge/changelog/settings.py
+++ b/wickhinge/changelog/settings.py
@@ -17,7 +17,7 @@
     catch_up_bytes_s: float = 2_000_000.0  # over all subscribers, for what was missed
     catch_up_burst: float = 200_000.0  # bytes
     pieces_at_once: int = 8  # datagrams in answer to one request
-    most_subscribers: int = 1024
+    most_subscribers: int = 4096
     forget_s: float = 10.0  # a subscriber silent for so long is forgotten
     snapshot_keep_s: float = 30.0  # an encoded snapshot is handed out for so long
 
--- a/wickhinge/lab/changelog/oracle.py
+++ b/wickhinge/lab/changelog/oracle.py
@@ -11,6 +11,7 @@
 from wickhinge.changelog.entries import Entry, Purge, Setting
 from wickhinge.changelog.messages import Record
 
+RECENT_S = 20.0  # purges so young are in each snapshot; replicas and relays keep them for longer
 ROUNDING_S = 0.002  # ages and times held are told in milliseconds
 
 
@@ -31,6 +32,17 @@
     entry: Entry
 
 
+class Loaded(msgspec.Struct, frozen=True):
+    """A snapshot that a follower loaded, and what it knew then."""
+
+    at_s: float
+    name: str
+    epoch: int
+    number: int
+    settings: dict[str, bytes]
+    purges: set[Purge]
+
+
 class Model:
     """What a follower's machine has been told, as an application of the log would keep it."""
 
@@ -45,12 +57,14 @@
         self.faults: list[str] = []
         self.samples: list[Sample] = []
         self.applied: list[Applied] = []
-        self.resets: list[tuple[float, str, int, int, dict[str, bytes]]] = []
+        self.resets: list[Loaded] = []
         self.committed: dict[int, dict[int, Entry]] = defaultdict(dict)  # by epoch and number
         self.stored_s: dict[int, dict[int, float]] = defaultdict(dict)  # when a majority had it, likewise
         self.bases: dict[int, dict[str, bytes]] = {1: {}}  # settings at an epoch's start
         self.base_numbers: dict[int, int] = {1: 0}
         self._majority = majority
+        self.leaders: dict[tuple[int, int], str] = {}  # by epoch and term
+        self._terms: dict[tuple[str, int, int], int] = {}  # of each replica's records
         self._holders: dict[tuple[int, int, int], set[str]] = defaultdict(set)
         self._majority_s: dict[tuple[int, int, int], float] = {}
 
@@ -62,12 +76,19 @@
 
     def stored(self, at_s: float, replica: str, record: Record) -> None:
         key = (record.entry.epoch, record.entry.number, record.term)
+        self._terms[replica, record.entry.epoch, record.entry.number] = record.term
         holders = self._holders[key]
         holders.add(replica)
         if len(holders) >= self._majority:
             self._majority_s.setdefault(key, at_s)
 
-    def commits(self, at_s: float, replica: str, entry: Entry, term: int) -> None:
+    def leads(self, at_s: float, replica: str, epoch: int, term: int) -> None:
+        first = self.leaders.setdefault((epoch, term), replica)
+        if first != replica:
+            self.fault(f"{at_s:.3f} {replica}: leads in term {term} of epoch {epoch}, as {first} does")
+
+    def commits(self, at_s: float, replica: str, entry: Entry) -> None:
+        term = self._terms.get((replica, entry.epoch, entry.number), 0)
         known = self.committed[entry.epoch]
         if entry.number not in known:
             known[entry.number] = entry
@@ -89,7 +110,7 @@
         model.epoch, model.number = snapshot.epoch, snapshot.number
         model.settings = {setting.name: setting.value for setting in snapshot.settings}
         model.purges |= set(snapshot.purges)
-        self.resets.append((at_s, name, snapshot.epoch, snapshot.number, dict(model.settings)))
+        self.resets.append(Loaded(at_s, name, snapshot.epoch, snapshot.number, dict(model.settings), set(model.purges)))
 
     def applies(self, at_s: float, name: str, model: Model, effect: Apply) -> None:
         entry = effect.entry
@@ -110,11 +131,21 @@
             if self.committed[entry.epoch].get(entry.number) != entry:
                 self.fault(f"{applied.at_s:.3f} {applied.name}: applied {entry}, which was not committed")
         states: dict[tuple[int, int], dict[str, bytes]] = {}
-        for at_s, name, epoch, number, settings in self.resets:
-            if (epoch, number) not in states:
-                states[epoch, number] = self._settings_at(epoch, number)
-            if settings != states[epoch, number]:
-                self.fault(f"{at_s:.3f} {name}: a snapshot at {epoch}/{number} with other settings")
+        for loaded in self.resets:
+            place = (loaded.epoch, loaded.number)
+            if place not in states:
+                states[place] = self._settings_at(*place)
+            if loaded.settings != states[place]:
+                self.fault(f"{loaded.at_s:.3f} {loaded.name}: a snapshot at {place} with other settings")
+            self._judge_purges(loaded)
+
+    def _judge_purges(self, loaded: Loaded) -> None:
+        """Purges of the last while are in a snapshot."""
+        for number, entry in self.committed[loaded.epoch].items():
+            recent = self.stored_s[loaded.epoch][number] >= loaded.at_s - RECENT_S
+            if recent and number <= loaded.number and isinstance(entry.change, Purge):
+                if entry.change not in loaded.purges:
+                    self.fault(f"{loaded.at_s:.3f} {loaded.name}: a snapshot without the purge {number}")
 
     def judge_claims(self) -> None:
         """Who claims to be informed until T has all that a majority had stored before T."""
@@ -143,8 +174,8 @@
         for applied in self.applied:
             first.setdefault((applied.name, applied.entry.epoch, applied.entry.number), applied.at_s)
         covered: dict[str, list[tuple[float, int, int]]] = defaultdict(list)
-        for at_s, name, epoch, number, _ in self.resets:
-            covered[name].append((at_s, epoch, number))
+        for loaded in self.resets:
+            covered[loaded.name].append((loaded.at_s, loaded.epoch, loaded.number))
         worst = 0.0
         for epoch, times in self.stored_s.items():
             for number, stored_s in times.items():
--- a/wickhinge/lab/changelog/plants.py
+++ b/wickhinge/lab/changelog/plants.py
@@ -7,12 +7,17 @@
 
 import msgspec
 
+from wickhinge.changelog.effects import Effect
 from wickhinge.changelog.entries import Entry
 from wickhinge.changelog.follower import Follower
-from wickhinge.changelog.messages import Batch, Heartbeat, Packet, RequestVote, SnapshotPart
+from wickhinge.changelog.messages import Batch, Heartbeat, Packet, RequestVote
 from wickhinge.changelog.ordering import Sequencer
 from wickhinge.changelog.relay import Relay
 from wickhinge.changelog.replica import Replica
+from wickhinge.changelog.verdicts import Verdicts
+
+
+STALE_S = 1.0
 
 
 class Plant(msgspec.Struct, frozen=True):
@@ -23,10 +28,12 @@
 
 
 class StaleRelay(Relay):
-    """Tells an old head as new."""
+    """Tells its head as new while it hears no replica."""
 
     def vouched_until(self, now: float) -> float | None:
-        return now
+        until = super().vouched_until(now)
+        is_stale = until is not None and now - until > STALE_S
+        return now if is_stale else until
 
 
 class GapSkipping(Sequencer):
@@ -59,16 +66,24 @@
     return build
 
 
+class Agreeing(Verdicts):
+    """Takes all logs for the same."""
+
+    def told(self, source: str, number: int, digest: bytes, now: float) -> None:
+        pass
+
+
 class EpochBlind(Follower):
-    """Takes what comes for its own epoch's."""
+    """Takes what comes for its own epoch's. Digests are not compared either, as they would tell."""
 
-    def heard(self, packet: Packet, now: float) -> list:
+    def heard(self, packet: Packet, now: float) -> list[Effect]:
         message, epoch = packet.message, self.epoch
-        if epoch and isinstance(message, Heartbeat | SnapshotPart):
+        if epoch and isinstance(message, Heartbeat):
             message = msgspec.structs.replace(message, epoch=epoch)
         elif epoch and isinstance(message, Batch):
             entries = tuple(msgspec.structs.replace(entry, epoch=epoch) for entry in message.entries)
             message = msgspec.structs.replace(message, epoch=epoch, entries=entries)
+        self._subscription.verdicts.__class__ = Agreeing
         return super().heard(msgspec.structs.replace(packet, message=message), now)
 
 
--- a/wickhinge/lab/changelog/schedule.py
+++ b/wickhinge/lab/changelog/schedule.py
@@ -11,13 +11,15 @@
 REGIONS = 3
 FAULTS_FROM_S, FAULTS_UNTIL_S = 6.0, 34.0
 CALM_S = 16.0  # at the end
+BURST = 250  # changes at once, more than a log of the walk retains
 
 
 class Fault(msgspec.Struct, frozen=True):
     """`kind` happens to `names` from `at_s` for `for_s`.
 
-    kill, pause: the processes. cut_out, cut_in: nothing that they send to, or are sent by, `others` arrives. restore:
-    all replicas end; `names` start from a backup with a higher epoch, the others with what they have.
+    kill, pause: the processes. depose: whichever replica leads then stands still. burst: BURST changes at once.
+    cut_out, cut_in: nothing that they send to, or are sent by, `others` arrives. restore: all replicas end; `names`
+    start from a backup with a higher epoch, the others with what they have.
     """
 
     kind: str
@@ -62,7 +64,7 @@
     if rand.random() < 0.2:
         faults = _single_relays(rand)
     else:
-        faults = [_fault(rand, names, region) for _ in range(rand.randint(2, 6))]
+        faults = [_fault(rand, names, region) for _ in range(rand.randint(2, 8))]
         if rand.random() < 0.5:
             faults.append(_restore(rand))
     faults.sort(key=lambda fault: fault.at_s)
@@ -86,9 +88,13 @@
     at_s = round(rand.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S), 3)
     for_s = round(rand.choice((0.3, 1.0, 3.0, 8.0)), 3)
     everyone = (*REPLICAS, *RELAYS, *followers)
-    kind = rand.choice(("kill", "kill", "pause", "one_way", "region", "zone", "minority", "relay_cut", "leaders"))
+    kind = rand.choice(
+        ("kill", "kill", "pause", "one_way", "region", "zone", "minority", "relay_cut", "leaders", "depose", "burst")
+    )
     if kind in ("kill", "pause"):
         return Fault(kind, at_s, for_s, tuple(rand.sample(everyone, rand.choice((1, 2, 5)))))
+    if kind in ("depose", "burst"):
+        return Fault(kind, at_s, 1.5, ())
     if kind == "minority":
         return Fault("kill", at_s, max(for_s, 5.0), tuple(rand.sample(REPLICAS, rand.choice((3, 4, 5)))))
     if kind == "leaders":  # replicas end and are back at once: what they answered has to be on their disks
--- a/wickhinge/lab/changelog/walk.py
+++ b/wickhinge/lab/changelog/walk.py
@@ -31,6 +31,9 @@
     committed: int
     applied: int
     packets: int
+    snapshots: int  # loaded by followers
+    terms: int  # with a leader, of all epochs
+    epochs: int
     worst_delay_s: float
     played_s: float  # wall time
 
@@ -100,6 +103,11 @@
         elif kind == "restore":
             for name in REPLICAS:
                 world.kill(name)
+        elif kind == "depose":
+            self._depose(fault)
+        elif kind == "burst":
+            for _ in range(schedule.BURST):
+                world.propose(self._change())
         else:
             world.cuts += self._cuts(fault)
 
@@ -110,13 +118,19 @@
                 world.pause(name, False)
         elif kind == "restore":
             self._restore(fault)
-        elif kind != "kill":
+        elif kind not in ("kill", "depose", "burst"):
             for cut in self._cuts(fault):
                 world.cuts.remove(cut)
         if kind in ("kill", "restore"):
             for name in REPLICAS if kind == "restore" else fault.names:
                 world.start(name)
 
+    def _depose(self, fault: Fault) -> None:
+        world, leader = self.world, self.world.leader()
+        if leader is not None:
+            world.pause(leader, True)
+            world.at(fault.end_s, lambda: world.pause(leader, False))
+
     def _cuts(self, fault: Fault) -> list[tuple[frozenset[str], frozenset[str]]]:
         names, others = frozenset(fault.names), frozenset(fault.others)
         ways = {"cut": [(names, others), (others, names)], "cut_out": [(names, others)], "cut_in": [(others, names)]}
@@ -204,6 +218,9 @@
         sum(map(len, oracle.committed.values())),
         len(oracle.applied),
         played.world.packets,
+        len(oracle.resets),
+        len(oracle.leaders),
+        len(oracle.committed),
         worst_s,
         time.monotonic() - began,
     )
--- a/wickhinge/lab/changelog/world.py
+++ b/wickhinge/lab/changelog/world.py
@@ -15,7 +15,7 @@
 from wickhinge.changelog.follower import Follower
 from wickhinge.changelog.messages import NEWEST_FORMAT, Packet
 from wickhinge.changelog.relay import Relay
-from wickhinge.changelog.replica import NotLeader, Overloaded, Replica, Stored
+from wickhinge.changelog.replica import NotLeader, Overloaded, Replica, Role, Stored
 from wickhinge.changelog.settings import TICK_S, FollowSettings, RelaySettings, ReplicaSettings
 from wickhinge.lab.changelog.oracle import Model, Oracle, Sample
 from wickhinge.lab.changelog.plants import Plant
@@ -26,7 +26,7 @@
 IN_REGION_S, BETWEEN_REGIONS_S = 0.002, 0.03
 ENCODED = 6  # one packet of so many goes through the codec
 MOST_QUEUED = 256  # packets for a process that stands still
-RETAIN = 200  # entries in a log: few, so that the walk sees snapshots
+RETAIN = 60  # entries in a log: few, so that the walk sees snapshots
 REPLICA_SETTINGS = ReplicaSettings(retain=RETAIN, purge_horizon_s=30.0)
 RELAY_SETTINGS = RelaySettings(retain=RETAIN, purge_horizon_s=30.0)
 FOLLOW_SETTINGS = FollowSettings()
@@ -183,9 +183,16 @@
             return
         self._do(process, process.machine.heard(packet, process.clock.at(self.now_s)))
 
+    def leader(self) -> str | None:
+        """A replica that runs as the leader."""
+        leaders = (name for name in REPLICAS if self.runs(name) and self.processes[name].machine.role is Role.LEADER)
+        return next(leaders, None)
+
     # Effects.
 
     def _do(self, process: Process, effects: list[Effect]) -> None:
+        if isinstance(process.machine, Replica) and process.machine.role is Role.LEADER:
+            self.oracle.leads(self.now_s, process.name, process.machine.epoch, process.machine.term)
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(process, effect)
@@ -193,8 +200,7 @@
                 self._persist(process, effect)
             elif isinstance(effect, Committed):
                 for entry in effect.entries:
-                    term = process.machine.records.term_at(entry.number)
-                    self.oracle.commits(self.now_s, process.name, entry, term)
+                    self.oracle.commits(self.now_s, process.name, entry)
             elif isinstance(effect, Apply):
                 self.oracle.applies(self.now_s, process.name, process.model, effect)
             elif isinstance(effect, Reset):
