--- a/wickhinge/changelog/feed.py
+++ b/wickhinge/changelog/feed.py
@@ -29,7 +29,8 @@
 
 
 class SubscriberRow(msgspec.Struct, frozen=True):
-    """One subscriber for a `show` command. `age_s`: since it was last heard; `uninformed_s`: as it said itself."""
+    """One subscriber for a `show` command. `age_s`: since it was last heard; `uninformed_s`: as it said itself;
+    `agrees`: whether its digest is ours at its number, None where that is not known."""
 
     name: str
     number: int
@@ -37,10 +38,11 @@
     age_s: float
     uninformed_s: float
     watch: bool
+    agrees: bool | None
 
 
 class Subscriber:
-    __slots__ = ("name", "number", "watch", "newest", "token", "heard_at", "uninformed_ms")
+    __slots__ = ("name", "epoch", "number", "digest", "watch", "newest", "token", "heard_at", "uninformed_ms")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -129,6 +131,7 @@
                 now - subscriber.heard_at,
                 subscriber.uninformed_ms / 1000,
                 subscriber.watch,
+                self._agrees(subscriber),
             )
             for subscriber in self._subscribers.values()
         ]
@@ -143,13 +146,18 @@
                 self.refused += 1
                 return []
             subscriber = self._subscribers[packet.sender] = Subscriber(packet.sender)
-        subscriber.number, subscriber.watch, subscriber.newest = message.number, message.watch, packet.newest
+        subscriber.epoch, subscriber.number, subscriber.digest = message.epoch, message.number, message.digest
+        subscriber.watch, subscriber.newest = message.watch, packet.newest
         subscriber.uninformed_ms, subscriber.heard_at = message.uninformed_ms, now
         subscriber.token.hold(packet.token, now)
         if (is_new or message.watch) and self._log.epoch:
             return [self._send(subscriber, self._heartbeat(now, until), now)]
         return []
 
+    def _agrees(self, subscriber: Subscriber) -> bool | None:
+        digest = self._log.digest_at(subscriber.number) if subscriber.epoch == self._log.epoch else None
+        return None if digest is None else digest == subscriber.digest
+
     def _forget(self, name: str) -> None:
         del self._subscribers[name]
         self._wanted.pop(name, None)
--- a/wickhinge/changelog/relay.py
+++ b/wickhinge/changelog/relay.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from wickhinge.changelog.effects import Apply, Effect, Reset, Send
+from wickhinge.changelog.entries import Entry
 from wickhinge.changelog.feed import Feed, SubscriberRow
 from wickhinge.changelog.log import Log
 from wickhinge.changelog.messages import NEWEST_FORMAT, Packet
@@ -47,13 +48,16 @@
         sends: list[Effect] = []
         for effect in self._subscription.heard(packet, now):
             if isinstance(effect, Apply):
-                self.log.append(effect.entry, now)
+                self._append(effect.entry, now)
             elif isinstance(effect, Reset):
                 self.log.load(effect.snapshot, now)
             elif isinstance(effect, Send):
                 sends.append(effect)
         return sends
 
+    def _append(self, entry: Entry, now: float) -> None:
+        self.log.append(entry, now)
+
     def vouched_until(self, now: float) -> float | None:
         """All changes that were at the replicas' majority before this time, by this clock, are in this log. None while
         the replicas' logs are seen to differ."""
--- a/wickhinge/lab/changelog/plants.py
+++ b/wickhinge/lab/changelog/plants.py
@@ -16,7 +16,6 @@
 from wickhinge.changelog.replica import Replica
 from wickhinge.changelog.verdicts import Verdicts
 
-
 STALE_S = 1.0
 
 
