--- a/wickhinge/changelog/effects.py
+++ b/wickhinge/changelog/effects.py
@@ -44,7 +44,8 @@
 
 
 class Committed(msgspec.Struct, frozen=True):
-    """These entries are committed: they never change within their epoch."""
+    """These entries are committed: they never change within their epoch. After a restart, those that follow the stored
+    snapshot come again."""
 
     entries: tuple[Entry, ...]
 
@@ -56,7 +57,8 @@
 
 
 class Reset(msgspec.Struct, frozen=True):
-    """The state is the snapshot's now: its settings replace all others, its purges are added to those known."""
+    """The state is the snapshot's now: its settings replace all others, its purges are added to those known. Its epoch
+    and number may be lower than before only where a majority of relays contradicted the log."""
 
     snapshot: Snapshot
 
--- a/wickhinge/changelog/records.py
+++ b/wickhinge/changelog/records.py
@@ -63,3 +63,25 @@
         while number > self.base and self.term_at(number) == term:
             number -= 1
         return number
+
+    def disagreement(self, previous: int, previous_term: int, commit: int) -> int | None:
+        """None where a leader's records after `previous` fit on; else the number after which it should try next."""
+        if previous < self.base:
+            return None  # committed, hence the same
+        term = self.term_at(previous)
+        if term is None:
+            return self.last
+        return None if term == previous_term else max(self.conflict_start(previous), commit)
+
+    def merge(self, records: tuple[Record, ...]) -> tuple[int, tuple[Record, ...]]:
+        """Takes a leader's records, which fit on: what differs is cut, what is new is appended. The number up to which
+        the log was kept, and what was appended after it."""
+        new = [record for record in records if record.entry.number > self.base]
+        while new and self.term_at(new[0].entry.number) == new[0].term:
+            new.pop(0)
+        if not new:
+            return self.last, ()
+        kept = new[0].entry.number - 1
+        self.cut_after(kept)
+        self._records += new
+        return kept, tuple(new)
--- a/wickhinge/changelog/replica.py
+++ b/wickhinge/changelog/replica.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from enum import Enum
 
 import msgspec
 
+from wickhinge.changelog.ballot import Ballot, Role
 from wickhinge.changelog.codec import MOST_BATCH_ENTRIES, MOST_ENTRIES_BYTES, MOST_RECORD_EXTRA
 from wickhinge.changelog.echo import EchoClock, HeldToken, age_ms, complete_until
 from wickhinge.changelog.effects import Accepted, Committed, Effect, Persist, PersistSnapshot, Send
-from wickhinge.changelog.entries import EMPTY_DIGEST, Change, Entry, Noop, check
+from wickhinge.changelog.entries import Change, Entry, Noop, check
 from wickhinge.changelog.feed import Feed, SubscriberRow
 from wickhinge.changelog.leadership import Leadership
 from wickhinge.changelog.log import EMPTY_SNAPSHOT, Log, Snapshot
@@ -19,7 +19,6 @@
     OLDEST_FORMAT,
     Append,
     Appended,
-    FetchSnapshot,
     Message,
     Packet,
     Record,
@@ -30,46 +29,11 @@
 )
 from wickhinge.changelog.records import Records
 from wickhinge.changelog.settings import ReplicaSettings
-from wickhinge.changelog.snapshots import Assembly
+from wickhinge.changelog.snapshots import SnapshotFetch
+from wickhinge.changelog.stored import NotLeader, Overloaded, Stored
 from wickhinge.changelog.vouches import Vouches
 
 LEAST_BROADCAST_S = 0.01  # between two rounds for new records; more wait for the next tick
-SNAPSHOT_FETCH_S = 0.15  # between two requests for parts of a snapshot
-
-
-class Role(Enum):
-    FOLLOWER = "follower"
-    PROBER = "prober"  # asks whether it would be elected
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-class Stored(msgspec.Struct, frozen=True):
-    """What a replica finds on stable storage: the sum of all that it was told to persist. `records` begin after the
-    snapshot's number.
-
-    A new replica has what this has by default. An operator who restarts the log from a backup gives the replicas the
-    same backup as `snapshot`, with a higher epoch in it and here, and nothing else. A replica whose snapshot is of
-    another epoch is blank: it votes and waits for a snapshot, and does not stand for election.
-    """
-
-    epoch: int = 1
-    term: int = 0
-    vote: str = ""
-    snapshot: Snapshot = Snapshot(1, 0, EMPTY_DIGEST, (), ())
-    records: tuple[Record, ...] = ()
-
-
-class NotLeader(Exception):
-    """Only the leader takes proposals. `leader` is its name where it is known, else ""."""
-
-    def __init__(self, leader: str) -> None:
-        super().__init__(f"not the leader, which is {leader or 'not known'}")
-        self.leader = leader
-
-
-class Overloaded(Exception):
-    """Too many proposals wait for a majority, or too many settings are in force."""
 
 
 class Replica:
@@ -89,7 +53,7 @@
         stored: Stored,
         newest_format: int = NEWEST_FORMAT,
     ) -> None:
-        self._name, self._settings, self._chance, self._newest = name, settings, chance, newest_format
+        self._name, self._settings, self._newest = name, settings, newest_format
         self._peers = tuple(peer for peer in replicas if peer != name)
         self._formats = dict.fromkeys(self._peers, OLDEST_FORMAT)
         self._tokens = {peer: HeldToken() for peer in self._peers}
@@ -97,19 +61,28 @@
         self._out: list[Effect] = []
         self._vouches = Vouches()
         self.log = Log(settings.retain, settings.purge_horizon_s)  # of what is committed
-        self.epoch, self.term, self.vote = stored.epoch, stored.term, stored.vote
+        self.epoch = stored.epoch
+        self._ballot = Ballot(name, len(self._peers) + 1, stored.term, stored.vote, settings.election_s, chance, now)
         self.blank = stored.snapshot.epoch != stored.epoch
         self._start_records(EMPTY_SNAPSHOT if self.blank else stored.snapshot, now)
         for record in () if self.blank else stored.records:
             self.records.append(record)
         self._feed = Feed(name, self.log, settings.feed, newest_format, now, self._committed_term)
-        self.role, self.leader = Role.FOLLOWER, ""
         self._leadership: Leadership | None = None  # while the leader
-        self._votes: set[str] = set()
-        self._leader_heard_at = float("-inf")
-        self._assembly: Assembly | None = None  # while a snapshot is wanted of the leader
-        self._fetch_at = now
-        self._await_election(now)
+        self._snapshot_fetch = SnapshotFetch()
+
+    @property
+    def term(self) -> int:
+        return self._ballot.term
+
+    @property
+    def role(self) -> Role:
+        return self._ballot.role
+
+    @property
+    def leader(self) -> str:
+        """The leader as far as it is known, else ""."""
+        return self._ballot.leader
 
     @property
     def commit(self) -> int:
@@ -120,7 +93,7 @@
         """To be called every TICK_S. Effects: Persist, Send, Committed."""
         if self._leadership is not None:
             self._lead(self._leadership, now)
-        elif now >= self._election_at and not self.blank:
+        elif self._ballot.is_due(now) and not self.blank:
             self._campaign(now, probe=True)
         self._fetch_snapshot(now)
         self._out += self._feed.tick(now, self.vouched_until())
@@ -176,14 +149,8 @@
     # Elections.
 
     def _campaign(self, now: float, probe: bool) -> None:
-        self._votes = {self._name}
-        self.leader = ""
-        self._await_election(now)
-        term = self.term + 1
-        if probe:
-            self.role = Role.PROBER
-        else:
-            self.role, self.term, self.vote = Role.CANDIDATE, term, self._name
+        term = self._ballot.stand(probe, now)
+        if not probe:
             self._persist(self.records.last)
         request = RequestVote(self.epoch, term, self.records.last, self.records.last_term, probe)
         for peer in self._peers:
@@ -191,7 +158,7 @@
         self._count_votes(now)
 
     def _count_votes(self, now: float) -> None:
-        if 2 * len(self._votes) <= len(self._peers) + 1:
+        if not self._ballot.has_majority:
             return
         if self.role is Role.PROBER:
             self._campaign(now, probe=False)
@@ -199,51 +166,41 @@
             self._become_leader(now)
 
     def _on_request_vote(self, sender: str, message: RequestVote, now: float) -> None:
-        standing = (message.last_term, message.last_number)
-        is_current = standing >= (self.records.last_term, self.records.last)
+        ballot, records = self._ballot, self.records
         if message.probe:
-            hears_leader = self._leadership is not None or now - self._leader_heard_at < self._settings.election_s
-            granted = message.term > self.term and is_current and not hears_leader
+            granted = ballot.would_grant(message, records.last_term, records.last, now)
             self._send(sender, Vote(self.epoch, message.term if granted else self.term, granted, True), now)
             return
         if message.term > self.term:
-            self._follow_term(message.term, now)
-        granted = message.term == self.term and self.vote in ("", sender) and is_current
-        if granted and not self.vote:
-            self.vote = sender
-            self._persist(self.records.last)
+            self._enter_term(message.term, now)
+        granted = ballot.grants(sender, message, records.last_term, records.last)
         if granted:
-            self._await_election(now)
+            ballot.vote = sender
+            ballot.restart_timer(now)
+            self._persist(records.last)
         self._send(sender, Vote(self.epoch, self.term, granted, False), now)
 
     def _on_vote(self, sender: str, message: Vote, now: float) -> None:
         if message.term > self.term and not (message.granted and message.probe):
-            self._follow_term(message.term, now)
-            return
-        expected = self.term + 1 if message.probe else self.term
-        wanted = self.role is (Role.PROBER if message.probe else Role.CANDIDATE)
-        if message.granted and wanted and message.term == expected:
-            self._votes.add(sender)
+            self._enter_term(message.term, now)
+        elif message.granted:
+            self._ballot.takes(sender, message.term, message.probe)
             self._count_votes(now)
 
-    def _follow_term(self, term: int, now: float) -> None:
-        """A later term is known of: no vote has been given in it."""
-        self.term, self.vote = term, ""
+    def _enter_term(self, term: int, now: float) -> None:
+        self._leadership = None
+        self._ballot.enter(term, now)
         self._persist(self.records.last)
-        self._step_down("", now)
-
-    def _step_down(self, leader: str, now: float) -> None:
-        self.role, self.leader, self._leadership = Role.FOLLOWER, leader, None
-        self._await_election(now)
 
-    def _await_election(self, now: float) -> None:
-        self._election_at = now + self._settings.election_s * (1 + self._chance())
+    def _follow(self, leader: str, now: float) -> None:
+        self._leadership = None
+        self._ballot.follow(leader, now)
 
     # The leader.
 
     def _become_leader(self, now: float) -> None:
-        self.role, self.leader = Role.LEADER, self._name
-        self._assembly = None
+        self._ballot.lead()
+        self._snapshot_fetch.stop()
         self._leadership = Leadership(self._peers, self.records.last, now)
         self._append_own(Noop())
         self._broadcast(self._leadership, now)
@@ -251,7 +208,7 @@
 
     def _lead(self, leadership: Leadership, now: float) -> None:
         if self._peers and now - leadership.confirmed_at > 2 * self._settings.election_s:
-            self._step_down("", now)  # no majority answers
+            self._follow("", now)  # no majority answers
         elif leadership.behind or now - leadership.broadcast_at >= self._settings.heartbeat_s:
             self._broadcast(leadership, now)
 
@@ -284,7 +241,7 @@
 
     def _on_appended(self, peer: str, message: Appended, now: float) -> None:
         if message.term > self.term:
-            self._follow_term(message.term, now)
+            self._enter_term(message.term, now)
         leadership = self._leadership
         if leadership is None or message.term < self.term:
             return
@@ -315,74 +272,44 @@
             self._reply(packet.sender, message, False, 0, now)
             return
         if message.term > self.term:
-            self._follow_term(message.term, now)
-        self._step_down(packet.sender, now)
-        self._leader_heard_at = now
+            self._enter_term(message.term, now)
+        self._follow(packet.sender, now)
         sent_after = self._echo.sent_after(packet.echo, packet.held_ms)
         until = None if sent_after is None else complete_until(min(sent_after, now), message.age_ms)
         if until is not None:
             self._vouches.add(until, message.commit)
-        try_next = 0 if self.blank else self._disagreement(message)
+        try_next = 0
+        if not self.blank:
+            try_next = self.records.disagreement(message.previous_number, message.previous_term, self.commit)
         if try_next is not None:
             self._reply(packet.sender, message, False, try_next, now)
             if self.blank or try_next + 1 < message.first:
-                self._want_snapshot(packet.sender)
+                self._snapshot_fetch.want(packet.sender)
             return
-        self._take(message)
+        kept, added = self.records.merge(message.records)
+        if added:
+            self._persist(kept, added)
         end = message.previous_number + len(message.records)
         self._reply(packet.sender, message, True, max(end, self.records.base), now)
         self._advance_commit(min(message.commit, end), now)
 
-    def _disagreement(self, message: Append) -> int | None:
-        """None where the log has the message's previous record; else where the leader should try next."""
-        previous = message.previous_number
-        if previous < self.records.base:
-            return None  # committed, hence the same
-        term = self.records.term_at(previous)
-        if term is None:
-            return self.records.last
-        if term != message.previous_term:
-            return max(self.records.conflict_start(previous), self.commit)
-        return None
-
-    def _take(self, message: Append) -> None:
-        new = [record for record in message.records if record.entry.number > self.records.base]
-        while new and self.records.term_at(new[0].entry.number) == new[0].term:
-            new.pop(0)
-        if not new:
-            return
-        kept = new[0].entry.number - 1
-        self.records.cut_after(kept)
-        for record in new:
-            self.records.append(record)
-        self._persist(kept, tuple(new))
-
     def _reply(self, leader: str, message: Append, success: bool, match: int, now: float) -> None:
         answer = Appended(self.epoch, self.term, success, match, message.round)
         self._send(leader, answer, now, self._echo.draw(now))
 
     # Snapshots and epochs.
 
-    def _want_snapshot(self, leader: str) -> None:
-        if self._assembly is None or self._assembly.source != leader:
-            self._assembly = Assembly(leader)
-
     def _fetch_snapshot(self, now: float) -> None:
-        if self._assembly is None or now < self._fetch_at:
-            return
-        self._fetch_at = now + SNAPSHOT_FETCH_S
-        subscribe = Subscribe(0, self.commit, self.log.digest, True, 0)
-        self._send(self._assembly.source, subscribe, now)
-        self._send(self._assembly.source, FetchSnapshot(self.epoch, self._assembly.number, self._assembly.missing), now)
+        """A request subscribes, too, as a feed serves subscribers alone."""
+        request = self._snapshot_fetch.request(self.epoch, now)
+        if request is not None:
+            leader = self._snapshot_fetch.source
+            self._send(leader, Subscribe(0, self.commit, self.log.digest, True, 0), now)
+            self._send(leader, request, now)
 
     def _on_snapshot_part(self, sender: str, part: SnapshotPart, now: float) -> None:
-        if self._assembly is None or self._assembly.source != sender:
-            return
-        snapshot = self._assembly.add(part)
-        if snapshot is None:
-            return
-        self._assembly = None
-        if not self.blank and snapshot.number <= self.commit:
+        snapshot = self._snapshot_fetch.add(sender, part)
+        if snapshot is None or (not self.blank and snapshot.number <= self.commit):
             return
         agrees = not self.blank and self.records.term_at(snapshot.number) == snapshot.term
         following = self.records.between(snapshot.number, self.records.last) if agrees else ()
@@ -399,14 +326,15 @@
     def _adopt_epoch(self, epoch: int, now: float) -> None:
         """The log was restarted elsewhere: this replica is blank in the new epoch. The new epoch is persisted first, so
         that a replica that ends meanwhile is not blank in the old one."""
-        self.epoch, self.term, self.vote = epoch, 0, ""
+        self.epoch = epoch
         self.blank = True
+        self._leadership = None
+        self._ballot.enter(0, now)
         self._start_records(EMPTY_SNAPSHOT, now)
         self._vouches.forget_pending()
-        self._assembly = None
+        self._snapshot_fetch.stop()
         self._persist(0)
         self._out.append(PersistSnapshot(EMPTY_SNAPSHOT, True))
-        self._step_down("", now)
 
     def _advance_commit(self, number: int, now: float) -> None:
         if number <= self.commit:
@@ -426,7 +354,7 @@
     # Output.
 
     def _persist(self, kept: int, records: tuple[Record, ...] = ()) -> None:
-        self._out.append(Persist(self.epoch, self.term, self.vote, kept, records))
+        self._out.append(Persist(self.epoch, self.term, self._ballot.vote, kept, records))
 
     def _send(self, to: str, message: Message, now: float, token: int = 0) -> None:
         written = min(self._newest, self._formats[to])
--- a/wickhinge/changelog/snapshots.py
+++ b/wickhinge/changelog/snapshots.py
@@ -8,10 +8,11 @@
 from wickhinge.changelog.entries import DIGEST_BYTES, Purge, Setting, read_change, write_change
 from wickhinge.changelog.fields import Malformed, Reader, Writer
 from wickhinge.changelog.log import MOST_PURGES, MOST_SETTINGS, Snapshot
-from wickhinge.changelog.messages import SnapshotPart
+from wickhinge.changelog.messages import FetchSnapshot, SnapshotPart
 
 CHECKSUM_BYTES = 8
 LAYOUT = 1
+FETCH_S = 0.15  # between two requests of a replica for parts of a snapshot
 
 
 def checksum(data: bytes) -> bytes:
@@ -102,3 +103,35 @@
         except Malformed:
             return None
         return snapshot if (snapshot.epoch, snapshot.number) == (part.epoch, part.number) else None
+
+
+class SnapshotFetch:
+    """A replica's fetching of a snapshot from the leader, while `source` is not ""."""
+
+    def __init__(self) -> None:
+        self.source = ""
+        self._assembly = Assembly("")
+        self._asked_at = float("-inf")
+
+    def want(self, source: str) -> None:
+        if self.source != source:
+            self.source, self._assembly = source, Assembly(source)
+
+    def stop(self) -> None:
+        self.source = ""
+
+    def request(self, epoch: int, now: float) -> FetchSnapshot | None:
+        """What is to be sent to `source` now."""
+        if not self.source or now - self._asked_at < FETCH_S:
+            return None
+        self._asked_at = now
+        return FetchSnapshot(epoch, self._assembly.number, self._assembly.missing)
+
+    def add(self, sender: str, part: SnapshotPart) -> Snapshot | None:
+        """The snapshot, once it is whole."""
+        if not self.source or sender != self.source:
+            return None
+        snapshot = self._assembly.add(part)
+        if snapshot is not None:
+            self.stop()
+        return snapshot
--- a/wickhinge/changelog/sources.py
+++ b/wickhinge/changelog/sources.py
@@ -68,6 +68,11 @@
     def ban(self, name: str, now: float) -> None:
         self.all[name].banned_until = now + BANNED_S
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the source that is followed has been heard since then."""
+        return self.current.heard_at >= self._followed_since
+
     def choose(self, now: float) -> bool:
         """Whether another source is followed from now on."""
         before = self.current
--- a/wickhinge/changelog/subscription.py
+++ b/wickhinge/changelog/subscription.py
@@ -24,6 +24,8 @@
 from wickhinge.changelog.verdicts import Dispute, Verdicts
 from wickhinge.changelog.vouches import Vouches
 
+RESUBSCRIBE_S = 0.3  # between subscriptions to a source that has not answered yet
+
 
 class Subscription:
     """Parameters as for a Follower."""
@@ -59,7 +61,8 @@
             if self.sources.current is not former:
                 effects += self._switched(former, now)
         if now >= self._subscribe_at:
-            self._subscribe_at = now + self._settings.subscribe_s * (0.9 + 0.1 * self._chance())
+            wait_s = self._settings.subscribe_s if self.sources.is_confirmed else RESUBSCRIBE_S
+            self._subscribe_at = now + wait_s * (0.9 + 0.1 * self._chance())
             effects += self._subscribe(now, uninformed_ms)
         return effects + self._fetch(now)
 
--- a/wickhinge/lab/changelog/plants.py
+++ b/wickhinge/lab/changelog/plants.py
@@ -91,7 +91,7 @@
 
     def _on_request_vote(self, sender: str, message: RequestVote, now: float) -> None:
         if not message.probe and message.term == self.term:
-            self.vote = ""
+            self._ballot.vote = ""
         super()._on_request_vote(sender, message, now)
 
 
--- a/wickhinge/lab/changelog/walk.py
+++ b/wickhinge/lab/changelog/walk.py
@@ -10,7 +10,7 @@
 
 from wickhinge.changelog.entries import Change, Purge, Setting
 from wickhinge.changelog.log import Snapshot
-from wickhinge.changelog.replica import Stored
+from wickhinge.changelog.stored import Stored
 from wickhinge.lab.changelog import plants, schedule
 from wickhinge.lab.changelog.plants import Plant
 from wickhinge.lab.changelog.schedule import REPLICAS, Fault, Schedule
--- a/wickhinge/lab/changelog/world.py
+++ b/wickhinge/lab/changelog/world.py
@@ -9,14 +9,16 @@
 
 import msgspec
 
+from wickhinge.changelog.ballot import Role
 from wickhinge.changelog.codec import Codec
 from wickhinge.changelog.effects import Accepted, Apply, Committed, Effect, Persist, PersistSnapshot, Reset, Send
 from wickhinge.changelog.entries import Change
 from wickhinge.changelog.follower import Follower
 from wickhinge.changelog.messages import NEWEST_FORMAT, Packet
 from wickhinge.changelog.relay import Relay
-from wickhinge.changelog.replica import NotLeader, Overloaded, Replica, Role, Stored
+from wickhinge.changelog.replica import Replica
 from wickhinge.changelog.settings import TICK_S, FollowSettings, RelaySettings, ReplicaSettings
+from wickhinge.changelog.stored import NotLeader, Overloaded, Stored
 from wickhinge.lab.changelog.oracle import Model, Oracle, Sample
 from wickhinge.lab.changelog.plants import Plant
 from wickhinge.lab.changelog.schedule import RELAYS, REPLICAS, Schedule
