Change log walk: a router that sets no limit to a copy's age knows each purge whose grace is over

Need: the rule that the bounds are for was held only by what it follows from. Change: the oracle judges `oldest` of each sample, for a grace of 4 s and purges stored within 0.5 s of their stamp.

--- a/wickhinge/lab/changelog/oracle.py
+++ b/wickhinge/lab/changelog/oracle.py
@@ -11,6 +11,8 @@
 from wickhinge.changelog.entries import Entry, Purge, Setting
 from wickhinge.changelog.messages import Record
 
+GRACE_S = 4.0  # a purge's, over the followers' bound and INGEST_S
+INGEST_S = 0.5  # from a purge's stamp to the replicas' majority, for the purges that are judged
 RECENT_S = 20.0  # purges so young are in each snapshot; replicas and relays keep them for longer
 ROUNDING_S = 0.002  # ages and times held are told in milliseconds
 
@@ -24,6 +26,7 @@
     number: int
     informed_until_s: float  # true time
     uninformed: bool
+    any_copy: bool  # `oldest` sets no limit for a grace of GRACE_S
 
 
 class Applied(msgspec.Struct, frozen=True):
@@ -161,6 +164,22 @@
                     f"{times[place - 1]:.3f}"
                 )
 
+    def judge_copies(self) -> None:
+        """Who sets no limit to a copy's age has each purge whose grace is over."""
+        for epoch, entries in self.committed.items():
+            stamped = []
+            for number, entry in sorted(entries.items()):
+                stamp_s = getattr(entry.change, "stamp_ms", 0) / 1000
+                if isinstance(entry.change, Purge) and self.stored_s[epoch][number] - stamp_s <= INGEST_S:
+                    stamped.append((stamp_s, number))
+            stamped.sort()
+            for sample in self.samples:
+                place = bisect_left(stamped, (sample.at_s - GRACE_S, 0)) if sample.any_copy else 0
+                if place and (epoch, stamped[place - 1][1]) > (sample.epoch, sample.number):
+                    self.fault(
+                        f"{sample.at_s:.3f} {sample.name}: any copy will do, without {epoch}/{stamped[place - 1]}"
+                    )
+
     def judge_outages(self, outages: list[tuple[float, float]], bound_s: float) -> None:
         """Where no majority of replicas runs, all know after the bound that they are uninformed."""
         for start, end in outages:
--- a/wickhinge/lab/changelog/walk.py
+++ b/wickhinge/lab/changelog/walk.py
@@ -69,6 +69,7 @@
             return 0.0
         oracle.judge_values()
         oracle.judge_claims()
+        oracle.judge_copies()
         oracle.judge_outages(self.outages, UNINFORMED_S)
         worst = oracle.judge_bound(self._calm(), self._spans(), BOUND_S)
         self._judge_end()
@@ -82,7 +83,7 @@
 
     def _change(self) -> Change:
         self._changes += 1
-        stamp_ms = 1_700_000_000_000 + int(self.world.now_s * 1000)
+        stamp_ms = int(self.world.now_s * 1000)
         if self.rand.random() < 0.1:
             value = self.rand.randbytes(self.rand.choice((0, 10, 300, 1000)))
             return Setting(f"name{self.rand.randrange(8)}", value, stamp_ms)
--- a/wickhinge/lab/changelog/world.py
+++ b/wickhinge/lab/changelog/world.py
@@ -19,7 +19,7 @@
 from wickhinge.changelog.replica import Replica
 from wickhinge.changelog.settings import TICK_S, FollowSettings, RelaySettings, ReplicaSettings
 from wickhinge.changelog.stored import NotLeader, Overloaded, Stored
-from wickhinge.lab.changelog.oracle import Model, Oracle, Sample
+from wickhinge.lab.changelog.oracle import GRACE_S, Model, Oracle, Sample
 from wickhinge.lab.changelog.plants import Plant
 from wickhinge.lab.changelog.schedule import RELAYS, REPLICAS, Schedule
 
@@ -163,6 +163,7 @@
                 process.model.number,
                 process.clock.true(process.machine.informed_until(now)),
                 process.machine.uninformed(now),
+                process.machine.oldest(now, GRACE_S) is None,
             )
         )
 
