--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -27,10 +27,12 @@
 from wickhinge.changelog.follower import Follower
 from wickhinge.changelog.log import EMPTY_SNAPSHOT, Log, OutOfOrder, Snapshot
 from wickhinge.changelog.messages import UNVOUCHED, Packet, Record
+from wickhinge.changelog.ordering import Sequencer
 from wickhinge.changelog.replica import Replica
 from wickhinge.changelog.settings import TICK_S, FeedSettings, FollowSettings, ReplicaSettings
 from wickhinge.changelog.snapshots import Assembly, cut
 from wickhinge.changelog.stored import NotLeader, Stored
+from wickhinge.changelog.vouches import Vouches
 
 KEY = b"k" * 32
 
@@ -227,6 +229,32 @@
     assert (assembly.number, assembly.missing) == (10, 1)
 
 
+# Order, and what is vouched for.
+
+
+@given(st.lists(st.tuples(st.integers(1, 30), st.integers(1, 8)), max_size=40))
+def test_entries_come_out_once_and_in_order_however_they_come_in(runs):
+    whole = log_of(40)
+    sequencer = Sequencer(most_held=20, most_digests=8)
+    sequencer.epoch, out = 1, []
+    for first, count in runs:
+        entries = whole.entries_from(first, 10_000, count)
+        out += [entry.number for entry in sequencer.offer(entries)]
+        assert len(sequencer._held) <= 20
+    assert out == list(range(1, sequencer.last + 1))
+    assert sequencer.digest == whole.digest_at(sequencer.last)
+
+
+@given(st.lists(st.tuples(st.integers(0, 50), st.integers(0, 20), st.integers(0, 3)), max_size=60))
+def test_a_vouch_counts_once_its_number_is_reached_and_the_latest_of_these_is_told(steps):
+    vouches, told, last = Vouches(), [], 0
+    for until, number, advance in steps:
+        vouches.add(float(until), number)
+        told.append((until, number))
+        last += advance
+        assert vouches.reached(last) == max((t for t, n in told if n <= last), default=float("-inf"))
+
+
 # A follower.
 
 SETTINGS = FollowSettings()
@@ -369,6 +397,14 @@
     assert [message.watch for to, message in relayed.asked(messages.Subscribe) if to == "r1"][-1] is False
 
 
+def test_a_follower_that_stood_still_itself_leaves_no_relay_for_that():
+    relayed = loaded(2)
+    relayed.now += 8.0
+    relayed.take(relayed.follower.tick(relayed.now))
+    relayed.step(0.2)
+    assert relayed.follower.source == "r0"
+
+
 def test_a_relay_that_lags_behind_the_second_one_is_left():
     relayed = loaded(2)
     for _ in range(3):
--- a/wickhinge/changelog/sources.py
+++ b/wickhinge/changelog/sources.py
@@ -73,6 +73,11 @@
         """Whether the source that is followed has been heard since then."""
         return self.current.heard_at >= self._followed_since
 
+    def stalled(self, now: float) -> None:
+        """This process stood still: that nothing was heard meanwhile is no source's fault."""
+        self._followed_since = self._watched_since = now
+        self._behind = None
+
     def choose(self, now: float) -> bool:
         """Whether another source is followed from now on."""
         before = self.current
--- a/wickhinge/changelog/subscription.py
+++ b/wickhinge/changelog/subscription.py
@@ -50,16 +50,18 @@
         self._echo = EchoClock(session)
         self._assembly: Assembly | None = None  # while a snapshot is wanted
         self._unproven = False  # the own log was found wrong, and no majority has agreed since
-        self._subscribe_at = now
+        self._subscribe_at = self._ticked_at = now
         self._fetch_at: float | None = None  # while something is missing
         self._fetch_wait_s = settings.fetch_timeout_s
 
     def tick(self, now: float, uninformed_ms: int) -> list[Effect]:
         effects: list[Effect] = []
+        if now - self._ticked_at > self._settings.silent_s / 2:
+            self.sources.stalled(now)
+        self._ticked_at = now
         former = self.sources.current
         if self._settle_dispute(now) or self.sources.choose(now):
-            if self.sources.current is not former:
-                effects += self._switched(former, now)
+            effects += self._switched(former, now, uninformed_ms)
         if now >= self._subscribe_at:
             wait_s = self._settings.subscribe_s if self.sources.is_confirmed else RESUBSCRIBE_S
             self._subscribe_at = now + wait_s * (0.9 + 0.1 * self._chance())
@@ -169,6 +171,9 @@
         self._notice_gap(now)
         if self._fetch_at is None or now < self._fetch_at or not self.highest_epoch:
             return []
+        return self._request(now)
+
+    def _request(self, now: float) -> list[Effect]:
         self._fetch_at = now + self._fetch_wait_s * (0.75 + 0.5 * self._chance())
         self._fetch_wait_s = min(2 * self._fetch_wait_s, self._settings.most_fetch_timeout_s)
         if self._wants_snapshot() or self._assembly is not None:
@@ -192,14 +197,20 @@
         where = self.sequencer
         return Subscribe(where.epoch, where.last, where.digest, source is not self.sources.current, uninformed_ms)
 
-    def _switched(self, former: Source, now: float) -> list[Effect]:
-        """The new source is subscribed to at once; the old one, where it is not the second one now, is told."""
+    def _switched(self, former: Source, now: float, uninformed_ms: int) -> list[Effect]:
+        """The new source is subscribed to, and asked for what comes next, at once; the old one, where it is not the
+        second one now, is told."""
         self.sequencer.drop_held()
         self._assembly = None
         self._fetch_at = None
         self._fetch_wait_s = self._settings.fetch_timeout_s
-        self._subscribe_at = now
-        return [] if former is self.sources.watch else [self._send(former, Unsubscribe(), 0)]
+        effects = self._subscribe(now, uninformed_ms)
+        self._subscribe_at = now + RESUBSCRIBE_S
+        if self.highest_epoch:
+            effects += self._request(now)
+        if former not in (self.sources.current, self.sources.watch):
+            effects.append(self._send(former, Unsubscribe(), 0))
+        return effects
 
     def _settle_dispute(self, now: float) -> bool:
         """Whether another source is followed from now on, as our own log was found wrong."""
--- a/wickhinge/lab/changelog/world.py
+++ b/wickhinge/lab/changelog/world.py
@@ -129,6 +129,8 @@
         process = self.processes[name]
         process.paused = paused
         if not paused and process.machine is not None:
+            if self.rand.random() < 0.5:  # its timers may come before what has been waiting in its socket
+                self._do(process, process.machine.tick(process.clock.at(self.now_s)))
             queued, process.queued = process.queued, []
             for packet in queued:
                 self._hear(process, packet)
