A start puts off what Twisted imports and a router never uses

Cause: of 92 ms that a start imports for, 72 are Twisted's, 25 of them http.cookiejar (with urllib, http.client, email, ssl) and asyncio, imported by twisted.python.compat and twisted.internet.defer for names that a router never calls (-X importtime). Ruled out: settings, first list and wiring (under 1 ms), our own modules (12 ms), byte code of our own files (1 ms). Change: net/deferred_imports; the plain start moved to net/start, so that __main__ and cli no longer import each other; the build writes byte code, since a router's files can't be written where it runs.

--- a/setup.py
+++ b/setup.py
@@ -5,7 +5,9 @@
 from Cython.Build import cythonize
 from setuptools import Extension, setup
 
-COLD = {"wickhinge/net/__init__.py", "wickhinge/net/copies.py", "wickhinge/net/members.py", "wickhinge/net/fellows.py"}
+COLD = {
+    f"wickhinge/net/{name}.py" for name in ("__init__", "copies", "deferred_imports", "fellows", "members", "start")
+}
 HOT = ["wickhinge/decide.py", *sorted(set(glob("wickhinge/net/*.py")) - COLD)]
 
 setup(
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -1,11 +1,10 @@
 """Our own settings: what is taken, what is not, and what is said of it."""
 
-import subprocess
-import sys
 from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
+from test_start import modules_of_a_start
 
 from wickhinge.cli import main
 from wickhinge.options import Fault, load
@@ -17,13 +16,11 @@
 
 
 def test_what_is_off_is_not_imported():
-    text = """
-import sys, wickhinge.__main__
-ours = [f"wickhinge.{name}" for name in ("peers", "shared", "store", "membership", "options", "lab")]
-print([name for name in sys.modules if name.startswith(("msgspec", "lark", "twisted.internet.endpoints", *ours))])
-"""
-    ran = subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True, text=True, check=True)
-    assert ran.stdout == "[]\n"
+    loaded = modules_of_a_start()
+    ours = [f"wickhinge.{name}" for name in ("peers", "shared", "store", "membership", "options", "lab")]
+    off = ("msgspec", "lark", "twisted.internet.endpoints", *ours)
+    assert "wickhinge.net.router" in loaded
+    assert [name for name in loaded if name.startswith(off)] == []
 
 
 def test_the_file_of_this_repository_keeps_everything_off():
--- a/wickhinge/cli/commands.py
+++ b/wickhinge/cli/commands.py
@@ -46,7 +46,7 @@
 )
 def run(options: str | None) -> None:
     """Start one router, told what it is by RELAY_CONFIG."""
-    from wickhinge.__main__ import main as start
+    from wickhinge.net.start import main as start
 
     sys.exit(start(options))
 
--- a/wickhinge/lab/many/launch.py
+++ b/wickhinge/lab/many/launch.py
@@ -25,8 +25,8 @@
 
 
 def main() -> int:
-    from wickhinge.__main__ import main as start
     from wickhinge.net import fellows
+    from wickhinge.net.start import main as start
 
     fellows.clock = wrong(fellows.clock, json.loads(sys.argv[1]))
     return start()
