--- a/bench/peers.py
+++ b/bench/peers.py
@@ -51,9 +51,9 @@
 
 def penniless(process: play.Process) -> None:
     """Only what knowing each other costs."""
-    process.purse.tick = lambda now: None
+    process.limiter.tick = lambda now: None
     process.spend = process.look = lambda: None
-    process.circle.rider, process.circle.ridden = lambda name: b"", lambda name, data, now: None
+    process.detector.rider, process.detector.ridden = lambda name: b"", lambda name, data, now: None
 
 
 @main.command()
@@ -74,7 +74,7 @@
             fleet.start(place)
         fleet.wheel.run(found + seconds)
         sends, size_of = fleet.sends / count / seconds, fleet.bytes / count / seconds
-        share = sum(one.circle.view(one.clock).share for one in fleet.processes) / count
+        share = sum(one.detector.view(one.clock).share for one in fleet.processes) / count
         fleet.begin(kill)
         known = found + seconds
         fleet.wheel.run(known + 40.0)
@@ -115,7 +115,7 @@
 
 
 def alone(process: play.Process) -> None:
-    process.purse.ask = lambda number, budget, now: None
+    process.limiter.ask = lambda number, budget, now: None
 
 
 def used(routers: int, seed: int, plants: tuple[Any, ...]) -> float:
--- a/tests/test_cold_shares.py
+++ b/tests/test_cold_shares.py
@@ -17,11 +17,11 @@
 from wickhinge.lab.many import judges, play
 from wickhinge.lab.many.schedule import Schedule
 from wickhinge.options.load import Fault, check
-from wickhinge.peers.circle import Circle
+from wickhinge.peers.detector import FailureDetector
 from wickhinge.peers.roster import Place, Roster
 from wickhinge.shared import cold
-from wickhinge.shared.purse import FLOOR, SPAN, Division, Purse
-from wickhinge.shared.vouch import DRIFT
+from wickhinge.shared.lending import FLOOR, SPAN, Division, LendingLimiter
+from wickhinge.shared.name_lease import DRIFT
 
 ROOT = Path(__file__).parent.parent
 LIMITS = Cold(4.0, 3.0, 0.2, 100.0)
@@ -33,11 +33,10 @@
 
 def colds(share=1.0, processes=4):
     """Of a router alone under its name, whose share is what the test says."""
-    purse = Purse(
-        Circle(roster(["here"]), Chance(1), 0.0, lambda item: None), Division(1, processes), cold.budgets("here"), 0.0
-    )
-    made = cold.Colds(purse)
-    purse.settle = lambda budget, now: budget.shared(share, purse.late)
+    detector = FailureDetector(roster(["here"]), Chance(1), 0.0, lambda item: None)
+    limiter = LendingLimiter(detector, Division(1, processes), cold.budgets("here"), 0.0)
+    made = cold.Colds(limiter)
+    limiter.settle = lambda budget, now: budget.shared(share, limiter.late)
     return made
 
 
@@ -50,7 +49,7 @@
     sent = []
     for turn in range(int(seconds * 100)):
         now = since + turn / 100
-        made.purse.tick(now)
+        made.limiter.tick(now)
         while made.room(cache, upper, LIMITS, part, work, now):
             cache.credit -= work
             sent.append((now, "", work))
@@ -78,7 +77,9 @@
     routers = []
     for place in range(count):
         made = colds(processes=count)
-        made.purse.settle = lambda budget, now, made=made, place=place: budget.shared(shares[place], made.purse.late)
+        made.limiter.settle = lambda budget, now, made=made, place=place: budget.shared(
+            shares[place], made.limiter.late
+        )
         routers.append(made)
     for _ in range(500):
         now += rand.expovariate(30.0)
@@ -86,10 +87,10 @@
             one, other = rand.randrange(count), rand.randrange(count)
             part = shares[one] * rand.random()
             shares[one] -= part
-            routers[one].purse.tick(now)
+            routers[one].limiter.tick(now)
             shares[other] += part
         place = rand.randrange(count)
-        routers[place].purse.tick(now)
+        routers[place].limiter.tick(now)
         while routers[place].room(caches[place], False, LIMITS, 0.2, work, now):
             caches[place].credit -= work
             sent.append((now, "", work))
@@ -105,9 +106,9 @@
     assert not made.room(later, False, LIMITS, 0.2, 0.1, 3.0) and later.credit < 0.0
     other = machine(8)
     for turn in range(400, 1200):
-        made.purse.tick(turn / 100)
+        made.limiter.tick(turn / 100)
         made.room(other, False, LIMITS, 0.2, 0.1, turn / 100)
-    assert set(made.purse.budgets[cold.EDGE].buckets) == {8}
+    assert set(made.limiter.budgets[cold.EDGE].buckets) == {8}
 
 
 def test_no_more_machines_have_buckets_than_the_bound(monkeypatch):
@@ -115,7 +116,7 @@
     made = colds()
     for mark in range(5):
         made.room(machine(mark), False, LIMITS, 0.2, 0.1, 0.1)
-    assert len(made.purse.budgets[cold.EDGE].buckets) == 3
+    assert len(made.limiter.budgets[cold.EDGE].buckets) == 3
 
 
 def test_a_machine_that_warms_up_gets_more():
@@ -149,17 +150,17 @@
 
 
 def test_a_division_smaller_than_the_roster_is_refused():
-    circle = Circle(roster(["a", "a"]), Chance(1), 0.0, lambda item: None)
+    detector = FailureDetector(roster(["a", "a"]), Chance(1), 0.0, lambda item: None)
     for division in (Division(1, 4), Division(3, 2)):
         with pytest.raises(ValueError, match="2 names"):
-            Purse(circle, division, [], 0.0)
+            LendingLimiter(detector, division, [], 0.0)
 
 
 def test_a_zones_limit_goes_to_that_zones_routers_and_a_parents_to_all():
     fleet = play.Fleet(Schedule(3, 6, 2, (), 6, 18.0, 4.0))
     fleet.wants = lambda process, number: 2.0 * (process.place == 0)
     fleet.run()
-    shares = {one.name: [round(budget.share, 2) for budget in one.purse.budgets[2:]] for one in fleet.processes}
+    shares = {one.name: [round(budget.share, 2) for budget in one.limiter.budgets[2:]] for one in fleet.processes}
     assert shares["n0"][0] > 0.9 and shares["n0"][1] > 0.9
     assert all(shares[name][0] < 0.03 for name in ("n2", "n4")) and all(
         shares[name][0] > 0.3 for name in ("n1", "n3", "n5")
@@ -172,7 +173,7 @@
 
 def lends_what_it_keeps(process):
     """The plant: what is out is not taken off."""
-    for budget in process.purse.budgets:
+    for budget in process.limiter.budgets:
         budget.loans.lent = lambda late: 0.0
 
 
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from wickhinge.decide import Chance
-from wickhinge.peers.circle import ALIVE, Circle
+from wickhinge.peers.detector import FailureDetector
+from wickhinge.peers.messages import ALIVE
 from wickhinge.peers.roster import Place, Roster
 from wickhinge.shared import counts
 from wickhinge.shared.counts import BEAT, STALE, Counts, Tally
@@ -25,16 +26,16 @@
 class One:
     def __init__(self, place, count=COUNT, boxes=4):
         self.name = f"n{place}"
-        self.circle = Circle(Roster(places(count), self.name), Chance(place), 0.0, lambda item: None)
-        self.circle.epoch, self.circle.life = 1, place + 1
+        self.detector = FailureDetector(Roster(places(count), self.name), Chance(place), 0.0, lambda item: None)
+        self.detector.identity.epoch, self.detector.identity.life = 1, place + 1
         for other in range(count):
             if other != place:
-                entry = self.circle.entries[f"n{other}"]
+                entry = self.detector.members[f"n{other}"]
                 entry.epoch, entry.life, entry.state = 1, other + 1, ALIVE
         self.sends = []
-        self.circle.send = lambda name, kind, serial, now: self.sends.append(name)
+        self.detector.send = lambda name, kind, serial, now: self.sends.append(name)
         self.fleet = helpers.router(boxes=boxes, routers=count, seed=place).fleet
-        self.counts = Counts(self.circle, self.fleet, 100.0)
+        self.counts = Counts(self.detector, self.fleet, 100.0)
 
     def out(self, *numbers):
         for cache, number in zip(sorted(self.fleet.mine, key=lambda one: one.mark), numbers, strict=True):
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -10,7 +10,7 @@
 
 from wickhinge.decide import Chance
 from wickhinge.interface import Outcome
-from wickhinge.peers.circle import Circle
+from wickhinge.peers.detector import FailureDetector
 from wickhinge.peers.roster import Place, Roster
 from wickhinge.shared import words
 from wickhinge.shared.judge import FADE, LOOK, PUSH, Judge
@@ -24,11 +24,11 @@
     def __init__(self, group, place, boxes):
         self.group, self.name = group, f"n{place}"
         places = [Place(f"n{one}", ("127.0.0.1", one + 1), "here" if one < 9 else "far") for one in range(10)]
-        self.circle = Circle(Roster(places, self.name), Chance(place), 0.0, lambda item: None)
+        self.detector = FailureDetector(Roster(places, self.name), Chance(place), 0.0, lambda item: None)
         self.sends, self.looks = [], []
-        self.circle.send = lambda name, kind, serial, now: self.sends.append((now, name))
+        self.detector.send = lambda name, kind, serial, now: self.sends.append((now, name))
         self.policy = helpers.router(boxes=boxes, routers=3, seed=place)
-        self.judge = Judge(self.circle, self.policy.fleet, self.looks.append, group.log)
+        self.judge = Judge(self.detector, self.policy.fleet, self.looks.append, group.log)
 
     def box(self, number=0):
         return self.policy.fleet.mine[number]
@@ -88,7 +88,7 @@
     group.turn(1.0)
     third = group.routers[2]
     assert third.judge.told
-    third.circle.reload(Roster([Place("n2", ("127.0.0.1", 1), "here")], "n2"), group.now)
+    third.detector.reload(Roster([Place("n2", ("127.0.0.1", 1), "here")], "n2"), group.now)
     third.judge.reload()
     assert not any(third.judge.told.values())
     group.deaf = {(one.name, other.name) for one in group.routers for other in group.routers}
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -88,7 +88,7 @@
 
 
 def lends_what_it_keeps(process):
-    for budget in process.purse.budgets:
+    for budget in process.limiter.budgets:
         budget.loans.lent = lambda late: 0.0
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,8 +10,10 @@
 from wickhinge.lab.many import judges, play, schedule
 from wickhinge.lab.many.schedule import Fault, Schedule
 from wickhinge.peers import lines, wire
-from wickhinge.peers.circle import ALIVE, CUT, DOUBT, GONE, PERIOD, SUSPECT, Circle
+from wickhinge.peers.detector import FailureDetector
+from wickhinge.peers.health import CUT, DOUBT, PERIOD
 from wickhinge.peers.lines import ADOPTED, ASKING, FRESH, REPLAYED, SMALLER, STRANGE, Line
+from wickhinge.peers.messages import ALIVE, GONE, SUSPECT
 from wickhinge.peers.roster import Place, Roster, Unusable
 
 KEY = b"k" * 32
@@ -78,8 +80,8 @@
 
 def some_item():
     made = []
-    circle = Circle(Roster(places(3), "n0"), Chance(4), 0.0, made.append)
-    circle.tick(1.0)
+    detector = FailureDetector(Roster(places(3), "n0"), Chance(4), 0.0, made.append)
+    detector.tick(1.0)
     return made[0]
 
 
@@ -116,9 +118,9 @@
 
     def __init__(self, count):
         self.now, self.out, self.way, self.events = 0.0, [], lambda one, to: True, []
-        self.circles = {}
+        self.detectors = {}
         for name in [f"n{place}" for place in range(count)]:
-            self.circles[name] = Circle(
+            self.detectors[name] = FailureDetector(
                 Roster(places(count), name),
                 Chance(int(name[1:]) + 9),
                 0.0,
@@ -130,27 +132,27 @@
         until = self.now + seconds
         while self.now < until:
             self.now += 0.05
-            for name, circle in self.circles.items():
+            for name, detector in self.detectors.items():
                 if name not in still:
-                    circle.tick(self.now)
+                    detector.tick(self.now)
             for _ in range(6):
                 now, self.out[:] = list(self.out), []
                 for item in now:
-                    for name, circle in self.circles.items():  # n2' is another process under the name n2
+                    for name, detector in self.detectors.items():  # n2' is another process under the name n2
                         if name.rstrip("'") == item.to and name not in still and self.way(item.sender, item.to):
-                            circle.heard(item, self.now)
+                            detector.heard(item, self.now)
 
     def states(self, of):
-        return {name: circle.entries[of].state for name, circle in self.circles.items() if name != of}
+        return {name: detector.members[of].state for name, detector in self.detectors.items() if name != of}
 
 
 @pytest.mark.parametrize("count", [1, 2, 3, 5])
 def test_all_that_start_together_hear_each_other_soon(count):
     fleet = Fellows(count)
     fleet.run(3.0 + count)
-    for circle in fleet.circles.values():
-        view = circle.view(fleet.now)
-        assert (view.share, view.cut_since, view.settled, view.twin, circle.epoch) == (1.0, None, True, False, 1)
+    for detector in fleet.detectors.values():
+        view = detector.view(fleet.now)
+        assert (view.share, view.cut_since, view.settled, view.twin, detector.epoch) == (1.0, None, True, False, 1)
 
 
 def test_one_that_stands_still_is_suspected_then_gone_and_comes_back_by_its_own_word():
@@ -162,7 +164,8 @@
     assert set(fleet.states("n3").values()) == {GONE}
     fleet.run(8.0)
     assert set(fleet.states("n3").values()) == {ALIVE}
-    assert fleet.circles["n3"].count > 0 and fleet.circles["n3"].epoch == 1  # it refuted; it is the same life
+    identity = fleet.detectors["n3"].identity
+    assert identity.count > 0 and identity.epoch == 1  # it refuted; it is the same life
     assert ("n3", "peer", "gone") not in [(who, event, told.get("state")) for who, event, told in fleet.events]
 
 
@@ -171,11 +174,11 @@
     fleet.run(6.0)
     fleet.way = lambda one, to: "n0" not in (one, to)
     fleet.run(20.0)
-    view = fleet.circles["n0"].view(fleet.now)
+    view = fleet.detectors["n0"].view(fleet.now)
     assert view.cut_since is not None and view.share == 0.2
-    assert GONE not in {entry.state for entry in fleet.circles["n0"].entries.values()}
+    assert GONE not in {entry.state for entry in fleet.detectors["n0"].members.values()}
     assert set(fleet.states("n0").values()) == {GONE}
-    assert fleet.circles["n1"].view(fleet.now).share == 0.8
+    assert fleet.detectors["n1"].view(fleet.now).share == 0.8
 
 
 @pytest.mark.parametrize("hears", [True, False])
@@ -184,7 +187,7 @@
     fleet.run(6.0)
     fleet.way = (lambda one, to: one != "n0") if hears else (lambda one, to: to != "n0")
     fleet.run(20.0)
-    view = fleet.circles["n0"].view(fleet.now)
+    view = fleet.detectors["n0"].view(fleet.now)
     assert view.cut_since is not None and view.unheard is hears
     assert set(fleet.states("n0").values()) == {GONE}
 
@@ -194,45 +197,45 @@
     fleet.run(6.0)
     fleet.way = lambda one, to: {one, to} != {"n0", "n1"}
     fleet.run(20.0)
-    assert all(circle.view(fleet.now).share == 1.0 for circle in fleet.circles.values())
+    assert all(detector.view(fleet.now).share == 1.0 for detector in fleet.detectors.values())
 
 
 def test_a_router_that_was_paused_doubts_itself_first():
     fleet = Fellows(3)
     fleet.run(6.0)
-    circle = fleet.circles["n0"]
-    circle.tick(fleet.now + 5.0)
-    assert circle.doubt == DOUBT and {entry.state for entry in circle.entries.values()} == {ALIVE}
-    assert circle.view(fleet.now + 5.0).cut_since == pytest.approx(circle.answered)
+    detector = fleet.detectors["n0"]
+    detector.tick(fleet.now + 5.0)
+    assert detector.health.doubt == DOUBT and {entry.state for entry in detector.members.values()} == {ALIVE}
+    assert detector.view(fleet.now + 5.0).cut_since == pytest.approx(detector.health.answered)
     assert 5.0 > CUT * PERIOD
 
 
 def test_a_restarted_name_is_claimed_above_the_old_life_and_the_old_life_never_gets_it_back():
     fleet = Fellows(4)
     fleet.run(6.0)
-    old = fleet.circles["n2"]
-    fleet.circles["n2"] = Circle(Roster(places(4), "n2"), Chance(77), fleet.now, fleet.out.append)
+    old = fleet.detectors["n2"]
+    fleet.detectors["n2"] = FailureDetector(Roster(places(4), "n2"), Chance(77), fleet.now, fleet.out.append)
     fleet.run(8.0)
-    new = fleet.circles["n2"]
+    new = fleet.detectors["n2"]
     assert new.epoch == 2 and set(fleet.states("n2").values()) == {ALIVE}
-    fleet.circles["n2"] = old  # it was only paused; its successor is beside it
-    fleet.circles["n2'"] = new
+    fleet.detectors["n2"] = old  # it was only paused; its successor is beside it
+    fleet.detectors["n2'"] = new
     old_life = old.life
     fleet.run(4.0)
-    assert old.life != old_life and old.epoch == 0 and old.twin
-    assert {line.life for line in (c.lines["n2"] for n, c in fleet.circles.items() if n in ("n0", "n1"))} == {new.life}
+    assert old.life != old_life and old.epoch == 0 and old.identity.twin
+    assert {fleet.detectors[name].lines["n2"].life for name in ("n0", "n1")} == {new.life}
 
 
 def test_two_liars_are_needed_to_take_a_name_from_its_owner():
     fleet = Fellows(4)
     fleet.run(6.0)
-    circle = fleet.circles["n0"]
-    life = circle.life
-    circle.own("n1", (9, 9, 0, ALIVE), fleet.now)
-    circle.own("n1", (10, 9, 0, ALIVE), fleet.now)
-    assert circle.life == life
-    circle.own("n2", (9, 9, 0, ALIVE), fleet.now)
-    assert circle.life != life and circle.epoch == 0
+    detector = fleet.detectors["n0"]
+    life = detector.life
+    detector.believed("n1", (9, 9, 0, ALIVE), fleet.now)
+    detector.believed("n1", (10, 9, 0, ALIVE), fleet.now)
+    assert detector.life == life
+    detector.believed("n2", (9, 9, 0, ALIVE), fleet.now)
+    assert detector.life != life and detector.epoch == 0
 
 
 # Schedules.
@@ -258,8 +261,8 @@
 
 
 def forgets_epochs(process):
-    process.circle.lines = {name: Gullible(name) for name in process.circle.lines}
-    process.circle.epoch = 1  # and it claims its name without asking
+    process.detector.lines = {name: Gullible(name) for name in process.detector.lines}
+    process.detector.identity.epoch = 1  # and it claims its name without asking
 
 
 class Twice(Line):
@@ -271,7 +274,7 @@
 
 
 def hears_twice(process):
-    process.circle.lines = {name: Twice(name) for name in process.circle.lines}
+    process.detector.lines = {name: Twice(name) for name in process.detector.lines}
 
 
 @pytest.mark.parametrize(
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -1,4 +1,4 @@
-"""Budgets that all routers share: bucket, vouchers, loans, and whole fleets under drawn schedules."""
+"""Budgets that all routers share: bucket, leases, loans, and whole fleets under drawn schedules."""
 
 import random
 from types import SimpleNamespace
@@ -10,12 +10,12 @@
 from wickhinge.decide import Chance
 from wickhinge.lab.many import judges, play, schedule, trial
 from wickhinge.lab.many.schedule import Fault, Schedule
-from wickhinge.peers.circle import Circle
+from wickhinge.peers.detector import FailureDetector
 from wickhinge.peers.roster import Place, Roster
 from wickhinge.shared import riders
 from wickhinge.shared.bucket import Bucket
 from wickhinge.shared.loans import TIME, Loans
-from wickhinge.shared.vouch import DRIFT, Vouchers, term
+from wickhinge.shared.name_lease import DRIFT, NameLeases, term
 
 # The bucket: its formula, by any order of shares and wishes.
 
@@ -59,7 +59,7 @@
     assert not bucket.take(0.5, 50.0)
 
 
-# Vouchers: two lives of a name and what voters forgot, delayed and doubled.
+# NameLeases: two lives of a name and what voters forgot, delayed and doubled.
 
 
 def vouched_at_once(seed, count, forgetful=False):
@@ -69,9 +69,9 @@
     others = [SimpleNamespace(rate=1.0 + rand.uniform(-0.05, 0.05), born=-1e3) for _ in range(count - 1)]
     lives = [SimpleNamespace(rate=1.0 + rand.uniform(-0.05, 0.05), ahead=rand.uniform(0, 1e5)) for _ in range(2)]
     for voter in others:
-        voter.vouch = Vouchers(count, 0.0)
+        voter.vouch = NameLeases(count, 0.0)
     for one in lives:
-        one.vouch = Vouchers(count, 0.0)
+        one.vouch = NameLeases(count, 0.0)
     on_way, now, long = [], 0.0, term(count)
     for _ in range(900):
         now += rand.expovariate(12.0)
@@ -87,7 +87,7 @@
                 on_way.append((now + rand.choice((0.0, 0.01, 2.0, long)), one, place, asked))
         if rand.random() < 0.004:
             voter = rand.choice(others)
-            voter.born, voter.vouch = now, Vouchers(count, -1e3 if forgetful else 0.0)
+            voter.born, voter.vouch = now, NameLeases(count, -1e3 if forgetful else 0.0)
         if all(one.vouch.until(one.ahead + now * one.rate) > one.ahead + now * one.rate for one in lives):
             return True
     return False
@@ -104,8 +104,8 @@
 
 
 def test_one_alone_vouches_for_itself_and_of_two_each_needs_the_other():
-    assert Vouchers(1, 0.0).until(5.0) > 5.0
-    two = Vouchers(2, 0.0)
+    assert NameLeases(1, 0.0).until(5.0) > 5.0
+    two = NameLeases(2, 0.0)
     assert two.until(5.0) == 0.0
     two.granted("n1", 5.0, 5.1)
     assert two.until(5.1) == pytest.approx(5.0 + term(2) * (1 - DRIFT))
@@ -221,17 +221,17 @@
 
 
 def test_a_name_that_left_while_it_was_asked_about_ours_is_asked_no_more():
-    circle = Circle(
+    detector = FailureDetector(
         Roster([Place(f"n{one}", ("127.0.0.1", one + 1), "") for one in range(3)], "n0"),
         Chance(1),
         0.0,
         lambda item: None,
     )
-    circle.told["n1"] = circle.told["n2"] = (1, 5, 1, 0.0)
-    circle.reload(Roster([Place(f"n{one}", ("127.0.0.1", one + 1), "") for one in (0, 2)], "n0"), 0.1)
+    detector.identity.told["n1"] = detector.identity.told["n2"] = (1, 5, 1, 0.0)
+    detector.reload(Roster([Place(f"n{one}", ("127.0.0.1", one + 1), "") for one in (0, 2)], "n0"), 0.1)
     for turn in range(60):
-        circle.tick(0.2 + turn * 0.1)
-    assert set(circle.told) <= {"n2"}
+        detector.tick(0.2 + turn * 0.1)
+    assert set(detector.identity.told) <= {"n2"}
 
 
 def used(routers, wants, plants=()):
@@ -260,12 +260,12 @@
 
 
 def keeps_to_itself(process):
-    process.purse.ask = lambda number, budget, now: None
+    process.limiter.ask = lambda number, budget, now: None
 
 
 def never_ends(process):
     """The plant: a borrower for whom loans have no end."""
-    for budget in process.purse.budgets:
+    for budget in process.limiter.budgets:
         loans = budget.loans
         loans.granted = lambda lender, serial, amount, now, loans=loans, granted=loans.granted: (
             granted(lender, serial, amount, now) and (setattr(loans.had[serial], "until", 1e18) or True)
@@ -274,7 +274,7 @@
 
 def lends_what_it_keeps(process):
     """The plant: what is out is not taken off."""
-    for budget in process.purse.budgets:
+    for budget in process.limiter.budgets:
         budget.loans.lent = lambda late: 0.0
 
 
--- a/wickhinge/lab/many/play.py
+++ b/wickhinge/lab/many/play.py
@@ -13,10 +13,11 @@
 from wickhinge.lab.many.schedule import Fault, Schedule
 from wickhinge.lab.wheel import Wheel
 from wickhinge.peers import wire
-from wickhinge.peers.circle import Circle, Item
+from wickhinge.peers.detector import FailureDetector
+from wickhinge.peers.messages import Message
 from wickhinge.peers.roster import Place, Roster
 from wickhinge.shared import cold
-from wickhinge.shared.purse import Dealt, Division, Purse
+from wickhinge.shared.lending import Dealt, Division, LendingLimiter
 
 KEY = b"of this fleet and of no other"
 TICK = 0.1
@@ -40,17 +41,17 @@
         self.turns = 0
         self.seen: dict[str, Any] | None = None  # of the last view that was written down
         self.waiting: deque[bytes] = deque(maxlen=BUFFER)
-        self.circle = Circle(
+        self.detector = FailureDetector(
             fleet.roster(self.name), Chance(fleet.random.getrandbits(62)), self.clock, self.send, self.log
         )
-        self.purse = Purse(
-            self.circle,
+        self.limiter = LendingLimiter(
+            self.detector,
             Division(len(fleet.names), fleet.schedule.places),
             [*(Dealt(bucket=one) for one in BUDGETS), *cold.budgets(f"z{place % fleet.schedule.zones}")],
             self.clock,
             self.log,
         )
-        self.colds = cold.Colds(self.purse, len(BUDGETS))
+        self.colds = cold.Colds(self.limiter, len(BUDGETS))
         # One machine of the own zone, one parent: as `policy` sees them.
         self.machines = [
             SimpleNamespace(mark=mark, weight=WEIGHT, credit=-0.1) for mark in (place % fleet.schedule.zones, -1)
@@ -77,8 +78,8 @@
         if self.dead:
             return
         if not self.stopped:
-            self.circle.tick(self.clock)
-            self.purse.tick(self.clock)
+            self.detector.tick(self.clock)
+            self.limiter.tick(self.clock)
             self.turns += 1
             if self.turns % LOOK == 0:
                 self.look()
@@ -87,7 +88,7 @@
 
     def look(self) -> None:
         """Writes down what the layers above are told, where it changed."""
-        seen = self.circle.view(self.clock).brief()
+        seen = self.detector.view(self.clock).brief()
         if seen != self.seen:
             self.seen = seen
             self.log("view", **seen)
@@ -98,7 +99,7 @@
             self.wants[number] += self.fleet.wants(self, number) * most / window * TICK
             while self.wants[number] >= unit:
                 self.wants[number] -= unit
-                if self.purse.take(number, unit, self.clock):
+                if self.limiter.take(number, unit, self.clock):
                     self.fleet.spent[number].append((self.fleet.now, self.name, unit))
         part = self.fleet.warmth(self.fleet.now)
         for number, machine in enumerate(self.machines):
@@ -110,7 +111,7 @@
                     machine.credit -= work
                     self.fleet.sent[machine.mark].append((self.fleet.now, self.name, work))
 
-    def send(self, item: Item) -> None:
+    def send(self, item: Message) -> None:
         self.fleet.carry(self, self.fleet.places.get(item.to), wire.pack(KEY, item))
 
     def take(self, data: bytes) -> None:
@@ -124,9 +125,9 @@
         except wire.Unreadable:
             self.fleet.unreadable += 1
             return
-        line = self.circle.lines.get(item.sender)
+        line = self.detector.lines.get(item.sender)
         was = (line.epoch, line.life, line.heard) if line is not None else None
-        self.circle.heard(item, self.clock)
+        self.detector.heard(item, self.clock)
         if (
             line is not None
             and (line.epoch, line.life) == (item.epoch, item.life)
@@ -135,8 +136,8 @@
             self.fleet.write(self, "believed", of=item.sender, epoch=item.epoch, life=item.life, counter=item.counter)
 
     def reroster(self, missing: set[int]) -> None:
-        self.circle.reload(self.fleet.roster(self.name, missing), self.clock)
-        self.purse.reload(self.clock)
+        self.detector.reload(self.fleet.roster(self.name, missing), self.clock)
+        self.limiter.reload(self.clock)
 
     def stop(self) -> None:
         self.stopped = True
--- a/wickhinge/net/fellows.py
+++ b/wickhinge/net/fellows.py
@@ -19,7 +19,8 @@
 from wickhinge.fields import Malformed
 from wickhinge.options import keys
 from wickhinge.peers import desk, wire
-from wickhinge.peers.circle import STATES, Circle, Item
+from wickhinge.peers.detector import FailureDetector
+from wickhinge.peers.messages import STATES, Message
 from wickhinge.peers.roster import Roster, Unusable, places
 
 TICK = 0.05
@@ -33,7 +34,7 @@
 
 
 class Fellows(DatagramProtocol):
-    """The router's Circle on its socket."""
+    """The router's FailureDetector on its socket."""
 
     noisy = False
 
@@ -42,11 +43,11 @@
         self.node, self.keys, self.closed = node, keys, False
         self.after, self.log = node.deadlines.after, node.log.event
         self.unreadable = self.unsent = self.left = self.taken = 0
-        self.circle = Circle(
+        self.detector = FailureDetector(
             roster, Chance(seed), clock(), self.send, lambda event, **told: self.log(f"peers_{event}", **told)
         )
         self.seen: Any = None  # of the last view that the log was told
-        self.purse: Any = None  # where the settings switch `shared` on
+        self.limiter: Any = None  # where the settings switch `shared` on
         self.judge: Any = None  # and `shared.judgements`
         self.counts: Any = None  # and `shared.counts`
         self.secret = os.urandom(32)
@@ -63,25 +64,27 @@
         from wickhinge.shared import cold
         from wickhinge.shared.counts import Counts
         from wickhinge.shared.judge import Judge
-        from wickhinge.shared.purse import Purse
+        from wickhinge.shared.lending import LendingLimiter
         from wickhinge.shared.riding import Riding
 
         def log(event: str, **told: Any) -> None:
             self.log(f"shared_{event}", **told)
 
         fleet = self.node.router.fleet
-        self.purse = Purse(self.circle, division, cold.budgets(self.circle.roster.mine.zone), clock(), log)
+        self.limiter = LendingLimiter(
+            self.detector, division, cold.budgets(self.detector.roster.mine.zone), clock(), log
+        )
         if judgements:
-            self.judge = Judge(self.circle, fleet, self.node.probe, log)
+            self.judge = Judge(self.detector, fleet, self.node.probe, log)
         if counts:
-            self.counts = Counts(self.circle, fleet, clock())
-        Riding(self.circle, [self.purse, self.judge, self.counts])
-        room = cold.Colds(self.purse).room
+            self.counts = Counts(self.detector, fleet, clock())
+        Riding(self.detector, [self.limiter, self.judge, self.counts])
+        room = cold.Colds(self.limiter).room
         fleet.dealt = lambda *asked: room(*asked, clock())
 
     def start(self) -> None:
         """Raises OSError where our address of the roster cannot be had: another process has the name here."""
-        host, port = self.circle.roster.mine.address
+        host, port = self.detector.roster.mine.address
         try:
             self.port = self.node.reactor.listenUDP(port, self, interface=host, maxPacketSize=wire.LONGEST + 1)
         except CannotListenError as problem:
@@ -93,22 +96,22 @@
             return
         self.taken = 0
         now = clock()
-        self.circle.tick(now)
-        if self.purse is not None:
-            self.purse.tick(now)
+        self.detector.tick(now)
+        if self.limiter is not None:
+            self.limiter.tick(now)
         if self.counts is not None:
             self.counts.tick(now)
         if self.judge is not None:
             self.judge.tick(now, self.node.deadlines.now())
-        seen = self.circle.view(now).brief()
+        seen = self.detector.view(now).brief()
         if seen != self.seen:
             self.seen = seen
             self.log("peers_view", **seen)
         self.after(TICK, self.tick)
 
-    def send(self, item: Item) -> None:
+    def send(self, item: Message) -> None:
         try:
-            self.transport.write(wire.pack(self.keys[0], item), self.circle.roster.places[item.to].address)
+            self.transport.write(wire.pack(self.keys[0], item), self.detector.roster.places[item.to].address)
         except OSError:  # full, or no way there: as lost on the way, which is what all above reckons with
             self.unsent += 1
 
@@ -125,7 +128,7 @@
                 item = wire.read(key, datagram)
             except wire.Unreadable:
                 continue
-            self.circle.heard(item, clock())
+            self.detector.heard(item, clock())
             return
         self.unreadable += 1
 
@@ -147,49 +150,49 @@
         pass  # nobody listens there just now
 
     def figures(self) -> dict[str, Any]:
-        now, circle = clock(), self.circle
-        view = circle.view(now)
+        now, detector = clock(), self.detector
+        view = detector.view(now)
         return {
             "share": round(view.share, 3),
             "zones": {zone: round(part, 3) for zone, part in view.zones.items()},
             "cut_s": None if view.cut_since is None else round(now - view.cut_since, 1),
             "unheard": view.unheard,
             "oldest_s": round(view.oldest, 1),
-            "epoch": circle.epoch,
+            "epoch": detector.epoch,
             "twin": view.twin,
             "rosters": view.rosters,
-            "doubt": circle.doubt,
-            "sent": circle.sent,
+            "doubt": detector.health.doubt,
+            "sent": detector.sent,
             "unreadable": self.unreadable,
             "unsent": self.unsent,
             "left": self.left,
-            "states": {name: STATES[entry.state] for name, entry in sorted(circle.entries.items())[:SHOWN]},
-            **({} if self.purse is None else {"shared": self.purse.figures(now)}),
+            "states": {name: STATES[entry.state] for name, entry in sorted(detector.members.items())[:SHOWN]},
+            **({} if self.limiter is None else {"shared": self.limiter.figures(now)}),
             **({} if self.judge is None else {"judgements": self.judge.figures(now)}),
             **({} if self.counts is None else {"counts": self.counts.figures(now)}),
         }
 
     def shown(self) -> dict[str, Any]:
         """For `wickhinge peers show`: the figures, and all fellows one by one."""
-        now, circle, told = clock(), self.circle, self.figures()
+        now, detector, told = clock(), self.detector, self.figures()
         told.pop("states")
         fellows = [
             {
                 "name": name,
-                "zone": circle.roster.places[name].zone,
+                "zone": detector.roster.places[name].zone,
                 "state": STATES[entry.state],
                 "epoch": entry.epoch,
                 "since_s": round(now - entry.since, 1) if entry.state else None,
                 "word_s": round(now - entry.word, 1) if entry.word > 0 else None,
-                "roster": circle.others_rosters.get(name, circle.roster.version) == circle.roster.version,
+                "roster": detector.others_rosters.get(name, detector.roster.version) == detector.roster.version,
             }
-            for name, entry in sorted(circle.entries.items())
+            for name, entry in sorted(detector.members.items())
         ]
         return {
-            "name": circle.roster.mine.name,
-            "zone": circle.roster.mine.zone,
-            "roster": f"{circle.roster.version:016x}",
-            "settled": circle.epoch > 0,
+            "name": detector.roster.mine.name,
+            "zone": detector.roster.mine.zone,
+            "roster": f"{detector.roster.version:016x}",
+            "settled": detector.epoch > 0,
             **told,
             "fellows": fellows,
         }
@@ -197,22 +200,22 @@
     def reload(self, options: Any) -> None:
         """Another roster and other keys from now on; shares move by the roster at once. Raises Malformed, and then
         nothing has changed."""
-        roster, keys = told_by(options, self.circle.roster.mine.name)
-        if roster.mine.address != self.circle.roster.mine.address:
+        roster, keys = told_by(options, self.detector.roster.mine.name)
+        if roster.mine.address != self.detector.roster.mine.address:
             raise Malformed("peers.roster: our own address changes at a restart only")
-        if self.purse is not None:
+        if self.limiter is not None:
             division = divided(options, roster, self.node.router.fleet.zone)
-            if division != self.purse.division:
+            if division != self.limiter.division:
                 raise Malformed(
-                    f"shared.names, shared.processes: are {self.purse.division.names} and "
-                    f"{self.purse.division.processes} until a restart, not {division.names} and "
+                    f"shared.names, shared.processes: are {self.limiter.division.names} and "
+                    f"{self.limiter.division.processes} until a restart, not {division.names} and "
                     f"{division.processes}"
                 )
         self.keys = keys
         self.seat(roster.mine.name)
-        self.circle.reload(roster, clock())
-        if self.purse is not None:
-            self.purse.reload(clock())
+        self.detector.reload(roster, clock())
+        if self.limiter is not None:
+            self.limiter.reload(clock())
         if self.judge is not None:
             self.judge.reload()
         self.log("peers_reload", names=len(roster), roster=f"{roster.version:016x}", keys=len(keys))
@@ -235,7 +238,7 @@
 
 def divided(options: Any, roster: Roster, zone: str) -> Any:
     """The Division. Raises Malformed where the roster's zones are not the platform's."""
-    from wickhinge.shared.purse import Division
+    from wickhinge.shared.lending import Division
 
     mine = roster.mine
     if mine.zone != zone and any(one.zone for one in roster.places.values()):
--- a/wickhinge/peers/__init__.py
+++ b/wickhinge/peers/__init__.py
@@ -1,8 +1,9 @@
 """Routers that know each other: who is there, since when, and how much of the fleet this router hears.
 
-Entered by `circle.Circle`, one a router: told of time by `tick`, of datagrams by `heard`, it answers with datagrams
-to send and says what it believes by `view`. It never chooses a cache and knows nothing of visits; what routers share
-(`shared`) and who owns what (`owner`) stand on it. docs/notes/peers.md says why it is as it is.
+Entered by `detector.FailureDetector`, one a router: told of time by `tick`, of datagrams by `heard`, it answers with
+datagrams to send and says what it believes by `view`. It never chooses a cache and knows nothing of requests; what
+routers share (`shared`) and who owns what (`owner`) stand on it. docs/notes/peers.md says why it is as it is.
 
-Deciding, without I/O: roster, lines, circle. Speaking: wire.
+Deciding, without I/O: roster, lines (replays), identity (our own life), members (suspicions, news), prober, health,
+detector. Speaking: messages, wire.
 """
--- a/wickhinge/peers/rate.py
+++ b/wickhinge/peers/rate.py
@@ -1,4 +1,4 @@
-"""So many a second at most, a second's worth at once: for what is sent beside the circle's own constant work."""
+"""A token bucket of a second's worth, for what is sent beside the failure detector's own constant work."""
 
 from __future__ import annotations
 
--- a/wickhinge/peers/wire.py
+++ b/wickhinge/peers/wire.py
@@ -2,7 +2,7 @@
 
     datagram = "WP1" body mac:16      body: MessagePack, one array; mac: BLAKE2b (RFC 7693) keyed, of all before it
 
-The array holds Item's fields from `sender` on, in their order, and first the receiver's name: one that was sent to
+The array holds Message's fields from `sender` on, in their order, and first the receiver's name: one that was sent to
 another, and comes here by a relay or a mistake in the roster, is no word to us. Nothing in it is a time: clocks differ.
 """
 
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from wickhinge.peers.circle import Item
+from wickhinge.peers.messages import Message
 
 MAGIC = b"WP1"
 MAC = 16
@@ -68,7 +68,7 @@
     return data[3:-MAC]
 
 
-def pack(key: bytes, item: Item) -> bytes:
+def pack(key: bytes, item: Message) -> bytes:
     """At most LONGEST bytes."""
     news, rider = item.news, item.rider
     while True:
@@ -100,7 +100,7 @@
         news, rider = (news, b"") if rider else (news[:-1], b"")
 
 
-def read(key: bytes, data: bytes) -> Item:
+def read(key: bytes, data: bytes) -> Message:
     """Raises Unreadable."""
     body = decoded(decoder, unsealed(key, MAGIC, data))
-    return Item(*body[:13], tuple(body[13]), body[14])
+    return Message(*body[:13], tuple(body[13]), body[14])
--- a/wickhinge/shared/bucket.py
+++ b/wickhinge/shared/bucket.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-from wickhinge.shared.vouch import DRIFT
+from wickhinge.shared.name_lease import DRIFT
 
 
 class Bucket:
--- a/wickhinge/shared/cold.py
+++ b/wickhinge/shared/cold.py
@@ -20,11 +20,11 @@
 from typing import Any
 
 from wickhinge.shared.bucket import Bucket
-from wickhinge.shared.purse import SPAN, Dealt, Purse
+from wickhinge.shared.lending import SPAN, Dealt, LendingLimiter
 
 PIECES = 0.02
-EDGE, UPPER = 0, 1  # budgets of the purse, in this order
-IDLE = 5.0  # seconds by the purse's clock without a wish, after which a machine's bucket is given up
+EDGE, UPPER = 0, 1  # budgets of the limiter, in this order
+IDLE = 5.0  # seconds by the limiter's clock without a wish, after which a machine's bucket is given up
 MOST = 1024  # machines of a tier that are cold at once; further ones wait
 
 
@@ -58,9 +58,9 @@
 
 
 class Colds:
-    def __init__(self, purse: Purse, first: int = 0) -> None:
-        """first: the number that `budgets` of this module begin at in the purse."""
-        self.purse, self.first = purse, first
+    def __init__(self, limiter: LendingLimiter, first: int = 0) -> None:
+        """first: the number that `budgets` of this module begin at in the limiter."""
+        self.limiter, self.first = limiter, first
         self.swept = 0.0
 
     def room(self, cache: Any, upper: bool, cold: Any, part: float, work: float, now: float) -> bool:
@@ -68,17 +68,17 @@
         decide.Cold, with the settings' limit). What is sent, `policy` takes off cache.credit."""
         number, window = self.first + (UPPER if upper else EDGE), cold.span
         most = cold.multiple * part * cache.weight * window
-        budget = self.purse.budgets[number]
+        budget = self.limiter.budgets[number]
         held = budget.buckets.get(cache.mark)
         if held is None or held.cache is not cache or held.window != window:
             if held is None and len(budget.buckets) >= MOST:
                 return False
-            self.purse.refresh(now)
-            held = budget.buckets[cache.mark] = Held(cache, most, window, budget.division.processes, self.purse.late)
-            held.shared(budget.share, self.purse.late)
+            self.limiter.refresh(now)
+            held = budget.buckets[cache.mark] = Held(cache, most, window, budget.division.processes, self.limiter.late)
+            held.shared(budget.share, self.limiter.late)
         elif most != held.most:  # it warms up
-            held.set(most, self.purse.late, PIECES * most / budget.division.processes)
-        _, late = self.purse.wish(number, work, now, cache.mark)
+            held.set(most, self.limiter.late, PIECES * most / budget.division.processes)
+        _, late = self.limiter.wish(number, work, now, cache.mark)
         held.wished = late
         if late - self.swept > 1.0:
             self.sweep(late)
@@ -87,6 +87,6 @@
     def sweep(self, late: float) -> None:
         """Machines that nobody here wants to send to hold no bucket; a new one starts empty."""
         self.swept = late
-        for budget in self.purse.budgets[self.first : self.first + 2]:
+        for budget in self.limiter.budgets[self.first : self.first + 2]:
             for mark in [mark for mark, held in budget.buckets.items() if late - held.wished > IDLE]:
                 del budget.buckets[mark]
--- a/wickhinge/shared/counts.py
+++ b/wickhinge/shared/counts.py
@@ -21,7 +21,8 @@
 import msgspec
 from xxhash import xxh32_intdigest
 
-from wickhinge.peers.circle import ALIVE, HELLO, SUSPECT, Circle
+from wickhinge.peers.detector import FailureDetector
+from wickhinge.peers.messages import ALIVE, HELLO, SUSPECT
 from wickhinge.peers.wire import Unreadable, decoded
 
 BEAT = 0.25  # seconds from one tally of our own to the next, each told to one of the zone
@@ -73,9 +74,9 @@
 
 
 class Counts:
-    def __init__(self, circle: Circle, fleet: Any, now: float) -> None:
+    def __init__(self, detector: FailureDetector, fleet: Any, now: float) -> None:
         """fleet: decide.Fleet, whose `told` and whose caches' `told` are set here."""
-        self.circle, self.fleet = circle, fleet
+        self.detector, self.fleet = detector, fleet
         self.known: dict[str, Known] = {}
         self.number = 0
         self.beat = now
@@ -85,8 +86,8 @@
         self.unreadable = self.refused = 0
 
     def mates(self) -> list[str]:
-        zone = self.circle.roster.mine.zone
-        return [name for name in self.circle.roster.others if self.circle.roster.places[name].zone == zone]
+        zone = self.detector.roster.mine.zone
+        return [name for name in self.detector.roster.others if self.detector.roster.places[name].zone == zone]
 
     def tick(self, now: float) -> None:
         if 0.0 <= now - self.beat < BEAT:
@@ -108,13 +109,13 @@
         for place, cache in enumerate(caches):
             total = sum(out[place] for out in fresh)
             cache.told += SMOOTH * (total - cache.told) if fresh else -cache.told
-        there = [name for name in mates if self.circle.entries[name].state in (ALIVE, SUSPECT)]
-        if there and self.circle.epoch:
-            self.circle.send(there[int(self.circle.chance.draw() * len(there))], HELLO, 0, now)
+        there = [name for name in mates if self.detector.members[name].state in (ALIVE, SUSPECT)]
+        if there and self.detector.epoch:
+            self.detector.send(there[int(self.detector.chance.draw() * len(there))], HELLO, 0, now)
 
     def merge(self, tally: Tally, when: float, itself: bool) -> bool:
         """Whether it is the latest of its name. itself: said by the name of its own count."""
-        entry = self.circle.entries.get(tally.name)
+        entry = self.detector.members.get(tally.name)
         if entry is None or (tally.epoch, tally.life) != (entry.epoch, entry.life):
             return False
         known = self.known.get(tally.name)
@@ -130,12 +131,12 @@
         return True
 
     def rider(self, to: str) -> bytes:
-        place = self.circle.roster.places.get(to)
-        mine = self.circle.roster.mine
+        place = self.detector.roster.places.get(to)
+        mine = self.detector.roster.mine
         if place is None or place.zone != mine.zone or not self.number:
             return b""
         now = self.beat
-        told = [Tally(mine.name, self.circle.epoch, self.circle.life, self.number, 0.0, self.view, self.own)]
+        told = [Tally(mine.name, self.detector.epoch, self.detector.life, self.number, 0.0, self.view, self.own)]
         size = len(encoder.encode(told))
         passed = sorted(self.known.values(), key=lambda known: (known.passed, known.tally.name))
         for known in passed[:PASSED]:
--- a/wickhinge/shared/judge.py
+++ b/wickhinge/shared/judge.py
@@ -23,7 +23,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wickhinge.peers.circle import HELLO, Circle
+from wickhinge.peers.chance import shuffle
+from wickhinge.peers.detector import FailureDetector
+from wickhinge.peers.messages import HELLO
 from wickhinge.peers.rate import Rate
 from wickhinge.shared import words
 from wickhinge.shared.words import COLD, LOST, SLOW, WELL, Word
@@ -64,10 +66,14 @@
 
 class Judge:
     def __init__(
-        self, circle: Circle, fleet: Any, look: Callable[[Any], None], log: Callable[..., None] = lambda *a, **k: None
+        self,
+        detector: FailureDetector,
+        fleet: Any,
+        look: Callable[[Any], None],
+        log: Callable[..., None] = lambda *a, **k: None,
     ) -> None:
         """fleet: decide.Fleet; look(cache) probes one machine."""
-        self.circle, self.fleet, self.look, self.log = circle, fleet, look, log
+        self.detector, self.fleet, self.look, self.log = detector, fleet, look, log
         self.seen: dict[int, Seen] = {}
         self.told: dict[int, dict[str, tuple[float, Word]]] = {}  # by machine and witness: when it was seen, the word
         self.looked = -1e9
@@ -107,14 +113,15 @@
 
     def tell(self, seen: Seen, now: float) -> None:
         """At once, to those whom it concerns, in an order of chance, as far as PUSH allows."""
-        for name in self.circle.shuffled([name for name in self.circle.entries if self.concerns(name, seen.cache)]):
+        concerned = [name for name in self.detector.members if self.concerns(name, seen.cache)]
+        for name in shuffle(self.detector.chance, concerned):
             if not self.push.take(1, now):
                 return
-            self.circle.send(name, HELLO, 0, now)
+            self.detector.send(name, HELLO, 0, now)
 
     def concerns(self, name: str, cache: Any) -> bool:
-        place = self.circle.roster.places.get(name)
-        return place is not None and (not self.edge(cache) or place.zone == self.circle.roster.mine.zone)
+        place = self.detector.roster.places.get(name)
+        return place is not None and (not self.edge(cache) or place.zone == self.detector.roster.mine.zone)
 
     def edge(self, cache: Any) -> bool:
         """Whether it is a cache of our location, and no parent."""
@@ -216,7 +223,7 @@
                 return False
             cache.strikes = max(cache.strikes, 1.0)
             cache.shunned = max(cache.shunned, policy_now + REST)
-            if self.circle.chance.draw() * self.fleet.routers < LOOKERS:
+            if self.detector.chance.draw() * self.fleet.routers < LOOKERS:
                 self.look(cache)
             return True
         if verdict == COLD:
@@ -257,7 +264,7 @@
                     )
                 )
         if len(said) > words.MOST:  # in turn, by chance: a storm is told over some datagrams
-            said = [said[int(self.circle.chance.draw() * len(said))] for _ in range(words.MOST)]
+            said = [said[int(self.detector.chance.draw() * len(said))] for _ in range(words.MOST)]
         return words.pack(said)
 
     def ridden(self, name: str, data: bytes, now: float) -> None:
@@ -276,9 +283,9 @@
                     self.told[word.mark][name] = when, word
 
     def reload(self) -> None:
-        """The circle's roster is another: who left is no witness."""
+        """The detector's roster is another: who left is no witness."""
         for found in self.told.values():
-            for name in set(found) - set(self.circle.roster.places):
+            for name in set(found) - set(self.detector.roster.places):
                 del found[name]
 
     def figures(self, now: float) -> dict[str, Any]:
--- a/wickhinge/shared/purse.py
+++ b/wickhinge/shared/lending.py
@@ -22,12 +22,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wickhinge.peers.circle import HELLO, Circle
+from wickhinge.peers.detector import FailureDetector
+from wickhinge.peers.messages import HELLO
 from wickhinge.peers.roster import Roster
 from wickhinge.shared import riders
 from wickhinge.shared.bucket import Bucket
 from wickhinge.shared.loans import TIME, Loans
-from wickhinge.shared.vouch import DRIFT, Vouchers
+from wickhinge.shared.name_lease import DRIFT, NameLeases
 
 FLOOR = 0.04  # of each budget, for those who hear nobody
 STEP = 0.25  # seconds a tick that `late` counts at most
@@ -82,33 +83,33 @@
                 bucket.shared(share, late)
 
 
-class Purse:
+class LendingLimiter:
     def __init__(
         self,
-        circle: Circle,
+        detector: FailureDetector,
         division: Division,
         budgets: list[Dealt],
         now: float,
         log: Callable[..., None] = lambda *a, **k: None,
     ) -> None:
         """Raises ValueError where the roster has more names than the division counts."""
-        if not len(circle.roster) <= division.names <= division.processes:
+        if not len(detector.roster) <= division.names <= division.processes:
             raise ValueError(
-                f"{len(circle.roster)} names on the roster, divided among {division.names} names and "
+                f"{len(detector.roster)} names on the roster, divided among {division.names} names and "
                 f"{division.processes} processes"
             )
-        self.circle, self.division, self.log = circle, division, log
+        self.detector, self.division, self.log = detector, division, log
         self.late, self.ticked = 0.0, now
-        self.budgets = [Budget(one, division.within(circle.roster, one.zone), self.late) for one in budgets]
-        self.vouchers = Vouchers(len(circle.roster), self.late)
-        self.life = circle.life
+        self.budgets = [Budget(one, division.within(detector.roster, one.zone), self.late) for one in budgets]
+        self.leases = NameLeases(len(detector.roster), self.late)
+        self.life = detector.life
         self.stamps: dict[str, tuple[float, bool]] = {}  # what to answer: their stamp, whether we vouch
         self.told: dict[str, tuple[float, list[tuple[float, float]]]] = {}  # when, what it lacks and can spare
         self.words: dict[str, tuple[list[Any], list[Any], list[Any]]] = {}  # that go with the next datagram
         self.looked = now
         self.vouched = 0.0
         self.differ: set[str] = set()  # who divides by other numbers
-        circle.rider, circle.ridden = self.rider, self.ridden
+        detector.rider, detector.ridden = self.rider, self.ridden
 
     # What spends asks.
 
@@ -141,10 +142,10 @@
             self.lost()
             self.log("clock_back", seconds=round(-gap, 3))
         self.late += min(max(gap, 0.0), STEP)
-        if self.circle.life != self.life:
-            self.life = self.circle.life
+        if self.detector.life != self.life:
+            self.life = self.detector.life
             self.lost()
-        self.vouched = self.vouchers.until(now) - STEP if self.circle.epoch else 0.0
+        self.vouched = self.leases.until(now) - STEP if self.detector.epoch else 0.0
         for budget in self.budgets:
             fades = 0.5 ** (max(gap, 0.0) / FADE)
             for bucket in budget.buckets.values():
@@ -157,7 +158,7 @@
 
     def lost(self) -> None:
         """Nothing that we had of others, or they of us, is ours to reckon with any more."""
-        self.vouchers.lost()
+        self.leases.lost()
         for budget in self.budgets:
             budget.loans.lost()
 
@@ -170,7 +171,7 @@
         """Alone on the roster nobody vouches for one life of the name, so all its processes divide."""
         if now >= self.vouched:
             return 0.0
-        alone = len(self.circle.roster) == 1
+        alone = len(self.detector.roster) == 1
         return (1 - FLOOR) / (budget.division.processes if alone else budget.division.names)
 
     def settle(self, budget: Budget, now: float) -> None:
@@ -187,7 +188,7 @@
 
     def among(self, name: str, budget: Budget) -> bool:
         """Whether that router spends it too."""
-        place = self.circle.roster.places.get(name)
+        place = self.detector.roster.places.get(name)
         return place is not None and budget.zone in ("", place.zone)
 
     def ask(self, number: int, budget: Budget, now: float) -> None:
@@ -208,7 +209,7 @@
         missing -= sum(one.amount for serial, one in loans.asked.items() if serial not in loans.had)
         spares = sorted(
             (
-                (levels[number][1] * (0.5 + self.circle.chance.draw()), name)
+                (levels[number][1] * (0.5 + self.detector.chance.draw()), name)
                 for name, (when, levels) in self.told.items()
                 if 0.0 <= now - when <= WORD
                 and len(levels) > number
@@ -238,15 +239,15 @@
                 ),
                 default=(0.0, ""),
             )
-            if lacks > LEAST and name in self.circle.entries:
+            if lacks > LEAST and name in self.detector.members:
                 self.told[name][1][number] = 0.0, self.told[name][1][number][1]  # until it says so again
-                self.circle.send(name, HELLO, 0, now)
+                self.detector.send(name, HELLO, 0, now)
 
     def tell(self, name: str, kind: int, words: tuple[Any, ...], now: float) -> None:
         """kind: 0 asked, 1 granted, 2 given back. At once, since loans are short."""
-        if name in self.circle.entries:
+        if name in self.detector.members:
             self.words.setdefault(name, ([], [], []))[kind].append(words)
-            self.circle.send(name, HELLO, 0, now)
+            self.detector.send(name, HELLO, 0, now)
 
     # Datagrams.
 
@@ -276,11 +277,11 @@
         self.differ.discard(name)
         self.refresh(now)
         self.told[name] = now, levels
-        line = self.circle.lines[name]
-        if stamp and self.circle.others_rosters.get(name) == self.circle.roster.version:
-            self.stamps[name] = stamp, self.vouchers.grant(name, line.life, self.late)
+        line = self.detector.lines[name]
+        if stamp and self.detector.others_rosters.get(name) == self.detector.roster.version:
+            self.stamps[name] = stamp, self.leases.grant(name, line.life, self.late)
         if answers and granted and answers <= now:
-            self.vouchers.granted(name, answers, now)
+            self.leases.granted(name, answers, now)
         for number, serial, amount in asked:
             if number < len(self.budgets):
                 self.lend(name, line.life, number, serial, amount, now)
@@ -305,14 +306,14 @@
             self.tell(name, 1, (number, serial, lent), now)
 
     def reload(self, now: float) -> None:
-        """The circle's roster is another."""
-        names = set(self.circle.roster.places)
-        self.vouchers.resize(len(names), names, self.late)
+        """The detector's roster is another."""
+        names = set(self.detector.roster.places)
+        self.leases.resize(len(names), names, self.late)
         for table in (self.stamps, self.told, self.words):
             for name in set(table) - names:
                 del table[name]
         for budget in self.budgets:
-            budget.division = self.division.within(self.circle.roster, budget.zone)
+            budget.division = self.division.within(self.detector.roster, budget.zone)
         self.tick(now)
 
     def figures(self, now: float) -> dict[str, Any]:
--- a/wickhinge/shared/loans.py
+++ b/wickhinge/shared/loans.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-from wickhinge.shared.vouch import DRIFT
+from wickhinge.shared.name_lease import DRIFT
 
 TIME = 3.0  # seconds that a loan lasts
 UNANSWERED = 0.4  # seconds after which a request has gone astray
--- a/wickhinge/shared/vouch.py
+++ b/wickhinge/shared/name_lease.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from wickhinge.peers.circle import PERIOD
+from wickhinge.peers.health import PERIOD
 
 DRIFT = 0.06  # clocks of two machines run by less apart in their rate, either way
 LEAST = 4.0  # seconds of a term, besides
@@ -25,7 +25,7 @@
     return LEAST + 2 * EACH * routers * PERIOD
 
 
-class Vouchers:
+class NameLeases:
     """Both sides: what others grant to our life, and what we grant to others'."""
 
     def __init__(self, routers: int, now: float) -> None:
--- a/wickhinge/shared/riders.py
+++ b/wickhinge/shared/riders.py
@@ -3,7 +3,7 @@
     [[names, processes], stamp, answers, granted, [[lacks, spare] a budget], [[budget, number, amount] asked],
      [[budget, number, amount] granted], [[budget, number] given back]]
 
-The first are the numbers by which the sender divides (purse.Division). `stamp` is its own clock, which comes back as
+The first are the numbers by which the sender divides (lending.Division). `stamp` is its own clock, which comes back as
 `answers` and tells it when it had asked; nobody else reads it. Levels and amounts are parts of a whole budget, 0 to 1.
 """
 
--- a/wickhinge/shared/riding.py
+++ b/wickhinge/shared/riding.py
@@ -1,4 +1,4 @@
-"""Several parts that ride on one circle's datagrams: a MessagePack array of byte strings, one a part in a fixed order.
+"""Several parts that ride on one detector's datagrams: a MessagePack array of byte strings, one a part, in fixed order.
 
 A part that is off at one router and on at another rides as nothing, so a fleet may switch it on one by one.
 """
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from wickhinge.peers.circle import Circle
+from wickhinge.peers.detector import FailureDetector
 
 MOST = 4  # parts
 decoder = msgspec.msgpack.Decoder(list[bytes])
@@ -23,11 +23,11 @@
 
 
 class Riding:
-    def __init__(self, circle: Circle, parts: list[Any]) -> None:
+    def __init__(self, detector: FailureDetector, parts: list[Any]) -> None:
         """parts: each a Part, or None where it is off here."""
         self.parts = parts
         self.unreadable = 0
-        circle.rider, circle.ridden = self.rider, self.ridden
+        detector.rider, detector.ridden = self.rider, self.ridden
 
     def rider(self, to: str) -> bytes:
         return encoder.encode([b"" if part is None else part.rider(to) for part in self.parts])
