bench.cold_sum: what all routers send a cold cache, drawn and played

Cause: whether the routers' shares of a cold cache hold in their sum was only believed; the mean held, the distribution was not looked at. Change: bench/cold_sum.py draws whole cold starts (numpy) and plays the decision classes as 20 and 30 routers in virtual time, with loads uneven by ten, restarts in the ramp and one router that is not told.

--- /dev/null
+++ b/bench/cold_sum.py
@@ -0,0 +1,446 @@
+"""What all routers together send to a cold cache, beside what it bears: python -m bench.cold_sum --json
+
+A cold cache falls over when it gets more than N + 2 sqrt(N) + 2 requests of mean work within the rule's span, where N
+is what the settings allow it then. The routers cannot talk, so each spends a share of the budget alone.
+
+    distribution   seeded draws of whole cold starts (numpy): how often some window of the ramp goes over, by rule
+    play           the decision classes themselves, as 20 and 30 routers in virtual time, before one cold cache
+
+In both the routers' loads differ by a factor of ten, a third of the routers is restarted in the ramp, and one is not
+told of the start for its first seconds. The last output line is one JSON object.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import click
+import numpy as np
+
+from bench import told
+from wickhinge.decide import Cache, Chance, Cold, Fleet, Forward, Purges, Router, Shelf
+from wickhinge.interface import Effect, Listing, Outcome, Permitted, Request, Tariff
+
+BUDGETS = (4, 6, 9, 16, 25, 36, 64, 100, 200, 400)  # N at the start
+PROCESSES = (20, 30)
+STARTS_A_DAY = 200  # as many as the largest list has caches: each is replaced once
+UNEVEN = 10.0  # the busiest router's load over the quietest one's
+RESTARTED = 1 / 3  # of the routers, once each
+RESTARTS_UNTIL = 10.0  # seconds after the start
+DEAF_FOR = 5.0  # seconds in which one router has not been told of the start
+THIN = 0.5  # of N at the start: what is asked of the cache while its fellow is up
+TOLD_SHARE = 2 / 3  # of a window's calls: a fall with fewer from routers that had been told is not the rule's
+STEPS = 20  # of a span, in the distribution
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What the settings say of a tier's cold machines."""
+
+    multiple: float
+    span: float
+    floor: float
+    warm: float
+
+    def part(self, age: float) -> float:
+        return min(self.floor + (1 - self.floor) * max(age, 0.0) / self.warm, 1.0)
+
+    def herd(self) -> float:
+        """Asked of a cold machine alone, in N at the start: all that two machines at 0.6 do, and half as much again."""
+        return 2 * 0.6 * 1.5 / (self.multiple * self.floor)
+
+
+EDGE = Limits(2.0, 1.0, 0.18, 17.0)  # the tightest that the kit's pages allow
+PARENT = Limits(2.0, 1.0, 0.068, 20.0)
+
+
+def allowance(budget: Any) -> Any:
+    return budget + 2 * np.sqrt(budget) + 2
+
+
+def loads(processes: int) -> np.ndarray:
+    """Each router's part of what is asked."""
+    made = np.geomspace(1.0, UNEVEN, processes)
+    return made / made.sum()
+
+
+def deaf_place(processes: int) -> int:
+    """A router with more than the usual load."""
+    return processes - 1 - processes // 4
+
+
+def chernoff(budget: float) -> float:
+    """Bound for one window that begins in steady load: the sum of independent sends with a mean of 0.65 N."""
+    most, mean = allowance(budget), 0.65 * budget
+    return math.exp(-(most * math.log(most / mean) - most + mean))
+
+
+# The distribution.
+
+
+@dataclass(frozen=True)
+class Scene:
+    """What is asked of the cold machine: thin until `step`, then all of the location's load; and who misses what."""
+
+    name: str
+    step: float
+    troubled: bool = True  # restarts and a router that has not been told
+
+
+SCENES = (Scene("herd", 0.0), Scene("thin", 1e9), *(Scene(f"step at {at:g} s", at) for at in (2.0, 4.0, 6.0, 9.0)))
+
+
+@dataclass(frozen=True)
+class Found:
+    """Of many cold starts: how many had a window over the allowance, how many of those broke the rule, the worst
+    window over its allowance, and the share of what was asked that the cold machine took."""
+
+    fell: float
+    broke: float
+    worst: float
+    taken: float
+
+
+def distribution(
+    limits: Limits, budget: float, processes: int, scene: Scene, debt: float, trials: int, seed: int
+) -> Found:
+    """debt: visits, the most that a router owes the machine at its start; see decide.Cold.room for the rest."""
+    draw, share = np.random.default_rng(seed), loads(processes)
+    count = int(limits.warm * STEPS / limits.span)
+    second = limits.span / STEPS
+    budgets = budget * np.array([limits.part(step * second) for step in range(count)]) / limits.floor
+    restarts = draw.integers(0, int(RESTARTS_UNTIL / second), (trials, processes))
+    restarts[:, draw.permutation(processes)[: processes - int(RESTARTED * processes)]] = -1
+    deaf = deaf_place(processes)
+    credit = -debt * draw.random((trials, processes))
+    sent, untold, asked = np.zeros((trials, count)), np.zeros((trials, count)), 0
+    for step in range(count):
+        now = step * second
+        per_span = budget * (limits.herd() if now >= scene.step else THIN)
+        arrivals = draw.poisson(share * per_span / STEPS, (trials, processes))
+        asked += arrivals.sum()
+        if scene.troubled:
+            again = restarts == step
+            credit[again] = -debt * draw.random(int(again.sum()))
+        rate = 0.65 * budgets[step] / processes  # visits a span
+        credit = np.minimum(credit + rate / STEPS, 0.5 * rate)
+        goes = np.minimum(arrivals, np.ceil(np.maximum(credit, 0.0)))
+        credit = credit - goes
+        if scene.troubled and now < DEAF_FOR:
+            untold[:, step] = goes[:, deaf] = arrivals[:, deaf]
+        sent[:, step] = goes.sum(axis=1)
+    windows, theirs = sums(sent), sums(untold)
+    bears = allowance((budgets[: windows.shape[1]] + budgets[STEPS - 1 :]) / 2)
+    over = windows > bears
+    first = over.argmax(axis=1)
+    rows = np.arange(trials)
+    ours = 1 - theirs[rows, first] / np.maximum(windows[rows, first], 1)
+    fell = over.any(axis=1)
+    return Found(
+        float(fell.mean()),
+        float((fell & (ours > TOLD_SHARE)).mean()),
+        round(float((windows / bears).max()), 3),
+        round(float(sent.sum() / asked), 3),
+    )
+
+
+def sums(counts: np.ndarray) -> np.ndarray:
+    """Of every window of one span."""
+    total = np.cumsum(np.pad(counts, ((0, 0), (1, 0))), axis=1)
+    return total[:, STEPS:] - total[:, :-STEPS]
+
+
+# The play.
+
+FELLOW, COLD, PARENT_MARK, ORIGIN = 1, 2, 100, 200
+ALLOWED = Permitted(
+    joins=False, direct=False, second_copies=False, cancel=True, probes=False, loads=False, follows=False
+)
+KEYS = 2000
+
+
+def offers(work: float) -> Tariff:
+    """A class whose visits take `work` seconds of sending each, which is what a router believes before it has learned."""
+    return Tariff("video", 2 * work, 1.6, 6.0, 2.0, 0.2, Effect.RERUNNABLE, "all", 5.0, 0.0, 0.0, 0.7, True, False)
+
+
+class Wheel:
+    """Calls in the order of their times."""
+
+    def __init__(self) -> None:
+        self.now, self.calls, self.number = 0.0, [], 0
+
+    def wake(self, delay: float, call: Callable[[float], None]) -> None:
+        self.number += 1
+        heapq.heappush(self.calls, (self.now + max(delay, 0.0), self.number, call))
+
+    def run(self, until: float) -> None:
+        while self.calls and self.calls[0][0] <= until:
+            self.now, _, call = heapq.heappop(self.calls)
+            call(self.now)
+        self.now = until
+
+
+class Client:
+    """One visit's, who counts how it ended."""
+
+    def __init__(self, play: Play, place: int) -> None:
+        self.play, self.place = play, place
+
+    def forward(self, forward: Forward, cache: Cache, patience: float, source: Cache, *_: Any) -> None:
+        play = self.play
+        if cache.mark == COLD:
+            play.sent.append((play.wheel.now, self.place))
+        play.wheel.wake(play.work, lambda now: self.answered(forward, now))
+
+    def answered(self, forward: Forward, now: float) -> None:
+        if forward.pending:
+            self.play.served += 1
+            forward.visit.ended(forward, Outcome.HONOURED, self.play.work, True, None, now)
+
+    def withdraw(self, forward: Forward) -> None:
+        forward.visit.ended(forward, Outcome.WITHDRAWN, 0.0, True, None, self.play.wheel.now)
+
+    def deny(self, wait: float) -> None:
+        self.play.denied += 1
+
+    def abandon(self) -> None:
+        self.play.denied += 1
+
+
+class World:
+    """What a router calls out to, besides its clients; nothing of a router that has ended is called."""
+
+    def __init__(self, wheel: Wheel) -> None:
+        self.wheel, self.up = wheel, True
+
+    def wake(self, delay: float, call: Callable[[float], None]) -> None:
+        self.wheel.wake(delay, lambda now: call(now) if self.up else None)
+
+    def probe(self, cache: Cache) -> None:
+        pass
+
+    def follow(self) -> None:
+        pass
+
+
+class SharedBucket:
+    """The ideal, beside which a denial shows: one count for all routers, all of what the cache bears."""
+
+    def __init__(self, play: Play) -> None:
+        self.play = play
+
+    def room(self, cache: Cache, visit: Any, now: float) -> bool:
+        if cache.mark != COLD:
+            return True
+        play = self.play
+        recent = sum(when > now - play.limits.span for when, _ in play.sent[-2000:])
+        return recent + 1 <= play.bears(now - play.limits.span)
+
+
+@dataclass(frozen=True)
+class Ending:
+    """Worst window over what the cache bears then; served, and the cold cache's own part of it, of what was asked."""
+
+    worst: float
+    served: float
+    at_the_cold_one: float
+
+
+class Play:
+    """One cold start: a location of two caches, of which one has just started and the other leaves at `step`."""
+
+    def __init__(
+        self,
+        limits: Limits,
+        budget: float,
+        processes: int,
+        scene: Scene,
+        work: float,
+        seed: int,
+        ideal: bool = False,
+    ) -> None:
+        self.limits, self.budget, self.processes, self.scene = limits, budget, processes, scene
+        self.work, self.offers = work, offers(work)
+        self.random, self.wheel = random.Random(seed), Wheel()
+        self.weight = budget * work / (limits.multiple * limits.floor * limits.span)
+        self.bucket = SharedBucket(self) if ideal else None
+        self.sent: list[tuple[float, int]] = []
+        self.served = self.denied = self.asked = 0
+        self.worlds: list[World] = [World(self.wheel) for _ in range(processes)]
+        self.deaf = deaf_place(processes) if scene.troubled else -1
+        self.routers: list[Router] = [self.router(place) for place in range(processes)]
+
+    def bears(self, age: float) -> float:
+        """Requests, of a window that begins then: at the middle of the window."""
+        part = self.limits.part(age + self.limits.span / 2)
+        return float(allowance(self.budget * part / self.limits.floor))
+
+    def router(self, place: int) -> Router:
+        tier = (self.limits.multiple, self.limits.span, self.limits.floor, self.limits.warm)
+        chance = Chance(self.random.getrandbits(60))
+        fleet = Fleet(chance, "here", self.processes, "parent", "origin", True, Cold(*tier), Cold(*tier))
+        made = Router(
+            self.worlds[place],
+            chance,
+            fleet,
+            Shelf(self.processes),
+            Purges(6.0),
+            ALLOWED,
+            flow=1000.0,
+            most_forwards=6,
+            ask_within=0.0,
+            longest_wait=0.5,
+        )
+        if self.bucket:
+            fleet.room = self.bucket.room
+        now = self.wheel.now
+        known = place != self.deaf or now >= DEAF_FOR
+        fleet.listed(self.listings(0.0 if known else None), True, now)
+        made.start(now)
+        return made
+
+    def listings(self, started: float | None) -> list[Listing]:
+        fellow = "ready" if self.wheel.now < self.scene.step else "gone"
+        return [
+            Listing(FELLOW, "here", "box", 0, fellow, self.weight, None),
+            Listing(COLD, "here", "box", 0, "ready", self.weight, started),
+            Listing(PARENT_MARK, "hub", "parent", 0, "ready", 1000.0, None),
+            Listing(ORIGIN, "hub", "origin", 0, "ready", 1000.0, None),
+        ]
+
+    def restart(self, place: int) -> None:
+        self.worlds[place].up = False
+        self.worlds[place] = World(self.wheel)
+        self.routers[place] = self.router(place)
+
+    def tell(self, now: float) -> None:
+        for place, router in enumerate(self.routers):
+            known = place != self.deaf or now >= DEAF_FOR
+            router.fleet.listed(self.listings(0.0 if known else None), True, now)
+
+    def ask(self, place: int, rate: float, now: float) -> None:
+        if now > self.limits.warm:
+            return
+        self.asked += 1
+        request = Request(self.random.randrange(KEYS), 0, 0, 1000.0 * self.work, self.offers.patience)
+        self.routers[place].take(Client(self, place), self.offers, request, now)
+        self.wheel.wake(self.random.expovariate(rate), lambda then: self.ask(place, rate, then))
+
+    def run(self) -> Ending:
+        rate = self.budget * self.limits.herd() / self.limits.span
+        for place, share in enumerate(loads(self.processes)):
+            one = float(rate * share)
+            self.wheel.wake(self.random.expovariate(one), lambda now, place=place, one=one: self.ask(place, one, now))
+        if self.scene.troubled:
+            for place in self.random.sample(range(self.processes), int(RESTARTED * self.processes)):
+                when = self.random.uniform(0.0, RESTARTS_UNTIL)
+                self.wheel.wake(when, lambda now, place=place: self.restart(place))
+            self.wheel.wake(DEAF_FOR, self.tell)
+        self.wheel.wake(self.scene.step, self.tell)
+        self.wheel.run(self.limits.warm + 2.0)
+        return Ending(
+            round(self.worst(), 3),
+            round(self.served / self.asked, 3),
+            round(len(self.sent) / self.asked, 3),
+        )
+
+    def worst(self) -> float:
+        """Over all windows that begin with a send."""
+        times, worst, last = [when for when, _ in self.sent], 0.0, 0
+        for first, begins in enumerate(times):
+            last = max(last, first)
+            while last < len(times) and times[last] < begins + self.limits.span:
+                last += 1
+            worst = max(worst, (last - first) / self.bears(begins))
+        return worst
+
+
+# The program.
+
+WORKS = (0.25, 0.57, 1.0)  # seconds of sending for a visit: a mix of the kit's classes, its largest, and beyond
+HALF_SECOND = 0.5  # the debt at a start before it was counted in visits
+TWO_VISITS = 2.0
+PLAYED = (4, 9, 16, 64, 400)
+PLAY_SCENES = (SCENES[0], SCENES[1], SCENES[4])
+
+
+def draws(trials: int, seed: int) -> list[dict[str, Any]]:
+    rules = [(f"half a second, visits of {work} s", HALF_SECOND / work) for work in WORKS]
+    rules += [("two visits", TWO_VISITS)]
+    rows = []
+    for tier, limits in (("edge", EDGE), ("parent", PARENT)):
+        for processes in PROCESSES:
+            for budget in BUDGETS:
+                for name, debt in rules:
+                    found = {
+                        scene.name: distribution(limits, budget, processes, scene, debt, trials, seed)
+                        for scene in SCENES
+                    }
+                    worst = max(found.values(), key=lambda one: (one.broke, one.worst))
+                    rows.append(
+                        {
+                            "tier": tier,
+                            "processes": processes,
+                            "N": budget,
+                            "debt": name,
+                            "breaks_a_start": worst.broke,
+                            "falls_a_start": max(one.fell for one in found.values()),
+                            "breaks_a_day": round(1 - (1 - worst.broke) ** STARTS_A_DAY, 4),
+                            "worst": max(one.worst for one in found.values()),
+                            "taken_herd": found["herd"].taken,
+                            "taken_thin": found["thin"].taken,
+                            "one_window_bound": float(f"{chernoff(budget):.1e}"),
+                        }
+                    )
+                    click.echo(rows[-1], err=True)
+    return rows
+
+
+def plays(seeds: int) -> list[dict[str, Any]]:
+    rows = []
+    for processes in PROCESSES:
+        for budget in PLAYED:
+            for scene in PLAY_SCENES:
+                ours = [Play(EDGE, budget, processes, scene, seed).run() for seed in range(1, seeds + 1)]
+                ideal = Play(EDGE, budget, processes, scene, 1, ideal=True).run()
+                rows.append(
+                    {
+                        "processes": processes,
+                        "N": budget,
+                        "scene": scene.name,
+                        "worst": max(one.worst for one in ours),
+                        "over": sum(one.worst > 1.0 for one in ours),
+                        "plays": seeds,
+                        "served": round(sum(one.served for one in ours) / seeds, 3),
+                        "at_the_cold_one": round(sum(one.at_the_cold_one for one in ours) / seeds, 3),
+                        "ideal": asdict(ideal),
+                    }
+                )
+                click.echo(rows[-1], err=True)
+    return rows
+
+
+@click.command()
+@click.option("--trials", default=1000, show_default=True, help="Cold starts drawn for each row and scene.")
+@click.option("--seed", default=1, show_default=True, help="Of the draws.")
+@click.option("--seeds", default=2, show_default=True, help="Plays of the decision classes for each row.")
+@click.option("--only", type=click.Choice(["draws", "plays"]), help="One of the two.")
+@click.option("--json", "_", is_flag=True)
+def main(trials: int, seed: int, seeds: int, only: str | None, _: bool) -> None:
+    """What all routers together send to a cold cache, beside what it bears."""
+    answer: dict[str, Any] = {"virtual": True, "trials": trials, "starts_a_day": STARTS_A_DAY}
+    if only != "plays":
+        answer["distribution"] = draws(trials, seed)
+    if only != "draws":
+        answer["plays"] = plays(seeds)
+    told(answer)
+
+
+if __name__ == "__main__":
+    main()
