Credit saved for a cold machine is the share of the rule's 2 root of N, while it bears little

Cause: half a span's credit of all routers makes a step of the load 0.975 N in one span; with one router that has not been told of the start (0.4 N in its first seconds at a parent's limits, 20 to 30 routers) the sum is over N + 2 root N + 2 from N of 25 up, with over two thirds of it from told routers. Ruled out: the steady load (told routers send 0.65 N, so that where the sum is over, fewer than two thirds are theirs). At fault: the cap in Cold.room. Change: while a machine bears less than a warm one can do (multiple x part under 1), what a router saves is at most its share of 0.65 x 2 root N; above, half a span as before.

--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from math import log
+from math import log, sqrt
 
 from wickhinge.interface import (
     Caller,
@@ -144,16 +144,22 @@
             cache.sent = 0.0
             cache.forget()
 
-    def room(self, cache: Cache, mine: float, work: float, now: float) -> bool:
-        """One visit may be more than a share: it is sent on credit, and the debt sat out."""
+    def room(self, cache: Cache, mine: float, share: float, work: float, now: float) -> bool:
+        """One visit may be more than a share: it is sent on credit, and the debt sat out. Saved up is half a
+        span's worth, and no more than the share of the rule's 2 root of N while a warm machine can do more
+        than this one bears: one router that has not been told then adds much to what all others saved."""
         self.mean += 0.1 * (work - self.mean) if self.mean else work
-        rate = 0.65 * self.multiple * self.part(cache, now) * mine
+        bears = self.multiple * self.part(cache, now)  # in what a warm one can do
+        rate = 0.65 * bears * mine
+        most = 0.5 * rate * self.span
+        if bears < 1.0:
+            most = min(most, 0.65 * 2 * sqrt(bears * mine * share * self.span * self.mean))
         earned, cache.credited = rate * (now - cache.credited), now
         if cache.owed > 0.0:
             debt = FIRST_DEBT * self.mean
             left = cache.owed - earned / debt
             cache.owed, cache.credit, earned = max(left, 0.0), 0.0, max(-left, 0.0) * debt
-        cache.credit = min(cache.credit + earned, 0.5 * rate * self.span)
+        cache.credit = min(cache.credit + earned, most)
         return cache.credit > 0.0
 
 
@@ -290,11 +296,10 @@
         work = visit.router.mean(visit.tariff)
         if self.weighed and self.dealt:  # the routers' true shares in place of a guess, where they talk
             return self.dealt(cache, upper, cold, part, work)
-        # Of what a warm fellow bears: more than it can, maybe, and this one may be half as large.
-        mine = (0.3 if upper else 0.7) * cold.usual
-        if self.weighed:
-            mine = cache.weight * (self.share if upper else 1.0) / self.routers
-        return cold.room(cache, mine, work, now)
+        share = (self.share if upper else 1.0) / self.routers
+        # Unweighed of what a warm fellow bears: more than it can, maybe, and this one may be half as large.
+        mine = cache.weight * share if self.weighed else (0.3 if upper else 0.7) * cold.usual
+        return cold.room(cache, mine, share, work, now)
 
 
 class Forward:
