bench.cold_sum: router processes on sockets before a stand-in for a cold cache

The cache gets little there, since the rig's class promises 1 s and a router charges half of that until it has measured; so this play shows that nothing breaks, not how near the limit is.

--- a/bench/cold_sum.py
+++ b/bench/cold_sum.py
@@ -5,9 +5,10 @@
 
     distribution   seeded draws of whole cold starts (numpy): how often some window of the ramp goes over, by rule
     play           the decision classes themselves, as 20 and 30 routers in virtual time, before one cold cache
+    sockets        real router processes before a stand-in for a cold cache, in true time
 
-In both the routers' loads differ by a factor of ten, a third of the routers is restarted in the ramp, and one is not
-told of the start for its first seconds. The last output line is one JSON object.
+In the first two the routers' loads differ by a factor of ten, a third of the routers is restarted in the ramp, and one
+is not told of the start for its first seconds. The last output line is one JSON object.
 """
 
 from __future__ import annotations
@@ -15,10 +16,13 @@
 import heapq
 import math
 import random
+import tempfile
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from itertools import product
+from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import click
 import numpy as np
@@ -26,6 +30,11 @@
 from bench import told
 from wickhinge.decide import Cache, Chance, Cold, Fleet, Forward, Purges, Router, Shelf
 from wickhinge.interface import Effect, Listing, Outcome, Permitted, Request, Tariff
+from wickhinge.lab.many import stands
+from wickhinge.lab.many.rig import Rig
+from wickhinge.lab.many.schedule import Fault, Schedule
+from wickhinge.lab.many.stands import AGE, LIMITS, WARM
+from wickhinge.lab.many.stands import Scene as StandScene
 
 BUDGETS = (4, 6, 9, 16, 25, 36, 64, 100, 200, 400)  # N at the start
 PROCESSES = (20, 30)
@@ -361,20 +370,58 @@
         self.wheel.wake(self.scene.step, self.tell)
         self.wheel.run(self.limits.warm + 2.0)
         return Ending(
-            round(self.worst(), 3),
+            worst_window([when for when, _ in self.sent], self.limits.span, self.bears),
             round(self.served / self.asked, 3),
             round(len(self.sent) / self.asked, 3),
         )
 
-    def worst(self) -> float:
-        """Over all windows that begin with a send."""
-        times, worst, last = [when for when, _ in self.sent], 0.0, 0
-        for first, begins in enumerate(times):
-            last = max(last, first)
-            while last < len(times) and times[last] < begins + self.limits.span:
-                last += 1
-            worst = max(worst, (last - first) / self.bears(begins))
-        return worst
+
+def worst_window(times: list[float], span: float, bears: Callable[[float], float]) -> float:
+    """Over all windows that begin with a send, over what the machine bears then."""
+    worst, last = 0.0, 0
+    for first, begins in enumerate(times):
+        while last < len(times) and times[last] < begins + span:
+            last += 1
+        worst = max(worst, (last - first) / bears(begins))
+    return round(worst, 3)
+
+
+# Real processes.
+
+
+def on_sockets(processes: int, budget: float, seed: int, seconds: float = 12.0) -> dict[str, Any]:
+    """Router processes before the rig's cold cache, asked for three times what it bears; a third of them is killed and
+    started again. The cache is a minute old and warms slowly, so N hardly changes."""
+    place = random.Random(seed).sample(range(processes), int(RESTARTED * processes))
+    begins = 4.0
+    killed = tuple(Fault("kill", begins + 1.0 + turn * 0.8, 0.5, (one,)) for turn, one in enumerate(place))
+    share = loads(processes)
+    scene = StandScene(lambda process, now: 3.0 * float(share[process.place]) * (now > 0.0))
+    one_unit = LIMITS.multiple * (LIMITS.floor + (1 - LIMITS.floor) * AGE / WARM) * LIMITS.span
+    told_all = Schedule(seed, processes, 1, killed, processes, begins, seconds)
+    with (
+        patch.object(stands, "WEIGHT", budget * stands.WORK / one_unit),
+        tempfile.TemporaryDirectory(prefix="wickhinge-") as folder,
+        Rig(Path(folder), told_all, scene, False) as rig,
+    ):
+        made = rig.run().stands
+        sent = made.sent[made.caches[0].mark]
+        worst = worst_window([when for when, _, _ in sent], LIMITS.span, lambda when: budget_of(made, when))
+        answered = sum(took is not None for _, took, _ in made.visits)
+        return {
+            "processes": processes,
+            "N": budget,
+            "killed": len(place),
+            "crashed": rig.crashed(),
+            "worst": worst,
+            "sent": len(sent),
+            "asked": len(made.visits),
+            "served": round(answered / max(len(made.visits), 1), 3),
+        }
+
+
+def budget_of(made: Any, when: float) -> float:
+    return float(allowance(made.bears(when) / stands.WORK))
 
 
 # The program.
@@ -450,17 +497,22 @@
 @click.option("--trials", default=1000, show_default=True, help="Cold starts drawn for each row and scene.")
 @click.option("--seed", default=1, show_default=True, help="Of the draws.")
 @click.option("--seeds", default=2, show_default=True, help="Plays of the decision classes for each row.")
-@click.option("--only", type=click.Choice(["draws", "plays"]), help="One of the two.")
+@click.option("--only", type=click.Choice(["draws", "plays", "sockets"]), help="One of these.")
 @click.option("--tier", type=click.Choice(list(TIERS)), help="One of the two.")
+@click.option("--sockets", default=0, show_default=True, help="Router processes of a play on sockets; 0: none.")
 @click.option("--present", is_flag=True, help="Draw for the rule as it is alone.")
 @click.option("--json", "_", is_flag=True)
-def main(trials: int, seed: int, seeds: int, only: str | None, tier: str | None, present: bool, _: bool) -> None:
+def main(
+    trials: int, seed: int, seeds: int, only: str | None, tier: str | None, sockets: int, present: bool, _: bool
+) -> None:
     """What all routers together send to a cold cache, beside what it bears."""
     answer: dict[str, Any] = {"virtual": True, "trials": trials, "starts_a_day": STARTS_A_DAY}
-    if only != "plays":
+    if only in (None, "draws"):
         answer["distribution"] = draws(trials, seed, {tier: TIERS[tier]} if tier else TIERS, present)
-    if only != "draws":
+    if only in (None, "plays"):
         answer["plays"] = plays(seeds, {tier: TIERS[tier]} if tier else TIERS)
+    if sockets:
+        answer["sockets"] = [on_sockets(sockets, budget, seed) for budget in (6, 36)]
     told(answer)
 
 
