Descriptors by role: accept waits for one, and idle clients and lines make room oldest first

Seen: at each of 256, 512, 640 and 672 descriptors (the system's limit set to the same number), with all idle clients that the budget allows, 120 connections in one turn each lost requests: closed with no answer. Ruled out: the budget by itself, which adds up to the limit.

At fault: - Twisted's Port.doRead accepts a hundred and more in one turn, and Clients.came hung up on one for each, whose descriptor is free some turns later: those being closed were not counted. At EMFILE that port accepts and closes all that wait, with the requests on them. - Clients.came closed the newcomer ("no room") where nobody could go, and one that had connected in that very moment. - Machine.send had no descriptor for a machine without a connection as long as other machines' connections rested. - Clients.settle took a client that has not read its answer out of the transport for idle.

EMFILE takes clients' bound down by 12 for 3 s.

--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -13,6 +13,7 @@
 from wickhinge.net import resp
 from wickhinge.net.buffers import Body, Pool
 from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.descriptors import CLOSING
 from wickhinge.net.dial import Dial
 from wickhinge.net.ends import End, unconnected
 from wickhinge.net.loop import waiting
@@ -45,6 +46,7 @@
         self.socket: Any = None
 
     def connect(self, address: tuple[str, int]) -> None:
+        self.caches.held += 1
         self.attempt = Dial(self.caches.reactor, address, self, self.unconnected)
         self.caches.deadlines.after(self.caches.connect_within, self.overdue)
 
@@ -59,6 +61,7 @@
         self.drain()
 
     def unconnected(self, failure: Failure) -> None:
+        self.caches.held -= 1
         self.attempt = None
         self.over(unconnected(failure), failure.getErrorMessage())
 
@@ -222,6 +225,7 @@
             self.caches.deadlines.after(max(left, 0.5), self.rest)
 
     def connectionLost(self, reason: Failure) -> None:
+        self.caches.held -= 1
         self.over(End.LOST_WRITTEN, reason.getErrorMessage())
 
     def over(self, end: End, why: str) -> None:
@@ -265,7 +269,7 @@
             lines.remove(line)
             line = min(lines, key=lambda line: (len(line.open), not line.up), default=None)
         if line is None or (len(line.open) >= SHARED and len(self.lines) < LINES):
-            if sum(len(machine.lines) for machine in caches.machines.values()) < caches.most:
+            if caches.may_connect(line is None):
                 line = Line(self)
                 self.lines.append(line)
                 line.connect(self.address)
@@ -317,6 +321,7 @@
         self.log, self.fault = log, fault
         self.stops = True  # whether a request may be given up by word; else its budget tells
         self.machines: dict[int, Machine] = {}
+        self.held = 0  # descriptors of connections, also of those that come up or are being closed
         self.paused = False
         self.answered: Callable[..., bool | None] = lambda *_: True
         self.ended: Callable[..., None] = lambda *_: None
@@ -333,6 +338,17 @@
         if machine.gone and not machine.lines and self.machines.get(machine.mark) is machine:
             del self.machines[machine.mark]
 
+    def may_connect(self, needed: bool) -> bool:
+        """Whether there is a descriptor for one connection more. needed: the machine has none that could be used, so
+        the connection to another that rests for longest goes for it."""
+        lines = [line for machine in self.machines.values() for line in machine.lines]
+        if needed and len(lines) == self.most:
+            resting = [line for line in lines if not line.open and not line.queue]
+            if resting:
+                min(resting, key=lambda line: line.used).close()
+                lines.pop()
+        return len(lines) < self.most and self.held < self.most + CLOSING
+
     def pause(self) -> None:
         self.each("pauseProducing", True)
 
--- a/wickhinge/net/opening.py
+++ b/wickhinge/net/opening.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from wickhinge.net.journal import QUIET
+from wickhinge.net.listener import Listener
 
 BACKLOG = 1024
 # The service writes a frame each second. One that told nothing for so long is away, and by the rest of the router's
@@ -72,8 +73,8 @@
             ours.close()
             self.taken(problem)
             return
-        self.port = self.reactor.adoptStreamPort(ours.fileno(), socket.AF_INET, self.clients)
-        ours.close()  # the port has its own descriptor of it
+        self.port = Listener(self.reactor, ours, self.clients)
+        self.port.startListening()
         self.open = True
         self.log("open", why=why, waited_ms=round((self.deadlines.now() - self.since) * 1000))
 
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -17,6 +17,7 @@
 from wickhinge.net.buffers import SIZE, Pool
 from wickhinge.net.caches import Caches
 from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.descriptors import bounds
 from wickhinge.net.forwards import Forwards
 from wickhinge.net.journal import Journal
 from wickhinge.net.log import Log
@@ -33,7 +34,6 @@
 REPORT = 5.0
 # Objects more than at the last walk, 5 MB of them: by the peak alone a second walk came only past a limit of 32 MB.
 CIRCLES = 25_000
-SPARE = 24  # descriptors for the journal, the log, the listening socket and connections being closed
 
 
 class Node:
@@ -45,11 +45,20 @@
         self.reread: Callable[[], Any] = lambda: None  # our own settings, as the file has them now
         self.unusable: OSError | None = None  # why the address could not be had in the end
         memory, sockets = config.limits(conf)
+        descriptors = bounds(sockets)
         self.collect_over = memory * 700  # in KB: 0.7 of the limit
         connect_within, idle, streams = config.times(conf)
         self.pool = Pool(max((memory - BASE) * 500_000 // SIZE, 128), self.pause, self.resume)
         self.caches = Caches(
-            reactor, self.deadlines, self.pool, connect_within, idle, streams, sockets // 3, self.log.event, self.fault
+            reactor,
+            self.deadlines,
+            self.pool,
+            connect_within,
+            idle,
+            streams,
+            descriptors.machines,
+            self.log.event,
+            self.fault,
         )
         self.forwards = Forwards(self.caches, self.deadlines, PROBE_WITHIN, self.fault)
         conf_settings = config.settings(conf)
@@ -61,7 +70,7 @@
         self.last = min(max(tariff.patience for tariff in tariffs.values()), LONGEST) + LAST
         self.visits = Visits(self.forwards, self.deadlines, self.pool, tariffs, self.log.event, self.fault)
         self.forwards.router = self.visits.router = self.router
-        self.clients = Clients(self.visits, self.deadlines, sockets - sockets // 3 - SPARE, self.log.event)
+        self.clients = Clients(self.visits, self.deadlines, descriptors.clients, self.log.event)
         self.copies: Any = None
         if options is not None and options.store.mode == "on":
             from wickhinge.net import copies  # what is off costs nothing
