--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -5,6 +5,7 @@
 it: connections and their ends by the test, descriptors and CPU time from /proc of the process that it started.
 """
 
+import errno
 import os
 import resource
 import select
@@ -16,12 +17,24 @@
 import pytest
 from stand import SERVED, Stand
 from test_sockets import PATIENT
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
 from wires import Wire, pool
 
 from wickhinge.net import msgpack
 from wickhinge.net.accept import Clients
 from wickhinge.net.caches import Caches
-from wickhinge.net.descriptors import ACCEPTED_AT_ONCE, BACK_OFF, CLOSING, RESERVED, SHED_AT_ONCE, Admission, bounds
+from wickhinge.net.descriptors import (
+    ACCEPTED_AT_ONCE,
+    BACK_OFF,
+    CLOSING,
+    RESERVED,
+    SHED_AT_ONCE,
+    WATCH,
+    Admission,
+    bounds,
+)
+from wickhinge.net.listener import Listener
 
 LIMITS = [256, 512, 640, 672]  # as the bench's days name them
 SMALL = 64  # the least that a configuration may name
@@ -127,6 +140,7 @@
     most, new_clients = bounds(limit), 120
     made = stand(limit, held_by_others=most.machines)
     address = service_goes(made)
+    without_clients = descriptors(made)
     idle = connect_and_ping(made, most.clients)
     assert all(answered(client) for client in idle)
     assert readable(idle) == []  # all of them are kept
@@ -137,6 +151,7 @@
     for client in new:
         counts.append(descriptors(made))
         assert answered(client)
+    assert max(counts) <= without_clients + most.clients + 1  # a try to reach the discovery service
     assert max(counts) < limit - CLOSING
     closed = [client in readable([client]) for client in idle]
     shed = closed.index(False)
@@ -153,7 +168,7 @@
     address = service_goes(made)
     clients = connect_and_ping(made, most.clients)
     assert all(answered(client) for client in clients)
-    assert descriptors(made) < limit
+    assert descriptors(made) <= limit - WATCH
     assert visit_is_served(made, clients[-1])
     assert service_returns(made, address) < RECONNECT_WITHIN
 
@@ -221,7 +236,7 @@
     for _ in range(100):
         admission.accepted()
     assert [admission.to_shed(100) for _ in range(7)] == [1, 2, 4, 8, 16, 16, 16]
-    admission.drained()
+    admission.restart_steps()
     assert admission.to_shed(100) == 1
 
 
@@ -257,6 +272,137 @@
     assert client in clients.idle
 
 
+class Reading:
+    """A reactor that only knows what it is told to read."""
+
+    def __init__(self):
+        self.read = set()
+        self.addReader, self.removeReader = self.read.add, self.read.discard
+        self.addWriter = self.removeWriter = lambda _: None
+
+
+@pytest.fixture
+def listening():
+    """A listener with room for one client, a function that connects, and the calls for the next turn."""
+    soon = []
+    clock = SimpleNamespace(now=lambda: 100.0, after=lambda *_: None, soon=lambda call, *told: soon.append(call))
+    clients = Clients(None, clock, 1, lambda *_, **more: None)
+    place = socket.create_server(("127.0.0.1", 0))
+    address = place.getsockname()
+    place.setblocking(False)
+    made = Listener(Reading(), place, clients)
+    made.startListening()
+    peers = []
+
+    def connect():
+        peers.append(socket.create_connection(address))
+
+    yield made, connect, soon
+    for one in peers:
+        one.close()
+    place.close()
+
+
+def fill(made, connect):
+    """The one client that there is room for, and a second that waits."""
+    connect()
+    connect()
+    made.doRead()
+    assert made in made.reactor.read
+    made.doRead()
+    assert made not in made.reactor.read
+    [client] = made.clients.all
+    return client
+
+
+def test_accept_goes_on_as_soon_as_a_descriptor_is_free(listening):
+    made, connect, _ = listening
+    client = fill(made, connect)
+    client.transport.connectionLost(Failure(ConnectionDone()))
+    assert made in made.reactor.read
+    made.doRead()
+    assert len(made.clients.all) == 1 and client not in made.clients.all
+    assert made.admission.held == 1
+
+
+def test_accept_looks_again_as_soon_as_a_client_rests(listening):
+    made, connect, soon = listening
+    client = fill(made, connect)
+    made.clients.read(client, True)  # it had its answer
+    assert made not in made.reactor.read  # not within a call of its own
+    [look] = soon
+    look()
+    assert made in made.reactor.read
+    made.doRead()
+    assert client.ended and client.transport.disconnecting
+
+
+def test_where_nobody_can_go_the_next_step_is_one_again(listening):
+    """Else all that come to rest after a wait would go for one that waits."""
+    made, connect, _ = listening
+    fill(made, connect)
+    for _ in range(5):
+        made.resume()
+        made.doRead()
+    assert made.admission.step == 1
+
+
+def test_a_sweep_looks_again_once(listening):
+    made, connect, soon = listening
+    fill(made, connect)
+    made.clients.sweep()
+    made.clients.sweep()
+    assert len(soon) == 1
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EIO])
+def test_a_system_that_gives_no_connection_is_not_asked_again_at_once(listening, number):
+    """Left readable, the loop would ask again without end."""
+    made, _, _ = listening
+
+    def accept():
+        raise OSError(number, "no")
+
+    made.socket = SimpleNamespace(accept=accept, fileno=made.socket.fileno)
+    made.doRead()
+    assert made not in made.reactor.read
+    made.clients.look_again()
+    made.clients.looked_again()
+    assert made in made.reactor.read
+
+
+def test_a_connection_that_is_none_any_more_does_not_stop_the_next(listening):
+    made, connect, _ = listening
+    connect()
+    real, ends = made.socket, [ConnectionAbortedError(errno.ECONNABORTED, "gone")]
+
+    def accept():
+        if ends:
+            raise ends.pop()
+        return real.accept()
+
+    made.admission.allowed = 2
+    made.socket = SimpleNamespace(accept=accept, fileno=real.fileno)
+    made.doRead()
+    assert len(made.clients.all) == 1
+
+
+def test_a_fault_with_one_connection_does_not_close_the_listener(listening):
+    made, connect, _ = listening
+    faults = []
+    made.clients.visits = SimpleNamespace(fault=faults.append)
+    made.clients.came = lambda client: 1 / 0
+    aborted = []
+    made.reactor.callLater = lambda delay, call, *told: aborted.append((call, told))
+    connect()
+    made.doRead()
+    assert faults == ["accept"] and made in made.reactor.read
+    [(call, told)] = aborted
+    assert made.admission.held == 1
+    call(*told)
+    assert made.admission.held == 0
+
+
 class Connecting:
     """A reactor whose connections never come up."""
 
--- a/wickhinge/net/descriptors.py
+++ b/wickhinge/net/descriptors.py
@@ -47,8 +47,8 @@
     def closed(self) -> None:
         self.held -= 1
 
-    def drained(self) -> None:
-        """No connection waits to be accepted."""
+    def restart_steps(self) -> None:
+        """No connection waits to be accepted, or nobody could be hung up on."""
         self.step = 1
 
     def to_shed(self, living: int) -> int:
--- a/wickhinge/net/listener.py
+++ b/wickhinge/net/listener.py
@@ -48,13 +48,13 @@
         room = self.admission.room()
         if not room:
             self.pause()
-            self.clients.shed(self.admission.to_shed(len(self.clients.all)))
+            self.make_room()
             return
         for _ in range(room):
             try:
                 connection, address = self.socket.accept()
             except BlockingIOError:
-                self.admission.drained()
+                self.admission.restart_steps()
                 return
             except OSError as problem:
                 if problem.errno in NO_CONNECTION:
@@ -82,7 +82,12 @@
         self.clients.log(
             "accept_failed", why=problem.strerror, clients=self.admission.held, allowed=self.admission.allowed
         )
-        self.clients.shed(self.admission.to_shed(len(self.clients.all)))
+        self.make_room()
+
+    def make_room(self) -> None:
+        wanted = self.admission.to_shed(len(self.clients.all))
+        if wanted and not self.clients.shed(wanted):
+            self.admission.restart_steps()
 
     def freed(self) -> None:
         self.admission.closed()
