--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -335,6 +335,9 @@
     assert made in made.reactor.read
     made.doRead()
     assert client.ended and client.transport.disconnecting
+    made.resume()
+    made.doRead()
+    assert not made.clients.all and made.admission.held == 1  # its descriptor is not free yet
 
 
 def test_where_nobody_can_go_the_next_step_is_one_again(listening):
@@ -442,6 +445,16 @@
     assert caches.held == 3
 
 
+def test_a_line_whose_peer_takes_nothing_gives_its_descriptor_back():
+    """Closed in the ordinary way it waited for its last word to be written, for good."""
+    caches, clock = caches_with(3, machines=1)
+    line = connected(caches, clock, 0)
+    line.transport.room = 0
+    line.put(b"", b"STOP")
+    line.close()
+    assert "abortConnection" in line.transport.calls and "loseConnection" not in line.transport.calls
+
+
 def test_lines_being_closed_and_tried_are_bounded_too():
     caches, clock = caches_with(3, machines=20)
     for mark in range(3):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -470,7 +470,7 @@
             end = time.monotonic() + 5.0
             while not made.down and time.monotonic() < end:
                 reactor.iterate(0.01)
-            assert made.down and len(caches.machines[1].lines) == 0
+            assert made.down and len(caches.machines[1].lines) == 0 == caches.held
             del made
             reactor.iterate(0.0)  # what a turn of the loop still named
             deadlines.heap.clear()
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -209,7 +209,9 @@
     def close(self) -> None:
         self.closing = True
         self.machine.dropped(self)
-        if self.up:
+        if self.up and self.queue:  # a word that its peer does not take would keep the descriptor
+            self.transport.abortConnection()
+        elif self.up:
             self.transport.loseConnection()
         elif self.attempt is not None:
             self.attempt.stop()
