Descriptors: only those hung up on to make room hold up the next; lines forced on sockets

Found by reading once more: while any client had ended and still held its descriptor, nobody was hung up on, so one that ends by itself and closes late could have kept connections waiting. Now only those that were hung up on for room count (Admission.closing). A new test forces it. Machine lines' bound is now forced on real sockets as well.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import time
+from contextlib import ExitStack
 from types import SimpleNamespace
 
 import pytest
@@ -21,9 +22,10 @@
 from twisted.python.failure import Failure
 from wires import Wire, pool
 
-from wickhinge.net import msgpack
+from wickhinge.net import msgpack, resp
 from wickhinge.net.accept import Clients
 from wickhinge.net.caches import Caches
+from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.descriptors import (
     ACCEPTED_AT_ONCE,
     BACK_OFF,
@@ -35,6 +37,7 @@
     bounds,
 )
 from wickhinge.net.listener import Listener
+from wickhinge.net.loop import Reactor
 
 LIMITS = [256, 512, 640, 672]  # as the bench's days name them
 SMALL = 64  # the least that a configuration may name
@@ -225,8 +228,9 @@
     for _ in range(100):
         admission.accepted()
     assert admission.room() == 0
-    assert admission.to_shed(100) == 1
-    assert admission.to_shed(99) == 0  # the one that was hung up on is not closed yet
+    assert admission.to_shed() == 1
+    admission.shed(1)
+    assert admission.to_shed() == 0 == admission.room()  # the one that was hung up on is not closed yet
     admission.closed()
     assert admission.room() == 1
 
@@ -235,9 +239,24 @@
     admission = Admission(100)
     for _ in range(100):
         admission.accepted()
-    assert [admission.to_shed(100) for _ in range(7)] == [1, 2, 4, 8, 16, 16, 16]
-    admission.restart_steps()
-    assert admission.to_shed(100) == 1
+    steps = []
+    for _ in range(7):
+        steps.append(admission.to_shed())
+        admission.shed(steps[-1])
+        for _ in range(steps[-1]):
+            admission.closed()
+            admission.accepted()
+    assert steps == [1, 2, 4, 8, 16, 16, 16]
+    admission.drained()
+    assert admission.to_shed() == 1
+
+
+def test_one_that_ended_by_itself_and_holds_its_descriptor_on_does_not_keep_others_from_going(listening):
+    """As one that still has to take an answer: others make room all the same."""
+    made, connect, _ = listening
+    client = fill(made, connect)
+    made.clients.forget(client)
+    assert made.admission.held == 1 and made.admission.to_shed() == 1
 
 
 def test_a_turn_accepts_few_and_a_system_without_descriptors_lowers_the_bound_for_a_time():
@@ -246,7 +265,7 @@
     for _ in range(60):
         admission.accepted()
     admission.refused_by_system()
-    assert admission.room() == 0 and admission.to_shed(60) == BACK_OFF + 1
+    assert admission.room() == 0 and admission.to_shed() == BACK_OFF + 1
     for _ in range(BACK_OFF):
         admission.recover()
     assert admission.room() == 0
@@ -455,6 +474,41 @@
     assert "abortConnection" in line.transport.calls and "loseConnection" not in line.transport.calls
 
 
+def test_on_sockets_the_line_that_rests_for_longest_goes_and_the_attempt_arrives():
+    reactor = Reactor()
+    with ExitStack() as stack:
+        places = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(4)]
+        deadlines = Deadlines(reactor, [].append)
+        caches = Caches(reactor, deadlines, pool()[0], 5.0, 15.0, 100, 3, lambda *_, **more: None, [].append)
+        for mark, place in enumerate(places):
+            caches.listed(mark, str(mark), place.getsockname())
+
+        def until(told):
+            end = time.monotonic() + PATIENT
+            while not told() and time.monotonic() < end:
+                reactor.iterate(0.01)
+            assert told()
+
+        def exchange(mark):
+            """A request and its answer on a new connection, as the machine has it."""
+            line = caches.machines[mark].send(b"%d" % mark, mark, resp.pack(b"REQ", b"%d" % mark, b"-", b""))
+            until(lambda: line.up)
+            made = stack.enter_context(places[mark].accept()[0])
+            made.settimeout(PATIENT)
+            assert b"REQ" in made.recv(4096)
+            made.sendall(resp.pack(b"%d" % mark, b"OK", b"-", b""))
+            until(lambda: not line.open)
+            return made
+
+        peers = [exchange(mark) for mark in range(4)]
+        until(lambda: caches.held == 3)
+        assert peers[0].recv(1) == b""  # the first was closed
+        for peer in peers[1:]:
+            peer.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                peer.recv(1)
+
+
 def test_lines_being_closed_and_tried_are_bounded_too():
     caches, clock = caches_with(3, machines=20)
     for mark in range(3):
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -343,13 +343,18 @@
     def may_connect(self, needed: bool) -> bool:
         """Whether there is a descriptor for one connection more. needed: the machine has none that could be used, so
         the connection to another that rests for longest goes for it."""
+        free = self.most - sum(len(machine.lines) for machine in self.machines.values())
+        if needed and free == 0 and self.close_resting():
+            free = 1
+        return free > 0 and self.held < self.most + CLOSING
+
+    def close_resting(self) -> bool:
+        """Close the connection that rests for longest, if any does."""
         lines = [line for machine in self.machines.values() for line in machine.lines]
-        if needed and len(lines) == self.most:
-            resting = [line for line in lines if not line.open and not line.queue]
-            if resting:
-                min(resting, key=lambda line: line.used).close()
-                lines.pop()
-        return len(lines) < self.most and self.held < self.most + CLOSING
+        resting = [line for line in lines if not line.open and not line.queue]
+        if resting:
+            min(resting, key=lambda line: line.used).close()
+        return bool(resting)
 
     def pause(self) -> None:
         self.each("pauseProducing", True)
--- a/wickhinge/net/listener.py
+++ b/wickhinge/net/listener.py
@@ -54,7 +54,7 @@
             try:
                 connection, address = self.socket.accept()
             except BlockingIOError:
-                self.admission.restart_steps()
+                self.admission.drained()
                 return
             except OSError as problem:
                 if problem.errno in NO_CONNECTION:
@@ -85,9 +85,9 @@
         self.make_room()
 
     def make_room(self) -> None:
-        wanted = self.admission.to_shed(len(self.clients.all))
-        if wanted and not self.clients.shed(wanted):
-            self.admission.restart_steps()
+        wanted = self.admission.to_shed()
+        if wanted:
+            self.admission.shed(self.clients.shed(wanted))
 
     def freed(self) -> None:
         self.admission.closed()
