--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -19,8 +19,8 @@
     *(
         f"wickhinge.net.{name}"
         for name in (
-            "accept buffers caches config deadlines deferred_imports dial ends forwards journal log loop msgpack "
-            "opening resp router slots start visits"
+            "accept buffers caches config deadlines deferred_imports descriptors dial ends forwards journal listener "
+            "log loop msgpack opening resp router slots start visits"
         ).split()
     ),
 }
