--- a/wickhinge/changelog/__init__.py
+++ b/wickhinge/changelog/__init__.py
@@ -1,9 +1,11 @@
 """An ordered log of purges and settings: ordered by replicas, handed down by relays, applied by routers.
 
-Entered by `replica.Replica`, `relay.Relay` and `follower.Follower`, one of them a process. Each is told of time by
-`tick` and of packets by `heard`, and answers with a list of effects (`effects`). None of them opens a socket or a file
-or reads a clock. docs/notes/changelog.md says why it is as it is, and derives the bounds.
+Entered by `nodes.ReplicaNode`, `nodes.RelayNode` and `nodes.FollowerNode`, one of them a process, each around the state
+machine of its role (`replica.Replica`, `relay.Relay`, `follower.Follower`). A state machine is told of time by `tick`
+and of packets by `heard`, and answers with a list of effects (`effects`); it opens no socket or file and reads no
+clock. docs/notes/changelog.md says why it is as it is, and derives the bounds.
 
 Deciding, without I/O: entries, log, echo, vouches, feed, relay; ordering, verdicts, sources, subscription, follower;
-records, ballot, leadership, replica. Speaking: fields, messages, codec, snapshots.
+records, ballot, leadership, replica; addresses, proposals. Speaking: fields, messages, codec, snapshots.
+Doing: storage, nodes.
 """
--- /dev/null
+++ b/wickhinge/changelog/addresses.py
@@ -0,0 +1,72 @@
+"""Where each process of the change log is reached: by the settings, or by where its datagrams come from. Deciding."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from wickhinge.changelog.echo import COUNTER_BITS
+
+Address = tuple[str, int]  # IPv4 address and UDP port
+
+QUIET_S = 3.0  # another session of a name is taken for it, at another address, after so long without the former one
+MOST_LEARNED = 8192
+COUNTER_MASK = (1 << COUNTER_BITS) - 1
+
+
+class Learned:
+    """The address of a process that the settings do not name, and the token that came from there last."""
+
+    __slots__ = ("address", "token", "heard_at")
+
+    def __init__(self, address: Address, token: int, heard_at: float) -> None:
+        self.address, self.token, self.heard_at = address, token, heard_at
+
+
+class AddressBook:
+    """`fixed`: addresses by the settings, which never change.
+
+    Others are learned from packets that were readable under the key. A packet that was recorded on the way and sent
+    again from elsewhere must not draw a process's datagrams to it: an address moves with a later token of the same
+    session alone, or after QUIET_S without any.
+    """
+
+    def __init__(self, fixed: Mapping[str, Address]) -> None:
+        self._fixed = dict(fixed)
+        self._learned: dict[str, Learned] = {}
+
+    def of(self, name: str) -> Address | None:
+        """None where it is not known."""
+        fixed = self._fixed.get(name)
+        if fixed is not None:
+            return fixed
+        learned = self._learned.get(name)
+        return None if learned is None else learned.address
+
+    def heard(self, name: str, address: Address, token: int, now: float) -> None:
+        """A readable packet of `name` came from `address` with `token`, 0 for none."""
+        if not token or name in self._fixed:
+            return
+        learned = self._learned.get(name)
+        if learned is None:
+            self._make_room(now)
+            if len(self._learned) < MOST_LEARNED:
+                self._learned[name] = Learned(address, token, now)
+        elif self._is_later(learned, token) or now - learned.heard_at > QUIET_S:
+            learned.address, learned.token, learned.heard_at = address, token, now
+        elif address == learned.address:
+            learned.token, learned.heard_at = token, now
+
+    def forget(self, now: float, silent_s: float) -> None:
+        """Drops what has not been heard for `silent_s`."""
+        for name in [name for name, one in self._learned.items() if now - one.heard_at > silent_s]:
+            del self._learned[name]
+
+    def _make_room(self, now: float) -> None:
+        if len(self._learned) >= MOST_LEARNED:
+            self.forget(now, QUIET_S)
+
+    @staticmethod
+    def _is_later(learned: Learned, token: int) -> bool:
+        """A session's tokens rise, until the counter begins anew after 2**24 of them (194 days at one a second)."""
+        same_session = token >> COUNTER_BITS == learned.token >> COUNTER_BITS
+        return same_session and token & COUNTER_MASK > learned.token & COUNTER_MASK
--- /dev/null
+++ b/wickhinge/changelog/storage.py
@@ -0,0 +1,301 @@
+"""A replica's stable storage: a snapshot file and an append-only file of checksummed records.
+
+    snapshot             "WLS1" generation:8 encoded snapshot (snapshots.encode_snapshot, with its own checksum)
+    records.GENERATION   blocks: length:4 checksum:8 payload        payload: one Persist (write_persist)
+
+A block's checksum covers the checksum before it, so that a block left from before a crash is never taken for one that
+follows. A new snapshot begins a generation: its records file is written and synced first, with the state as one block,
+then the snapshot file is replaced by rename, which is the moment at which the new generation counts. A torn last block
+is cut off at the start; one that is damaged before another is refused, as promises may be lost with it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+from hashlib import blake2b
+
+from wickhinge.changelog.codec import MOST_PROCESS_NAME
+from wickhinge.changelog.effects import Persist, PersistSnapshot
+from wickhinge.changelog.entries import Entry, read_change, write_change
+from wickhinge.changelog.fields import Malformed, Reader, Writer
+from wickhinge.changelog.log import Snapshot
+from wickhinge.changelog.messages import Record
+from wickhinge.changelog.snapshots import decode_snapshot, encode_snapshot
+from wickhinge.changelog.stored import Stored
+from wickhinge.store.files import Files, replace
+
+MAGIC = b"WLS1"
+SNAPSHOT, RECORDS, LOCK = "snapshot", "records.", "lock"
+LENGTH_BYTES, CHECKSUM_BYTES = 4, 8
+HEAD_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
+GENERATION_BYTES = 8
+MOST_RECORDS = 1 << 20  # in a block
+MOST_SNAPSHOT_BYTES = 16_000_000
+MOST_RECORDS_BYTES = 256_000_000
+
+
+class Missing(Exception):
+    """There are no files of a replica in the directory."""
+
+
+class Damaged(Exception):
+    """The files do not hold what was promised; the text names file and place."""
+
+
+class InUse(Exception):
+    """Another process has the directory."""
+
+
+class State:
+    """The sum of all effects so far, in memory."""
+
+    def __init__(self, stored: Stored) -> None:
+        self.epoch, self.term, self.vote = stored.epoch, stored.term, stored.vote
+        self.snapshot = stored.snapshot
+        self.records = list(stored.records)
+
+    def stored(self) -> Stored:
+        return Stored(self.epoch, self.term, self.vote, self.snapshot, tuple(self.records))
+
+    def persist(self, effect: Persist) -> None:
+        self.epoch, self.term, self.vote = effect.epoch, effect.term, effect.vote
+        while self.records and self.records[-1].entry.number > effect.kept:
+            self.records.pop()
+        self.records += effect.records
+
+    def persist_snapshot(self, effect: PersistSnapshot) -> None:
+        self.snapshot = effect.snapshot
+        last = effect.snapshot.number
+        self.records = [record for record in self.records if record.entry.number > last and not effect.clear]
+
+    def as_one(self) -> Persist:
+        """The effect that, after the snapshot, gives this state."""
+        return Persist(self.epoch, self.term, self.vote, self.snapshot.number, tuple(self.records))
+
+
+class MemoryStorage:
+    """Lasts as long as the process: for tests and benches."""
+
+    def __init__(self, stored: Stored | None = None) -> None:
+        self._state = State(stored or Stored())
+
+    @property
+    def stored(self) -> Stored:
+        return self._state.stored()
+
+    def persist(self, effect: Persist) -> None:
+        self._state.persist(effect)
+
+    def persist_snapshot(self, effect: PersistSnapshot) -> None:
+        self._state.persist_snapshot(effect)
+
+    def close(self) -> None:
+        pass
+
+
+class FileStorage:
+    """One replica's files in a directory of its own. `create` begins a new log there; `open` goes on with one."""
+
+    def __init__(self, files: Files, directory: str, lock: int, generation: int, state: State) -> None:
+        self._files, self._directory, self._lock = files, directory, lock
+        self._generation, self._state = generation, state
+        self._handle = -1  # of the records file
+        self._end = 0  # bytes of it that count
+        self._checksum = b""  # of its last block
+        self._failed = False
+
+    @classmethod
+    def create(cls, directory: str, stored: Stored, files: Files) -> FileStorage:
+        """Replaces no files: raises FileExistsError where there are some, InUse, OSError."""
+        files.make(directory)
+        lock = take_lock(files, directory)
+        storage = cls(files, directory, lock, 0, State(stored))
+        try:
+            if SNAPSHOT in files.names(directory):
+                raise FileExistsError(f"{directory}/{SNAPSHOT}: there is a replica's state already")
+            storage._begin_generation()
+        except BaseException:
+            storage.close()
+            raise
+        return storage
+
+    @classmethod
+    def open(cls, directory: str, files: Files) -> FileStorage:
+        """Raises Missing, Damaged, InUse, OSError."""
+        if not os.path.isdir(directory):
+            raise Missing(f"{directory}: no such directory")
+        lock = take_lock(files, directory)
+        storage = cls(files, directory, lock, 0, State(Stored()))
+        try:
+            storage._recover()
+        except BaseException:
+            storage.close()
+            raise
+        return storage
+
+    @property
+    def stored(self) -> Stored:
+        return self._state.stored()
+
+    def persist(self, effect: Persist) -> None:
+        """Lasts when this returns. After an OSError nothing more is taken: what was written is not known."""
+        self._check()
+        block = framed(encode_persist(effect), self._checksum)
+        try:
+            self._files.write(self._handle, block, self._end)
+            self._files.sync(self._handle)
+        except OSError:
+            self._failed = True
+            raise
+        self._end += len(block)
+        self._checksum = block[LENGTH_BYTES:HEAD_BYTES]
+        self._state.persist(effect)
+
+    def persist_snapshot(self, effect: PersistSnapshot) -> None:
+        """As for persist."""
+        self._check()
+        self._state.persist_snapshot(effect)
+        try:
+            self._begin_generation()
+        except OSError:
+            self._failed = True
+            raise
+
+    def close(self) -> None:
+        for handle in (self._handle, self._lock):
+            if handle >= 0:
+                self._files.close(handle)
+        self._handle = self._lock = -1
+
+    def _check(self) -> None:
+        if self._failed:
+            raise OSError(errno.EIO, f"{self._directory}: an earlier write failed")
+
+    def _begin_generation(self) -> None:
+        generation = self._generation + 1
+        path = f"{self._directory}/{RECORDS}{generation}"
+        handle = self._files.open(path, write=True, create=True)
+        try:
+            block = framed(encode_persist(self._state.as_one()), seed(generation))
+            self._files.write(handle, block, 0)
+            self._files.sync(handle)
+            self._files.sync_names(self._directory)
+            head = MAGIC + generation.to_bytes(GENERATION_BYTES, "big")
+            replace(self._files, self._directory, SNAPSHOT, head + encode_snapshot(self._state.snapshot))
+        except OSError:
+            self._files.close(handle)
+            raise
+        former, self._handle = self._handle, handle
+        self._generation, self._end, self._checksum = generation, len(block), block[LENGTH_BYTES:HEAD_BYTES]
+        if former >= 0:
+            self._files.close(former)
+        self._remove_others()
+
+    def _remove_others(self) -> None:
+        """Files of other generations; one that stays behind is removed with the next generation."""
+        for name in self._files.names(self._directory):
+            if name.startswith(RECORDS) and name != f"{RECORDS}{self._generation}":
+                with contextlib.suppress(OSError):
+                    self._files.remove(f"{self._directory}/{name}")
+
+    def _recover(self) -> None:
+        names = self._files.names(self._directory)
+        if SNAPSHOT not in names:
+            raise Missing(f"{self._directory}: holds no file named {SNAPSHOT}")
+        self._generation, snapshot = self._read_snapshot()
+        records = f"{RECORDS}{self._generation}"
+        if records not in names:
+            raise Damaged(f"{self._directory}/{records}: is missing")
+        self._handle = self._files.open(f"{self._directory}/{records}", write=True)
+        data = self._files.read(self._handle, MOST_RECORDS_BYTES, 0)
+        self._state = State(Stored(snapshot=snapshot))
+        try:
+            effects, self._end, self._checksum = read_blocks(data, seed(self._generation))
+        except Malformed as fault:
+            raise Damaged(f"{self._directory}/{records}: {fault}") from None
+        for effect in effects:
+            self._state.persist(effect)
+        if self._end < len(data):  # a torn last block: what is left of it must not stand behind later ones
+            self._begin_generation()
+
+    def _read_snapshot(self) -> tuple[int, Snapshot]:
+        path = f"{self._directory}/{SNAPSHOT}"
+        handle = self._files.open(path)
+        try:
+            data = self._files.read(handle, MOST_SNAPSHOT_BYTES, 0)
+        finally:
+            self._files.close(handle)
+        start = len(MAGIC) + GENERATION_BYTES
+        if data[: len(MAGIC)] != MAGIC:
+            raise Damaged(f"{path}: is no such file")
+        try:
+            return int.from_bytes(data[len(MAGIC) : start], "big"), decode_snapshot(data[start:])
+        except Malformed as fault:
+            raise Damaged(f"{path}: {fault}") from None
+
+
+def take_lock(files: Files, directory: str) -> int:
+    """Raises InUse."""
+    handle = files.lock(f"{directory}/{LOCK}")
+    if handle is None:
+        raise InUse(f"{directory}: another process has it")
+    return handle
+
+
+def seed(generation: int) -> bytes:
+    """What the first block's checksum covers in place of a checksum before it."""
+    return MAGIC + generation.to_bytes(GENERATION_BYTES, "big")
+
+
+def checksum(payload: bytes, former: bytes) -> bytes:
+    return blake2b(former + payload, digest_size=CHECKSUM_BYTES).digest()
+
+
+def framed(payload: bytes, former: bytes) -> bytes:
+    return len(payload).to_bytes(LENGTH_BYTES, "big") + checksum(payload, former) + payload
+
+
+def read_blocks(data: bytes, former: bytes) -> tuple[list[Persist], int, bytes]:
+    """The effects, where the last whole block ends, and its checksum. Raises Malformed where the first block is not
+    whole, or a damaged one is not the last: then more is lost than what was being written."""
+    effects, place = [], 0
+    while place < len(data):
+        end = place + HEAD_BYTES + int.from_bytes(data[place : place + LENGTH_BYTES], "big")
+        told, payload = data[place + LENGTH_BYTES : place + HEAD_BYTES], data[place + HEAD_BYTES : end]
+        if end > len(data) or checksum(payload, former) != told:
+            if not effects or (end < len(data) and any(data[end:])):
+                raise Malformed(f"damaged at byte {place}")
+            break
+        effects.append(decode_persist(payload))
+        place, former = end, told
+    if not effects:
+        raise Malformed("is empty")
+    return effects, place, former
+
+
+def encode_persist(effect: Persist) -> bytes:
+    writer = Writer()
+    writer.varint(effect.epoch)
+    writer.varint(effect.term)
+    writer.text(effect.vote)
+    writer.varint(effect.kept)
+    writer.varint(len(effect.records))
+    for record in effect.records:
+        writer.varint(record.term)
+        write_change(writer, record.entry.change)
+    return writer.done()
+
+
+def decode_persist(payload: bytes) -> Persist:
+    """Raises Malformed."""
+    reader = Reader(payload)
+    epoch, term, vote, kept = reader.number(), reader.number(), reader.text(MOST_PROCESS_NAME), reader.number()
+    records = []
+    for number in range(kept + 1, kept + 1 + reader.varint(MOST_RECORDS)):
+        record_term = reader.number()
+        change, _ = read_change(reader)
+        records.append(Record(record_term, Entry(epoch, number, change)))
+    reader.end()
+    return Persist(epoch, term, vote, kept, tuple(records))
