Change log: a leader finds where a follower's log parts; the walk churns replicas and judges what they vouch for

Change: a leader sends from one place until the logs are known to agree there, and goes back at each rejection that says so. Schedules of churn, leaders isolated with one replica while relays hear them; samples of replicas and relays.

--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -667,6 +667,20 @@
     assert Accepted(3, 2) in replica.propose(purge(5), replicas.now)
 
 
+def test_a_leader_goes_back_as_often_as_a_log_differs_also_within_a_round():
+    records = tuple(record(1 + number // 4, number) for number in range(1, 10))
+    replicas = Replicas(Stored(term=4, records=records))
+    replicas.until_it_stands()
+    for probe in (True, False):
+        replicas.tell("p1", messages.Vote(1, 5, True, probe))
+    for match in (7, 3, 0):
+        [again] = answers(replicas.tell("p2", messages.Appended(1, 5, False, match, 1)))
+        assert (again.previous_number, again.records[0].entry.number) == (match, match + 1)
+    assert answers(replicas.tell("p2", messages.Appended(1, 5, False, 7, 1))) == []  # late
+    replicas.tell("p2", messages.Appended(1, 5, True, 10, 1))
+    assert replicas.replica.commit == 10
+
+
 def test_a_leader_vouches_from_the_start_of_a_round_that_a_majority_answered():
     replicas = Replicas()
     replicas.elected()
--- a/wickhinge/changelog/effects.py
+++ b/wickhinge/changelog/effects.py
@@ -1,4 +1,5 @@
-"""What a state machine wants done, as values. They are to be done in the order in which they are returned."""
+"""What a state machine wants done, as values. They are to be done in the order in which they are returned, over all
+calls: a Send that follows a Persist waits for it, also where the machine is called again meanwhile."""
 
 from __future__ import annotations
 
--- a/wickhinge/changelog/leadership.py
+++ b/wickhinge/changelog/leadership.py
@@ -12,7 +12,7 @@
     def __init__(self, peers: Iterable[str], last: int, now: float) -> None:
         self.match = dict.fromkeys(peers, 0)  # the logs agree up to here
         self.next = dict.fromkeys(self.match, last + 1)  # to be sent next
-        self.resent_at_round = dict.fromkeys(self.match, 0)
+        self.probing = set(self.match)  # where their logs part is not known: `next` waits for an answer
         self.round = 0
         self.broadcast_at = now
         self.confirmed_at = now  # when a majority last answered
@@ -39,6 +39,24 @@
             self.confirmed_at = now
         return found
 
+    def sent(self, peer: str, last: int) -> None:
+        """Records up to `last` were sent. Where the logs agreed so far, the next message goes on behind them."""
+        if peer not in self.probing:
+            self.next[peer] = last + 1
+
+    def accepted(self, peer: str, match: int) -> None:
+        self.probing.discard(peer)
+        self.match[peer] = max(self.match[peer], match)
+        self.next[peer] = max(self.next[peer], self.match[peer] + 1)
+
+    def rejected(self, peer: str, match: int) -> bool:
+        """The peer says to try next after `match`. Whether that is further back than so far: a late answer is not."""
+        self.probing.add(peer)
+        following = max(match, self.match[peer]) + 1
+        is_earlier = following < self.next[peer]
+        self.next[peer] = min(self.next[peer], following)
+        return is_earlier
+
     def stored_at_majority(self, last: int) -> int:
         """The highest number that a majority has, `last` being this replica's own."""
         return self.majority(self.match, last)
--- a/wickhinge/changelog/replica.py
+++ b/wickhinge/changelog/replica.py
@@ -225,7 +225,7 @@
     def _send_append(self, leadership: Leadership, peer: str, now: float) -> None:
         previous = max(leadership.next[peer] - 1, self.records.base)
         records = self.records.that_fit(previous, MOST_ENTRIES_BYTES, MOST_BATCH_ENTRIES, MOST_RECORD_EXTRA)
-        leadership.next[peer] = previous + len(records) + 1
+        leadership.sent(peer, previous + len(records))
         message = Append(
             self.epoch,
             self.term,
@@ -249,14 +249,11 @@
         if confirmed is not None:
             self._vouches.add(*confirmed)
         if message.success:
-            leadership.match[peer] = max(leadership.match[peer], min(message.match, self.records.last))
-            leadership.next[peer] = max(leadership.next[peer], leadership.match[peer] + 1)
+            leadership.accepted(peer, min(message.match, self.records.last))
             self._commit_stored(leadership, now)
             if leadership.next[peer] <= self.records.last:
                 self._send_append(leadership, peer, now)
-        elif message.round > leadership.resent_at_round[peer]:
-            leadership.resent_at_round[peer] = leadership.round
-            leadership.next[peer] = max(min(message.match, self.records.last), leadership.match[peer]) + 1
+        elif leadership.rejected(peer, message.match):
             self._send_append(leadership, peer, now)
 
     def _commit_stored(self, leadership: Leadership, now: float) -> None:
--- a/wickhinge/lab/changelog/schedule.py
+++ b/wickhinge/lab/changelog/schedule.py
@@ -11,13 +11,15 @@
 REGIONS = 3
 FAULTS_FROM_S, FAULTS_UNTIL_S = 6.0, 34.0
 CALM_S = 16.0  # at the end
+CHURN_FOLLOWERS = 6  # where all faults are the replicas'
 BURST = 250  # changes at once, more than a log of the walk retains
 
 
 class Fault(msgspec.Struct, frozen=True):
     """`kind` happens to `names` from `at_s` for `for_s`.
 
-    kill, pause: the processes. depose: whichever replica leads then stands still. burst: BURST changes at once.
+    kill, pause: the processes. isolate: whichever replica leads, with `names`, and the other replicas are cut off from
+    each other, and from nobody else. depose: whichever replica leads then stands still. burst: BURST changes at once.
     cut_out, cut_in: nothing that they send to, or are sent by, `others` arrives. restore: all replicas end; `names`
     start from a backup with a higher epoch, the others with what they have.
     """
@@ -61,8 +63,12 @@
     names = tuple(f"f{place}" for place in range(followers))
     everyone = (*REPLICAS, *RELAYS, *names)
     region = {name: rand.randrange(REGIONS) for name in everyone}
-    if rand.random() < 0.2:
+    kind = rand.random()
+    if kind < 0.2:
         faults = _single_relays(rand)
+    elif kind < 0.5:
+        faults = _churn(rand)
+        names = names[:CHURN_FOLLOWERS]
     else:
         faults = [_fault(rand, names, region) for _ in range(rand.randint(2, 8))]
         if rand.random() < 0.5:
@@ -74,6 +80,25 @@
     return Schedule(seed, names, region, loss, duplication, rand.choice((0.002, 0.02, 0.05)), tuple(faults), end_s)
 
 
+def _churn(rand: random.Random) -> list[Fault]:
+    """Replicas alone, without rest: leaders isolated with few, ended, standing still; others cut off in turn."""
+    faults, at_s = [], FAULTS_FROM_S
+    while at_s < FAULTS_UNTIL_S:
+        kind = rand.choice(("isolate", "isolate", "isolate", "kill", "leaders", "depose", "cut", "cut_in"))
+        names = tuple(rand.sample(REPLICAS, rand.choice((1, 1, 2, 3))))
+        for_s = round(rand.choice((0.4, 1.2, 2.5, 4.0)), 3)
+        if kind == "leaders":
+            kind, for_s = "kill", 0.05
+        others = _rest(REPLICAS, names) if kind in ("cut", "cut_in") else ()
+        if kind == "isolate":
+            names = names[: rand.choice((0, 1, 1))]
+        faults.append(Fault(kind, round(at_s, 3), for_s, names, others))
+        at_s += rand.choice((0.3, 0.8, 1.6, 2.4))
+    if rand.random() < 0.3:
+        faults.append(_restore(rand))
+    return faults
+
+
 def _single_relays(rand: random.Random) -> list[Fault]:
     kinds = [rand.choice(("kill", "pause")) for _ in range(3)]
     return [Fault(kind, 6.0 + 11.0 * place, 2.5, (rand.choice(RELAYS),)) for place, kind in enumerate(kinds)]
--- a/wickhinge/lab/changelog/walk.py
+++ b/wickhinge/lab/changelog/walk.py
@@ -13,7 +13,7 @@
 from wickhinge.changelog.stored import Stored
 from wickhinge.lab.changelog import plants, schedule
 from wickhinge.lab.changelog.plants import Plant
-from wickhinge.lab.changelog.schedule import REPLICAS, Fault, Schedule
+from wickhinge.lab.changelog.schedule import RELAYS, REPLICAS, Fault, Schedule
 from wickhinge.lab.changelog.world import FOLLOW_SETTINGS, World
 
 BOUND_S = 3.1  # an entry is everywhere within
@@ -106,6 +106,8 @@
                 world.kill(name)
         elif kind == "depose":
             self._depose(fault)
+        elif kind == "isolate":
+            self._isolate(fault)
         elif kind == "burst":
             for _ in range(schedule.BURST):
                 world.propose(self._change())
@@ -119,7 +121,7 @@
                 world.pause(name, False)
         elif kind == "restore":
             self._restore(fault)
-        elif kind not in ("kill", "depose", "burst"):
+        elif kind not in ("kill", "depose", "isolate", "burst"):
             for cut in self._cuts(fault):
                 world.cuts.remove(cut)
         if kind in ("kill", "restore"):
@@ -132,6 +134,16 @@
             world.pause(leader, True)
             world.at(fault.end_s, lambda: world.pause(leader, False))
 
+    def _isolate(self, fault: Fault) -> None:
+        world, leader = self.world, self.world.leader()
+        if leader is None:
+            return
+        group = frozenset((leader, *fault.names))
+        rest = frozenset(REPLICAS) - group
+        cuts = [(group, rest), (rest, group)]
+        world.cuts += cuts
+        world.at(fault.end_s, lambda: [world.cuts.remove(cut) for cut in cuts])
+
     def _cuts(self, fault: Fault) -> list[tuple[frozenset[str], frozenset[str]]]:
         names, others = frozenset(fault.names), frozenset(fault.others)
         ways = {"cut": [(names, others), (others, names)], "cut_out": [(names, others)], "cut_in": [(others, names)]}
@@ -165,6 +177,9 @@
         for name in self.schedule.followers:
             if world.runs(name):
                 world.sample(name)
+        for name in (*REPLICAS, *RELAYS):
+            if world.runs(name):
+                world.sample_server(name)
         self._note_outage()
 
     def _note_outage(self) -> None:
--- a/wickhinge/lab/changelog/world.py
+++ b/wickhinge/lab/changelog/world.py
@@ -140,8 +140,8 @@
         return process.machine is not None and not process.paused
 
     def propose(self, change: Change) -> bool:
-        """To whichever replica takes it."""
-        for name in REPLICAS:
+        """To a replica that takes it, be it the leader still or not."""
+        for name in self.rand.sample(REPLICAS, len(REPLICAS)):
             process = self.processes[name]
             if not self.runs(name):
                 continue
@@ -169,6 +169,16 @@
             )
         )
 
+    def sample_server(self, name: str) -> None:
+        """Notes what a replica or a relay vouches for."""
+        process = self.processes[name]
+        machine, now = process.machine, process.clock.at(self.now_s)
+        until = machine.vouched_until() if name in REPLICAS else machine.vouched_until(now)
+        if until is None or not machine.log.epoch:
+            return
+        known_s = process.clock.true(until)
+        self.oracle.samples.append(Sample(self.now_s, name, machine.log.epoch, machine.log.last, known_s, True, False))
+
     def _tick(self, process: Process, life: int) -> None:
         if process.life != life or process.machine is None:
             return
