--- a/wickhinge/lab/changelog/walk.py
+++ b/wickhinge/lab/changelog/walk.py
@@ -13,14 +13,13 @@
 from wickhinge.changelog.stored import Stored
 from wickhinge.lab.changelog import plants, schedule
 from wickhinge.lab.changelog.plants import Plant
-from wickhinge.lab.changelog.schedule import REPLICAS, Fault, Schedule
+from wickhinge.lab.changelog.schedule import RELAYS, REPLICAS, Fault, Schedule
 from wickhinge.lab.changelog.world import FOLLOW_SETTINGS, World
 
 BOUND_S = 3.1  # an entry is everywhere within
 SETTLED_S = 9.0  # after a fault, until the bound holds again
 STARTED_S = 4.0
 UNINFORMED_S = FOLLOW_SETTINGS.bound_s + 0.2  # a sample comes each 0.2 s
-CHANGES_A_SECOND = 8.0
 SAMPLE_S = 0.2
 BACKUP_S = 10.0  # when a backup is taken
 
@@ -78,7 +77,7 @@
     # Load.
 
     def _propose(self) -> None:
-        self.world.at(self.world.now_s + self.rand.expovariate(CHANGES_A_SECOND), self._propose)
+        self.world.at(self.world.now_s + self.rand.expovariate(self.schedule.changes_s), self._propose)
         self.world.propose(self._change())
 
     def _change(self) -> Change:
@@ -106,6 +105,8 @@
                 world.kill(name)
         elif kind == "depose":
             self._depose(fault)
+        elif kind == "isolate":
+            self._isolate(fault)
         elif kind == "burst":
             for _ in range(schedule.BURST):
                 world.propose(self._change())
@@ -119,7 +120,7 @@
                 world.pause(name, False)
         elif kind == "restore":
             self._restore(fault)
-        elif kind not in ("kill", "depose", "burst"):
+        elif kind not in ("kill", "depose", "isolate", "burst"):
             for cut in self._cuts(fault):
                 world.cuts.remove(cut)
         if kind in ("kill", "restore"):
@@ -132,6 +133,16 @@
             world.pause(leader, True)
             world.at(fault.end_s, lambda: world.pause(leader, False))
 
+    def _isolate(self, fault: Fault) -> None:
+        world, leader = self.world, self.world.leader()
+        if leader is None:
+            return
+        group = frozenset((leader, *fault.names))
+        rest = frozenset(REPLICAS) - group
+        cuts = [(group, rest), (rest, group)]
+        world.cuts += cuts
+        world.at(fault.end_s, lambda: [world.cuts.remove(cut) for cut in cuts])
+
     def _cuts(self, fault: Fault) -> list[tuple[frozenset[str], frozenset[str]]]:
         names, others = frozenset(fault.names), frozenset(fault.others)
         ways = {"cut": [(names, others), (others, names)], "cut_out": [(names, others)], "cut_in": [(others, names)]}
@@ -165,6 +176,9 @@
         for name in self.schedule.followers:
             if world.runs(name):
                 world.sample(name)
+        for name in (*REPLICAS, *RELAYS):
+            if world.runs(name):
+                world.sample_server(name)
         self._note_outage()
 
     def _note_outage(self) -> None:
--- a/wickhinge/lab/changelog/world.py
+++ b/wickhinge/lab/changelog/world.py
@@ -140,11 +140,12 @@
         return process.machine is not None and not process.paused
 
     def propose(self, change: Change) -> bool:
-        """To whichever replica takes it."""
-        for name in REPLICAS:
+        """To a replica that takes it, be it the leader still or not."""
+        running = [name for name in self.rand.sample(REPLICAS, len(REPLICAS)) if self.runs(name)]
+        if self.schedule.newest_leader:
+            running.sort(key=lambda name: self.processes[name].machine.term, reverse=True)
+        for name in running:
             process = self.processes[name]
-            if not self.runs(name):
-                continue
             try:
                 effects = process.machine.propose(change, process.clock.at(self.now_s))
             except (NotLeader, Overloaded):
@@ -169,6 +170,16 @@
             )
         )
 
+    def sample_server(self, name: str) -> None:
+        """Notes what a replica or a relay vouches for."""
+        process = self.processes[name]
+        machine, now = process.machine, process.clock.at(self.now_s)
+        until = machine.vouched_until() if name in REPLICAS else machine.vouched_until(now)
+        if until is None or not machine.log.epoch:
+            return
+        known_s = process.clock.true(until)
+        self.oracle.samples.append(Sample(self.now_s, name, machine.log.epoch, machine.log.last, known_s, True, False))
+
     def _tick(self, process: Process, life: int) -> None:
         if process.life != life or process.machine is None:
             return
