--- a/wickhinge/changelog/follower.py
+++ b/wickhinge/changelog/follower.py
@@ -68,6 +68,10 @@
         self._learn(now)
         return effects
 
+    def leave(self) -> list[Effect]:
+        """At the end: the relays need not wait for this follower any more. Effects: Send."""
+        return self._subscription.leave()
+
     def informed_until(self, now: float) -> float:
         """The latest time, by this clock, such that each change that was at the replicas' majority before it is known
         here; -inf where there is none."""
--- a/wickhinge/changelog/nodes.py
+++ b/wickhinge/changelog/nodes.py
@@ -91,6 +91,7 @@
 
     `address`: where to listen, port 0 for any. `directory`: addresses of the processes that are known by the settings.
     `keys`: the first one seals, all of them open, so that a fleet can change its key.
+    `call_later`: the reactor's, where the process has no timers of its own.
     """
 
     noisy = False
@@ -105,8 +106,10 @@
         reactor: Any,
         clock: Callable[[], float] = boottime,
         log: LogEvent = no_log,
+        call_later: Callable[[float, Callable[[], None]], Any] | None = None,
     ) -> None:
         self.name, self.address, self.reactor, self.clock, self.log = name, address, reactor, clock, log
+        self._call_later = call_later or reactor.callLater
         self.addresses = AddressBook(directory)
         self.counters = Counters()
         self.closed = False
@@ -147,7 +150,7 @@
             return
         now = self.clock()
         self._due = max(self._due + TICK_S, now)
-        self._timer = self.reactor.callLater(self._due - now, self._run_tick)
+        self._timer = self._call_later(self._due - now, self._run_tick)
         self._looked_at = 0
         self._ticks += 1
         if self._ticks % 256 == 0:
@@ -228,6 +231,7 @@
 
     `on_apply(entry)` and `on_reset(snapshot)` are called in the log's order. Where one raises, what it should have done
     may be missing: the follower is uninformed until the next start, as with a change that it does not understand.
+    `on_tick()` is called after each tick.
     """
 
     machine: Follower
@@ -246,14 +250,24 @@
         log: LogEvent = no_log,
         chance: Callable[[], float] = random.random,
         newest_format: int = NEWEST_FORMAT,
+        call_later: Callable[[float, Callable[[], None]], Any] | None = None,
+        on_tick: Callable[[], None] = lambda: None,
     ) -> None:
-        super().__init__(name, address, relays, keys, reactor, clock, log)
-        self._on_apply, self._on_reset = on_apply, on_reset
+        super().__init__(name, address, relays, keys, reactor, clock, log, call_later)
+        self._on_apply, self._on_reset, self._on_tick = on_apply, on_reset, on_tick
         self.faults = 0  # of the two callbacks
         self.machine = Follower(
             name, list(relays), settings or FollowSettings(), chance, new_session(), clock(), newest_format
         )
 
+    def ticked(self, now: float) -> None:
+        self._on_tick()
+
+    def close(self) -> Any:
+        if not self.closed and self._port is not None:
+            self.perform(self.machine.leave())
+        return super().close()
+
     def oldest(self, grace_s: float) -> float | None:
         """The greatest age in seconds of a copy that may be served now; None: no limit."""
         return self.machine.oldest(self.clock(), grace_s)
--- a/wickhinge/changelog/subscription.py
+++ b/wickhinge/changelog/subscription.py
@@ -92,6 +92,9 @@
         self._notice_gap(now)
         return effects
 
+    def leave(self) -> list[Effect]:
+        return [self._send(source, Unsubscribe(), 0) for source in self._followed()]
+
     def known_until(self) -> float:
         """All changes that were at the replicas' majority before this time, by this clock, are applied. -inf: none."""
         if self.sequencer.epoch != self.highest_epoch:
@@ -186,12 +189,15 @@
     def _subscribe(self, now: float, uninformed_ms: int) -> list[Effect]:
         """One token goes to all: who echoes it is told by the packet's sender."""
         token = self._echo.draw(now)
-        sources = {self.sources.current.name: self.sources.current}
-        if self.sources.watch is not None:
-            sources.setdefault(self.sources.watch.name, self.sources.watch)
+        sources = self._followed()
         if self._unproven or self._dispute(now) is not Dispute.NONE:
-            sources = self.sources.all
-        return [self._send(source, self._subscription(source, uninformed_ms), token) for source in sources.values()]
+            sources = list(self.sources.all.values())
+        return [self._send(source, self._subscription(source, uninformed_ms), token) for source in sources]
+
+    def _followed(self) -> list[Source]:
+        """The source that is followed, and the second one."""
+        current, watch = self.sources.current, self.sources.watch
+        return [current] if watch is None or watch is current else [current, watch]
 
     def _subscription(self, source: Source, uninformed_ms: int) -> Subscribe:
         where = self.sequencer
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from math import log, sqrt
 
 from wickhinge.interface import (
@@ -109,6 +110,8 @@
     def __init__(self, done: float) -> None:
         self.done = done + 2.0  # a parent may still be fetching an old copy when the others are done
         self.objects, self.groups = {}, {}
+        # Of the time, in Unix seconds: the greatest age that any copy may have, where purges may be missing here.
+        self.limit: Callable[[float], float | None] | None = None
 
     def told(self, key: int | None, group: int, made: float, now: float) -> None:
         book, name = (self.groups, group) if key is None else (self.objects, key)
@@ -119,7 +122,9 @@
     def oldest(self, key: int, group: int, now: float) -> float | None:
         """None where any copy does. Never 0, which would mean no limit at all."""
         made = max(self.objects.get(key, -1e9), self.groups.get(group, -1e9))
-        return max(now - made - 0.001, 0.001) if now - made <= self.done else None
+        known = max(now - made - 0.001, 0.001) if now - made <= self.done else None
+        limit = self.limit(now) if self.limit is not None else None
+        return min(known, limit) if known and limit else known or limit
 
 
 class Cold:
--- /dev/null
+++ b/wickhinge/net/changes.py
@@ -0,0 +1,142 @@
+"""The router's side of the change log, between the package that follows it and the router's purges, copies and journal.
+
+Imported only where the settings switch `changelog` on. Stamps of purges are Unix time, as the router's; how old the
+router's knowledge is, is measured by the follower's own clock, which nobody sets, and only durations go from one to the
+other: `limit` turns "informed until" into the greatest age of a copy.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from wickhinge.changelog.entries import Entry, Purge, Setting, understood
+from wickhinge.changelog.log import Snapshot
+from wickhinge.changelog.nodes import FollowerNode
+from wickhinge.changelog.settings import FollowSettings
+from wickhinge.changelog.settings_table import JOURNAL, SettingsTable
+from wickhinge.fields import Malformed, endpoint
+from wickhinge.options import changelog as options_of
+from wickhinge.options.records import Changelog
+
+ANY_ADDRESS = ("0.0.0.0", 0)
+
+
+class Changes:
+    """`options`: the settings of the change log. Raises Malformed with the faulty key."""
+
+    def __init__(self, options: Changelog, name: str, node: Any) -> None:
+        if len(name.encode()) > options_of.MOST_NAME:
+            raise Malformed(f"config: field name is over {options_of.MOST_NAME} bytes, too long for the change log")
+        self._options, self._node, self._log = options, node, node.log.event
+        self.settings = SettingsTable(self._log)
+        self.settings.subscribe(JOURNAL, self._node.move_journal)
+        self.follower = FollowerNode(
+            name,
+            endpoint(options.bind) or ANY_ADDRESS,
+            options_of.addresses(options.relays),
+            options_of.read_keys(options),
+            node.reactor,
+            self._apply,
+            self._reset,
+            FollowSettings(bound_s=options.bound_s, ingest_s=options.ingest_s),
+            log=self._log,
+            call_later=node.deadlines.after,
+            on_tick=self._note_state,
+        )
+        self._limited = True  # as at the last tick: the age of copies is limited
+        self._source = ""
+        node.router.purges.limit = self.limit
+        if node.copies is not None:
+            self._store_proves = node.copies.proven
+            node.copies.proven = self._proven
+
+    def start(self) -> None:
+        """Raises OSError where `bind` cannot be had."""
+        self.follower.start()
+
+    def close(self) -> None:
+        self.follower.close()
+
+    def keys_in(self, options: Changelog) -> list[bytes]:
+        """The keys of a file that is read again. Raises Malformed where anything else has changed in it."""
+        for key in ("mode", "relays", "bind", "grace_s", "bound_s", "ingest_s"):
+            if getattr(options, key) != getattr(self._options, key):
+                raise Malformed(f"changelog.{key}: changes at a restart only")
+        return options_of.read_keys(options)
+
+    def use_keys(self, keys: list[bytes]) -> None:
+        self.follower.use_keys(keys)
+        self._log("changelog_reload", keys=len(keys))
+
+    def limit(self, now: float) -> float | None:
+        """The greatest age of a copy that may be served, whatever the time of day is."""
+        return self.follower.oldest(self._options.grace_s)
+
+    def figures(self) -> dict[str, Any]:
+        machine, now = self.follower.machine, self.follower.clock()
+        until = machine.informed_until(now)
+        return {
+            "epoch": machine.epoch,
+            "number": machine.number,
+            "source": machine.source,
+            "age_s": round(now - until, 2) if until > float("-inf") else None,
+            "uninformed": machine.uninformed(now),
+            "skipped": machine.skipped,
+            "not_understood": machine.not_understood,
+            "settings": {row.name: row.state.value for row in self.settings.rows.values()},
+            **{field: getattr(self.follower.counters, field) for field in self.follower.counters.__struct_fields__},
+        }
+
+    def _apply(self, entry: Entry) -> None:
+        change = entry.change
+        if isinstance(change, Purge):
+            self._node.purge(change.key, change.group, change.stamp_ms, 0)
+        elif isinstance(change, Setting):
+            self.settings.put(change)
+        elif not understood(change):
+            self._log("changelog_not_understood", number=entry.number)
+
+    def _reset(self, snapshot: Snapshot) -> None:
+        """Purges of a snapshot are taken together: a start may bring thousands of them."""
+        for purge in snapshot.purges:
+            self._node.take_purge(purge.key, purge.group, purge.stamp_ms, 0)
+        keys = {purge.key for purge in snapshot.purges if purge.key is not None}
+        groups = {purge.group for purge in snapshot.purges if purge.key is None}
+        self._node.forwards.overtaken(
+            lambda sent: sent.forward.visit.item.key not in keys and sent.forward.visit.group not in groups
+        )
+        self._log(
+            "changelog_reset",
+            epoch=snapshot.epoch,
+            number=snapshot.number,
+            purges=len(snapshot.purges),
+            settings=len(snapshot.settings),
+        )
+        self.settings.replace(snapshot.settings)
+
+    def _proven(self, copy: Any, now: float) -> bool:
+        """The store's own word, and that the copy is no older than what the router's knowledge allows."""
+        limit = self.limit(now)
+        return self._store_proves(copy, now) and (limit is None or now - copy.made <= limit)
+
+    def _note_state(self) -> None:
+        """Logs what changed since the last tick. What was decided without a limit, and is not written yet, is decided
+        anew once there is one: it may be written much later."""
+        source = self.follower.machine.source
+        if source != self._source:
+            self._source = source
+            self._log("changelog_source", relay=source)
+        limited = self.limit(0.0) is not None
+        if limited == self._limited:
+            return
+        self._limited = limited
+        if limited:
+            self._node.forwards.overtaken(lambda sent: sent.forward.visit.tariff.passes_on)
+        figures = self.figures()
+        state = "changelog_uninformed" if limited else "changelog_informed"
+        self._log(state, epoch=figures["epoch"], number=figures["number"], age_s=figures["age_s"])
+
+
+def make(options: Changelog, name: str, node: Any) -> Changes:
+    """Raises Malformed with the faulty key."""
+    return Changes(options, name, node)
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -90,6 +90,11 @@
             from wickhinge.net import fellows
 
             self.fellows = fellows.make(options, config.name(conf), self)
+        self.changes: Any = None
+        if options is not None and options.changelog.mode == "on":
+            from wickhinge.net import changes
+
+            self.changes = changes.make(options.changelog, config.name(conf), self)
         last, events = config.known(conf)
         self.journal = Journal(
             reactor,
@@ -126,6 +131,8 @@
             self.members.start()
         if self.fellows is not None:
             self.fellows.start()
+        if self.changes is not None:
+            self.changes.start()
         self.clients.sweep()
         # A full walk takes 70 ms, in which visits run out. Visits leave no circles, so none is needed.
         gc.disable()
@@ -194,15 +201,24 @@
         self.log.event("list", whole=whole, machines=[[f"{m[0]:08x}", m[2], m[3], m[4], m[7]] for m in machines])
 
     def told_purge(self, key: int | None, group: int, stamp: float) -> None:
-        self.router.purges.told(key, group, stamp / 1000.0, self.deadlines.now())
+        # Of those known at the start the numbers are not told.
+        self.purge(key, group, stamp, self.journal.last + 1 if self.started else 0)
+
+    def purge(self, key: int | None, group: int, stamp: float, number: int) -> None:
+        """`stamp` in Unix milliseconds; `number`: the journal's, 0 where it has none."""
+        self.take_purge(key, group, stamp, number)
         self.forwards.overtaken(
             lambda sent: sent.forward.visit.group != group if key is None else sent.forward.visit.item.key != key
         )
-        if self.copies is not None:  # of those known at the start the numbers are not told
-            self.copies.store.purge(key, group, stamp / 1000.0, self.journal.last + 1 if self.started else 0)
+        self.log.event("purge", key=None if key is None else f"{key:016x}", group=group, stamp=stamp)
+
+    def take_purge(self, key: int | None, group: int, stamp: float, number: int) -> None:
+        """In force for what is sent from now on; what waits to be written is for the caller to overtake."""
+        self.router.purges.told(key, group, stamp / 1000.0, self.deadlines.now())
+        if self.copies is not None:
+            self.copies.store.purge(key, group, stamp / 1000.0, number)
         if self.members is not None:
             self.members.purge(key, group, stamp / 1000.0)
-        self.log.event("purge", key=None if key is None else f"{key:016x}", group=group, stamp=stamp)
 
     def caught_up(self) -> None:
         self.opening.caught_up()
@@ -255,6 +271,7 @@
             deadlines=len(self.deadlines.heap),
             **({} if self.members is None else {"list": self.members.figures()}),
             **({} if self.fellows is None else {"peers": self.fellows.figures()}),
+            **({} if self.changes is None else {"changelog": self.changes.figures()}),
             **({} if self.copies is None else {"store": self.copies.figures()}),
         )
         self.clients.faults = {}
@@ -262,18 +279,24 @@
         self.deadlines.after(REPORT, self.report)
 
     def reload(self) -> None:
-        """On SIGHUP. The journal's address, and the fellows' roster and keys, may change while running; a faulty file
-        changes nothing."""
+        """On SIGHUP. The journal's address, the fellows' roster and keys, and the change log's keys may change while
+        running; a faulty file changes nothing."""
         if self.leaving:
             return
         try:
             address = config.journal(config.read(os.environ))
+            keys = self.changes.keys_in(self.reread().changelog) if self.changes is not None else None
             if self.fellows is not None:
                 self.fellows.reload(self.reread())
         except Malformed as problem:
             self.log.event("reload_failed", why=str(problem))
             return
         self.log.event("reload", journal=f"{address[0]}:{address[1]}")
+        self.move_journal(address)
+        if keys is not None:
+            self.changes.use_keys(keys)
+
+    def move_journal(self, address: tuple[str, int]) -> None:
         if self.members is not None:
             self.members.moved(address)
         self.journal.move(address)
@@ -304,6 +327,8 @@
             self.members.close()
         if self.fellows is not None:
             self.fellows.close()
+        if self.changes is not None:
+            self.changes.close()
         if self.copies is not None:
             self.copies.store.close()
         for machine in list(self.caches.machines.values()):
--- a/wickhinge/options/load.py
+++ b/wickhinge/options/load.py
@@ -19,6 +19,7 @@
 from lark import Lark, Token, Transformer, UnexpectedInput
 
 from wickhinge.fields import endpoint
+from wickhinge.options import changelog
 from wickhinge.options.records import Options
 
 GRAMMAR = r"""
@@ -321,6 +322,9 @@
         raise Fault(f"{name}: shared.names: is less than the {len(options.peers.roster)} names of peers.roster")
     if 0 < options.shared.processes < (options.shared.names or len(options.peers.roster)):
         raise Fault(f"{name}: shared.processes: is less than the names")
+    why = changelog.fault_of(options.changelog)
+    if why:
+        raise Fault(f"{name}: changelog.{why}")
     if options.store.size_mb < 4 * options.store.segment_mb:
         raise Fault(f"{name}: store.segment_mb: is over a quarter of store.size_mb")
     return options
--- a/wickhinge/options/records.py
+++ b/wickhinge/options/records.py
@@ -71,9 +71,29 @@
     counts: str
 
 
+class ChangelogMachine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    address: str
+
+
+class Changelog(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    mode: str
+    key_file: str
+    also_key_file: str  # read, never written under
+    relays: list[ChangelogMachine]
+    replicas: list[ChangelogMachine]
+    bind: str
+    grace_s: float
+    bound_s: float
+    ingest_s: float
+    purge_horizon_s: float
+    dir: str
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     store: Store
     journal: Journal
     discovery: Discovery
     peers: Peers
     shared: Shared
+    changelog: Changelog
--- a/wickhinge/options/schema.cue
+++ b/wickhinge/options/schema.cue
@@ -77,8 +77,38 @@
 	counts: *"off" | "on"
 }
 
+#ChangelogMachine: {
+	name:    string & !=""
+	address: string & !=""
+}
+
+#Changelog: {
+	// for routers: purges and settings come from the change log, too
+	mode:     *"off" | "on"
+	key_file: string | *""
+	// what comes under this one is read too, while the fleet changes its key
+	also_key_file: string | *""
+	// in order of preference: a router follows the first that it hears
+	relays: [...#ChangelogMachine] | *[]
+	// the same list at each replica and relay; routers need none
+	replicas: [...#ChangelogMachine] | *[]
+	// where a router hears its relays over UDP; "": any address and port
+	bind: string | *""
+	// a copy older than a purge may be served for so long after the purge
+	grace_s: number & >=0.5 & <=3600 | *6
+	// a router that knows less than all up to so long ago limits the age of copies
+	bound_s: number & >=0.5 & <=600 | *3.1
+	// from a purge's stamp to a majority of the replicas, at most; later ones are stamped anew
+	ingest_s: number & >=0.05 & <=60 | *0.5
+	// purges of so long are told to a router that starts
+	purge_horizon_s: number & >=10 & <=3600 | *120
+	// a replica's files are in a directory of its name in this one
+	dir: string | *""
+}
+
 store:     #Store
 journal:   #Journal
 discovery: #Discovery
 peers:     #Peers
 shared:    #Shared
+changelog: #Changelog
