--- /dev/null
+++ b/tests/test_changelog_storage.py
@@ -0,0 +1,266 @@
+"""A replica's files: what was promised is there after any failed, torn or lost call, and damage is told."""
+
+import errno
+
+import pytest
+from disk import Crash, Disk, Node
+
+from wickhinge.changelog import storage
+from wickhinge.changelog.effects import Persist, PersistSnapshot
+from wickhinge.changelog.entries import Entry, Noop, Purge, Setting, Unknown
+from wickhinge.changelog.log import EMPTY_SNAPSHOT, Snapshot
+from wickhinge.changelog.messages import Record
+from wickhinge.changelog.storage import Damaged, FileStorage, InUse, MemoryStorage, Missing
+from wickhinge.changelog.stored import Stored
+from wickhinge.store.files import Files
+
+FOLDER = "/replica"
+SEEDS = range(6)
+
+
+def records(first, count, term=1, epoch=1):
+    changes = [Noop(), Purge(7, 3, 5), Setting("name", b"value" * 100, 9), Unknown(20, True, b"later")]
+    numbers = range(first, first + count)
+    return tuple(Record(term, Entry(epoch, number, changes[number % 4])) for number in numbers)
+
+
+def snapshot(number, epoch=1):
+    return Snapshot(epoch, number, b"d" * 8, (Setting("name", b"v", 9),), (Purge(None, 4, 8),), term=2)
+
+
+EFFECTS = (
+    Persist(1, 1, "r1", 0, ()),
+    Persist(1, 1, "r1", 0, records(1, 3)),
+    Persist(1, 2, "", 3, ()),
+    Persist(1, 2, "r2", 2, records(3, 40, term=2)),  # cuts one record, longer than a write of the disk keeps whole
+    PersistSnapshot(snapshot(10), False),
+    Persist(1, 2, "r2", 42, records(43, 2, term=2)),
+    Persist(2, 0, "", 0, ()),  # another epoch: blank
+    PersistSnapshot(EMPTY_SNAPSHOT, True),
+    PersistSnapshot(snapshot(60, epoch=2), True),
+    Persist(2, 1, "r3", 60, records(61, 5, term=1, epoch=2)),
+)
+
+
+def do(target, effect):
+    if isinstance(effect, Persist):
+        target.persist(effect)
+    else:
+        target.persist_snapshot(effect)
+
+
+def state_after(count):
+    """What `count` effects leave, by the in-memory reading of what effects mean."""
+    memory = MemoryStorage()
+    for effect in EFFECTS[:count]:
+        do(memory, effect)
+    return memory.stored
+
+
+STATES = [state_after(count) for count in range(len(EFFECTS) + 1)]
+
+
+def run(disk):
+    """How many effects were done; -1 where the files were not even made."""
+    done = -1
+    try:
+        made = FileStorage.create(FOLDER, Stored(), disk)
+        done = 0
+        for effect in EFFECTS:
+            do(made, effect)
+            done += 1
+    except (Crash, OSError):
+        pass
+    return done
+
+
+def recovered(disk):
+    """Its state; None where nothing was begun."""
+    try:
+        return FileStorage.open(FOLDER, disk).stored
+    except Missing:
+        return None
+
+
+def calls_of_a_run():
+    disk = Disk()
+    assert run(disk) == len(EFFECTS)
+    return disk.calls
+
+
+CALLS = calls_of_a_run()
+
+
+def allowed(done):
+    """The state after what was done, or after what was being done, too."""
+    if done < 0:
+        return [None, STATES[0]]
+    return STATES[done : done + 2]
+
+
+def test_the_effects_mean_what_they_say():
+    assert STATES[2].records == records(1, 3)
+    assert STATES[4].records == records(1, 2) + records(3, 40, term=2)
+    assert (STATES[4].term, STATES[4].vote) == (2, "r2")
+    assert STATES[5].records == records(11, 32, term=2) and STATES[5].snapshot.number == 10
+    assert (STATES[7].epoch, STATES[7].records) == (2, ())
+    assert STATES[8].snapshot == EMPTY_SNAPSHOT
+    assert STATES[10].records[-1].entry.number == 65
+
+
+def sweep(how):
+    """Each call fails in its turn, in the program or with the machine; the file layer loses what was not synced."""
+    for call in range(1, CALLS + 1):
+        for seed in SEEDS:
+            disk = Disk((call, how))
+            done = run(disk)
+            for lost in (True, False):
+                assert recovered(disk.restarted(seed, lost)) in allowed(done), (call, how, seed, lost)
+
+
+@pytest.mark.parametrize("how", [errno.EIO, errno.ENOSPC, "tear", "crash"])
+def test_what_was_done_is_there_whichever_call_fails(how):
+    sweep(how)
+
+
+def test_a_recovery_that_ends_anywhere_is_taken_up_by_the_next():
+    for call in range(1, CALLS + 1):
+        disk = Disk((call, "crash"))
+        done = run(disk)
+        for again in range(1, 12):
+            second = disk.restarted(call)
+            second.fault = (again, "crash")
+            try:
+                FileStorage.open(FOLDER, second)
+            except (Crash, Missing):
+                pass
+            assert recovered(second.restarted(again)) in allowed(done), (call, again)
+
+
+def test_after_a_failed_write_nothing_more_is_taken():
+    disk = Disk()
+    made = FileStorage.create(FOLDER, Stored(), disk)
+    disk.fault = (disk.calls + 2, errno.EIO)  # the sync
+    with pytest.raises(OSError):
+        made.persist(EFFECTS[0])
+    with pytest.raises(OSError, match="earlier write failed"):
+        made.persist(EFFECTS[1])
+    with pytest.raises(OSError, match="earlier write failed"):
+        made.persist_snapshot(EFFECTS[4])
+
+
+def no_sync(monkeypatch):
+    monkeypatch.setattr(Disk, "sync", lambda self, handle: self.call())
+
+
+def snapshot_in_place(monkeypatch):
+    def replace(files, folder, name, data):
+        handle = files.open(f"{folder}/{name}", write=True, create=True)
+        files.write(handle, data, 0)
+        files.sync(handle)
+        files.sync_names(folder)
+
+    monkeypatch.setattr(storage, "replace", replace)
+
+
+@pytest.mark.parametrize("plant", [no_sync, snapshot_in_place])
+def test_the_sweep_finds_a_planted_fault(monkeypatch, plant):
+    plant(monkeypatch)
+    with pytest.raises((AssertionError, Damaged)):
+        sweep("crash")
+
+
+def check_appending_after_a_torn_block():
+    disk = Disk()
+    made = FileStorage.create(FOLDER, Stored(), disk)
+    made.persist(EFFECTS[1])
+    disk.fault = (disk.calls + 1, "tear")
+    with pytest.raises(OSError):
+        made.persist(EFFECTS[3])
+    second = disk.restarted(1, lost=False)
+    FileStorage.open(FOLDER, second).persist(EFFECTS[0])
+    third = FileStorage.open(FOLDER, second.restarted(1, lost=False))
+    assert (third.stored.term, third.stored.records) == (1, ())
+
+
+def test_a_torn_block_is_followed_by_nothing_of_it():
+    check_appending_after_a_torn_block()
+
+
+def files_of(disk, prefix):
+    return [path for path in disk.nodes if path.startswith(f"{FOLDER}/{prefix}")]
+
+
+def test_one_generation_is_kept():
+    disk = Disk()
+    run(disk)
+    assert files_of(disk, storage.RECORDS) == [f"{FOLDER}/{storage.RECORDS}4"]
+
+
+def damaged(change):
+    disk = Disk()
+    made = FileStorage.create(FOLDER, Stored(), disk)
+    for effect in EFFECTS[:4]:
+        do(made, effect)
+    change(disk)
+    return disk.restarted(1, lost=False)
+
+
+@pytest.mark.parametrize(
+    "prefix, place, told",
+    [
+        ("snapshot", 0, "snapshot: is no such file"),
+        ("snapshot", 20, "snapshot: "),
+        ("records", 14, "damaged at byte 0"),
+    ],
+)
+def test_a_damaged_file_is_refused_by_name_and_place(prefix, place, told):
+    def change(disk):
+        disk.nodes[files_of(disk, prefix)[0]].data[place] ^= 1
+
+    with pytest.raises(Damaged, match=told):
+        FileStorage.open(FOLDER, damaged(change))
+
+
+def test_a_damaged_block_before_others_is_refused():
+    """It was synced before the ones after it were written, so no crash explains it."""
+
+    def change(disk):
+        node = disk.nodes[files_of(disk, "records")[0]]
+        first = storage.HEAD_BYTES + int.from_bytes(node.data[: storage.LENGTH_BYTES], "big")
+        node.data[first + storage.HEAD_BYTES] ^= 1
+
+    with pytest.raises(Damaged, match="records.1: damaged at byte"):
+        FileStorage.open(FOLDER, damaged(change))
+
+
+def test_records_that_are_missing_are_told():
+    with pytest.raises(Damaged, match="records.1: is missing"):
+        FileStorage.open(FOLDER, damaged(lambda disk: disk.nodes.pop(f"{FOLDER}/records.1")))
+
+
+def test_a_block_of_an_earlier_generation_is_not_believed():
+    disk = damaged(lambda disk: None)
+    disk.nodes[f"{FOLDER}/records.2"] = Node()
+    disk.nodes[f"{FOLDER}/records.2"].data = bytearray(disk.nodes[f"{FOLDER}/records.1"].data)
+    head = disk.nodes[f"{FOLDER}/snapshot"].data
+    head[len(storage.MAGIC) + storage.GENERATION_BYTES - 1] = 2
+    with pytest.raises(Damaged, match="records.2: damaged at byte 0"):
+        FileStorage.open(FOLDER, disk)
+
+
+def test_on_a_real_directory_one_process_at_a_time(tmp_path):
+    folder = str(tmp_path / "replica")
+    with pytest.raises(Missing, match="no such directory"):
+        FileStorage.open(folder, Files())
+    made = FileStorage.create(folder, Stored(), Files())
+    for effect in EFFECTS:
+        do(made, effect)
+    with pytest.raises(InUse):
+        FileStorage.open(folder, Files())
+    made.close()
+    with pytest.raises(FileExistsError):
+        FileStorage.create(folder, Stored(), Files())
+    opened = FileStorage.open(folder, Files())
+    assert opened.stored == STATES[-1]
+    opened.close()
--- a/wickhinge/changelog/storage.py
+++ b/wickhinge/changelog/storage.py
@@ -13,7 +13,6 @@
 
 import contextlib
 import errno
-import os
 from hashlib import blake2b
 
 from wickhinge.changelog.codec import MOST_PROCESS_NAME
@@ -124,9 +123,10 @@
     @classmethod
     def open(cls, directory: str, files: Files) -> FileStorage:
         """Raises Missing, Damaged, InUse, OSError."""
-        if not os.path.isdir(directory):
-            raise Missing(f"{directory}: no such directory")
-        lock = take_lock(files, directory)
+        try:
+            lock = take_lock(files, directory)
+        except FileNotFoundError:
+            raise Missing(f"{directory}: no such directory") from None
         storage = cls(files, directory, lock, 0, State(Stored()))
         try:
             storage._recover()
