--- a/wickhinge/lab/changelog/plants.py
+++ b/wickhinge/lab/changelog/plants.py
@@ -10,6 +10,7 @@
 from wickhinge.changelog.effects import Effect
 from wickhinge.changelog.entries import Entry
 from wickhinge.changelog.follower import Follower
+from wickhinge.changelog.leadership import Leadership
 from wickhinge.changelog.messages import Batch, Heartbeat, Packet, RequestVote
 from wickhinge.changelog.ordering import Sequencer
 from wickhinge.changelog.relay import Relay
@@ -86,6 +87,22 @@
         return super().heard(msgspec.structs.replace(packet, message=message), now)
 
 
+class OneAnswer(Leadership):
+    """Takes a round that one replica answered for one that a majority did."""
+
+    def answered(self, peer: str, round_number: int, now: float) -> tuple[float, int] | None:
+        found = [super(OneAnswer, self).answered(other, round_number, now) for other in self.match]
+        return next((one for one in reversed(found) if one is not None), None)
+
+
+class Presuming(Replica):
+    """Vouches as a leader though it may have been replaced."""
+
+    def _become_leader(self, now: float) -> None:
+        super()._become_leader(now)
+        self._leadership.__class__ = OneAnswer
+
+
 class DoubleVoter(Replica):
     """Votes for whoever asks, also twice in a term."""
 
@@ -100,6 +117,7 @@
     "stale-relay": Plant(relay=StaleRelay),
     "skipped-gap": Plant(follower=_with_sequencer(GapSkipping)),
     "ignored-epoch": Plant(follower=EpochBlind),
+    "one-answer": Plant(replica=Presuming),
     "double-vote": Plant(replica=DoubleVoter),
     "batch-twice": Plant(follower=_with_sequencer(Repeating)),
     "ack-before-persist": Plant(persist_delay_s=0.4),
