Change log: defects of ours are logged and leave a follower uninformed, a replica ended; no cost a request

Need: an exception in a datagram's handling was swallowed by the reactor; a storage error other than OSError would have let a replica go on without what it had not stored; the limit of copies' ages cost 5.1 us a request.

Change: guarded ticks and packets (changelog_fault); whatever a storage raises ends the replica; FollowerNode keeps what it found until something is heard. net/changes.py is not compiled, as fellows.

--- a/setup.py
+++ b/setup.py
@@ -6,7 +6,8 @@
 from setuptools import Extension, setup
 
 COLD = {
-    f"wickhinge/net/{name}.py" for name in ("__init__", "copies", "deferred_imports", "fellows", "members", "start")
+    f"wickhinge/net/{name}.py"
+    for name in ("__init__", "changes", "copies", "deferred_imports", "fellows", "members", "start")
 }
 HOT = ["wickhinge/decide.py", *sorted(set(glob("wickhinge/net/*.py")) - COLD)]
 
--- a/wickhinge/changelog/daemon.py
+++ b/wickhinge/changelog/daemon.py
@@ -11,7 +11,7 @@
 
 from wickhinge.changelog.addresses import Address
 from wickhinge.changelog.administration import Administration
-from wickhinge.changelog.nodes import RelayNode, ReplicaNode, Storage
+from wickhinge.changelog.nodes import RelayNode, ReplicaNode, Storage, StorageFailed
 from wickhinge.changelog.settings import RelaySettings, ReplicaSettings
 from wickhinge.fields import Malformed
 from wickhinge.net.log import Log
@@ -87,7 +87,7 @@
         self.node.close()
         self._reactor.stop()
 
-    def _storage_failed(self, fault: OSError) -> None:
+    def _storage_failed(self, fault: StorageFailed) -> None:
         """What was promised may not last: only a new start, which reads what did, may go on."""
         self._code = FAILED
         self._reactor.callWhenRunning(self._reactor.stop)
--- a/wickhinge/changelog/follower.py
+++ b/wickhinge/changelog/follower.py
@@ -95,6 +95,13 @@
             return None
         return max(safe - LEAST_AGE, LEAST_AGE)
 
+    def unlimited_until(self, now: float, grace: float) -> float:
+        """`oldest` is None before this time, as long as nothing is heard; -inf where it is not None now."""
+        if self.oldest(now, grace) is not None:
+            return NEVER
+        most_s = min(self._settings.bound_s * (1 - CLOCK_DRIFT), grace * (1 - CLOCK_DRIFT) - self._settings.ingest_s)
+        return self._informed_until + most_s
+
     def _learn(self, now: float) -> None:
         if not self.not_understood and not self._subscription.disputed(now):
             self._informed_until = max(self._informed_until, self._subscription.known_until())
--- a/wickhinge/changelog/nodes.py
+++ b/wickhinge/changelog/nodes.py
@@ -31,7 +31,7 @@
 )
 from wickhinge.changelog.entries import Change, Entry
 from wickhinge.changelog.fields import Malformed
-from wickhinge.changelog.follower import Follower
+from wickhinge.changelog.follower import NEVER, Follower
 from wickhinge.changelog.log import Snapshot
 from wickhinge.changelog.messages import NEWEST_FORMAT, Packet
 from wickhinge.changelog.proposals import MOST_WAITING, Outcome, Proposal, Proposals
@@ -48,7 +48,7 @@
 
 
 class Storage(Protocol):
-    """A replica's stable storage. Both methods return once the effect lasts, and raise OSError where it may not."""
+    """A replica's stable storage. Both methods return once the effect lasts, and raise where it may not."""
 
     @property
     def stored(self) -> Stored: ...
@@ -60,6 +60,10 @@
     def close(self) -> None: ...
 
 
+class StorageFailed(Exception):
+    """A replica's storage did not take what it was given: the replica has to end."""
+
+
 class Counters(msgspec.Struct):
     """Datagrams and their bytes, without IP and UDP headers."""
 
@@ -115,6 +119,7 @@
         self.closed = False
         # Asked before the codec where a datagram begins otherwise than the log's: (datagram, sender's address).
         self.other_datagram: Callable[[bytes, Address], bool] | None = None
+        self.faults = 0  # defects that showed
         self._looked_at = 0
         self._timer: Any = None
         self._port: Any = None
@@ -155,8 +160,11 @@
         self._ticks += 1
         if self._ticks % 256 == 0:
             self.addresses.forget(now, FORGET_ADDRESS_S)
-        self.perform(self.machine.tick(now))
-        self.ticked(now)
+        try:
+            self.perform(self.machine.tick(now))
+            self.ticked(now)
+        except Exception as fault:
+            self.failed("tick", fault)
 
     def ticked(self, now: float) -> None:
         """What a role does more at each tick."""
@@ -178,7 +186,15 @@
             return
         now = self.clock()
         self.addresses.heard(packet.sender, addr, packet.token, now)
-        self.perform(self.machine.heard(packet, now))
+        try:
+            self.perform(self.machine.heard(packet, now))
+        except Exception as fault:
+            self.failed(type(packet.message).__name__, fault)
+
+    def failed(self, where: str, fault: Exception) -> None:
+        """A defect of ours: what it concerned is left undone, and the next packet or tick is taken up."""
+        self.faults += 1
+        self.log("changelog_fault", where=where, why=repr(fault))
 
     def connectionRefused(self) -> None:
         """Nobody listens there just now."""
@@ -255,7 +271,8 @@
     ) -> None:
         super().__init__(name, address, relays, keys, reactor, clock, log, call_later)
         self._on_apply, self._on_reset, self._on_tick = on_apply, on_reset, on_tick
-        self.faults = 0  # of the two callbacks
+        self._unlimited_until = NEVER  # no limit before this time, for this grace
+        self._unlimited_grace_s = 0.0
         self.machine = Follower(
             name, list(relays), settings or FollowSettings(), chance, new_session(), clock(), newest_format
         )
@@ -269,8 +286,19 @@
         return super().close()
 
     def oldest(self, grace_s: float) -> float | None:
-        """The greatest age in seconds of a copy that may be served now; None: no limit."""
-        return self.machine.oldest(self.clock(), grace_s)
+        """The greatest age in seconds of a copy that may be served now; None: no limit. Asked for each request, so that
+        what was found is kept until something is heard."""
+        now = self.clock()
+        if grace_s == self._unlimited_grace_s and now < self._unlimited_until:
+            return None
+        self._unlimited_grace_s = grace_s
+        self._unlimited_until = self.machine.unlimited_until(now, grace_s)
+        return None if now < self._unlimited_until else self.machine.oldest(now, grace_s)
+
+    def perform(self, effects: Sequence[Effect]) -> None:
+        """Called after each tick and each packet, with whatever came of it."""
+        self._unlimited_until = NEVER
+        super().perform(effects)
 
     def do(self, effect: Effect) -> None:
         try:
@@ -279,9 +307,12 @@
             elif isinstance(effect, Reset):
                 self._on_reset(effect.snapshot)
         except Exception as fault:  # whatever a subscriber's code does, later entries are still applied
-            self.faults += 1
-            self.machine.not_understood += 1
-            self.log("changelog_fault", why=repr(fault), number=self.machine.number)
+            self.failed(type(effect).__name__, fault)
+
+    def failed(self, where: str, fault: Exception) -> None:
+        """What should have been applied may be missing: uninformed until the next start."""
+        self.machine.not_understood += 1
+        super().failed(where, fault)
 
 
 class RelayNode(Node):
@@ -329,7 +360,7 @@
         log: LogEvent = no_log,
         chance: Callable[[], float] = random.random,
         newest_format: int = NEWEST_FORMAT,
-        on_failure: Callable[[OSError], None] = lambda fault: None,
+        on_failure: Callable[[StorageFailed], None] = lambda fault: None,
     ) -> None:
         super().__init__(name, replicas[name], {**relays, **replicas}, keys, reactor, clock, log)
         self._storage, self._on_failure = storage, on_failure
@@ -366,18 +397,26 @@
             return
         try:
             super().perform(effects)
-        except OSError as fault:
+        except StorageFailed as fault:
             self.log("changelog_storage_failed", why=str(fault))
             self.close()
             self._on_failure(fault)
 
     def do(self, effect: Effect) -> None:
-        if isinstance(effect, Persist):
-            self._storage.persist(effect)
-        elif isinstance(effect, PersistSnapshot):
-            self._storage.persist_snapshot(effect)
-        elif isinstance(effect, Committed):
+        if isinstance(effect, Committed):
             self._proposals.committed(effect.entries)
+        elif isinstance(effect, Persist | PersistSnapshot):
+            self._persist(effect)
+
+    def _persist(self, effect: Persist | PersistSnapshot) -> None:
+        """Raises StorageFailed, whatever the cause: nothing may be sent that relies on what was not stored."""
+        try:
+            if isinstance(effect, Persist):
+                self._storage.persist(effect)
+            else:
+                self._storage.persist_snapshot(effect)
+        except Exception as fault:
+            raise StorageFailed(repr(fault)) from fault
 
     def close(self) -> Any:
         self._storage.close()
