--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -17,7 +17,7 @@
 
 def test_what_is_off_is_not_imported():
     loaded = modules_of_a_start()
-    ours = [f"wickhinge.{name}" for name in ("peers", "shared", "store", "membership", "options", "lab")]
+    ours = [f"wickhinge.{name}" for name in ("peers", "shared", "store", "membership", "options", "lab", "changelog")]
     off = ("msgspec", "lark", "twisted.internet.endpoints", *ours)
     assert "wickhinge.net.router" in loaded
     assert [name for name in loaded if name.startswith(off)] == []
--- a/wickhinge/changelog/addresses.py
+++ b/wickhinge/changelog/addresses.py
@@ -10,24 +10,35 @@
 
 QUIET_S = 3.0  # another session of a name is taken for it, at another address, after so long without the former one
 MOST_LEARNED = 8192
-COUNTER_MASK = (1 << COUNTER_BITS) - 1
+MOST_FORMER = 4  # sessions of a process that are remembered
 
 
 class Learned:
-    """The address of a process that the settings do not name, and the token that came from there last."""
+    """The address of a process that the settings do not name, the latest token that came from there, and the sessions
+    that it had before."""
 
-    __slots__ = ("address", "token", "heard_at")
+    __slots__ = ("address", "token", "heard_at", "former")
 
     def __init__(self, address: Address, token: int, heard_at: float) -> None:
         self.address, self.token, self.heard_at = address, token, heard_at
+        self.former: list[int] = []
+
+    @property
+    def session(self) -> int:
+        return self.token >> COUNTER_BITS
+
+    def take(self, address: Address, token: int, now: float) -> None:
+        if token >> COUNTER_BITS != self.session:
+            self.former = [*self.former, self.session][-MOST_FORMER:]
+        self.address, self.token, self.heard_at = address, token, now
 
 
 class AddressBook:
     """`fixed`: addresses by the settings, which never change.
 
-    Others are learned from packets that were readable under the key. A packet that was recorded on the way and sent
-    again from elsewhere must not draw a process's datagrams to it: an address moves with a later token of the same
-    session alone, or after QUIET_S without any.
+    Others are learned from packets that were readable under the key. One that was recorded on the way and is sent again
+    from elsewhere must not draw a process's datagrams to it. So an address moves with a later token of the same session
+    alone, or with another session than those before after QUIET_S without a later token.
     """
 
     def __init__(self, fixed: Mapping[str, Address]) -> None:
@@ -51,10 +62,8 @@
             self._make_room(now)
             if len(self._learned) < MOST_LEARNED:
                 self._learned[name] = Learned(address, token, now)
-        elif self._is_later(learned, token) or now - learned.heard_at > QUIET_S:
-            learned.address, learned.token, learned.heard_at = address, token, now
-        elif address == learned.address:
-            learned.token, learned.heard_at = token, now
+        elif self._counts(learned, token, now):
+            learned.take(address, token, now)
 
     def forget(self, now: float, silent_s: float) -> None:
         """Drops what has not been heard for `silent_s`."""
@@ -66,7 +75,8 @@
             self.forget(now, QUIET_S)
 
     @staticmethod
-    def _is_later(learned: Learned, token: int) -> bool:
-        """A session's tokens rise, until the counter begins anew after 2**24 of them (194 days at one a second)."""
-        same_session = token >> COUNTER_BITS == learned.token >> COUNTER_BITS
-        return same_session and token & COUNTER_MASK > learned.token & COUNTER_MASK
+    def _counts(learned: Learned, token: int, now: float) -> bool:
+        session = token >> COUNTER_BITS
+        if session == learned.session:
+            return token > learned.token
+        return session not in learned.former and now - learned.heard_at > QUIET_S
--- a/wickhinge/changelog/nodes.py
+++ b/wickhinge/changelog/nodes.py
@@ -154,7 +154,7 @@
         if self.closed:
             return
         now = self.clock()
-        self._due = max(self._due + TICK_S, now)
+        self._due = self._due + TICK_S if now < self._due + TICK_S else now + TICK_S
         self._timer = self._call_later(self._due - now, self._run_tick)
         self._looked_at = 0
         self._ticks += 1
