--- a/tests/changelog_fleet.py
+++ b/tests/changelog_fleet.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 from contextlib import ExitStack, contextmanager
 
 from stand import SERVED, Line, Stand
@@ -49,7 +50,8 @@
     """All links in one thread. `cut` holds pairs (from, to) whose datagrams are dropped."""
 
     def __init__(self, stack, host):
-        self.cut, self.noisy, self.passed = set(), False, 0
+        self.cut, self.noisy = set(), False
+        self.passed = Counter()  # datagrams by receiver
         self._stack, self._host, self._links = stack, host, {}
         self._chance = random.Random(5)
         self._selector = selectors.DefaultSelector()
@@ -88,7 +90,7 @@
         address = link.addresses[receiver]
         if (sender, receiver) in self.cut or address is None:
             return
-        self.passed += 1
+        self.passed[receiver] += 1
         for copy in [data, data, *self._garbage(data)] if self.noisy else [data]:
             link.sockets[receiver].sendto(copy, address)
 
--- a/tests/test_changelog_nodes.py
+++ b/tests/test_changelog_nodes.py
@@ -92,6 +92,8 @@
     child = fleet.stand.router.child
     child.send_signal(signal.SIGSTOP)
     os.waitid(os.P_PID, child.pid, os.WSTOPPED | os.WNOWAIT)
+    passed = fleet.hub.passed[ROUTER]
+    eventually(lambda: fleet.hub.passed[ROUTER] >= passed + 2)
     cut_off(fleet, ROUTER, RELAYS)
     threading.Event().wait(BOUND_S + 0.1)  # the time itself is what is tried
     child.send_signal(signal.SIGCONT)
