--- a/tests/test_changelog_parts.py
+++ b/tests/test_changelog_parts.py
@@ -1,6 +1,7 @@
 """The change log's parts around its state machines, without processes: addresses, proposals, settings, nodes."""
 
 import errno
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -19,15 +20,18 @@
 )
 from wickhinge.changelog.codec import Codec
 from wickhinge.changelog.echo import COUNTER_BITS
-from wickhinge.changelog.effects import Accepted, Apply, Committed, Persist, Send
-from wickhinge.changelog.entries import Entry, Noop, Purge, Setting, encode
+from wickhinge.changelog.effects import Accepted, Apply, Committed, Persist, Reset, Send
+from wickhinge.changelog.entries import Entry, Noop, Purge, Setting, Unknown, encode
+from wickhinge.changelog.log import Snapshot
 from wickhinge.changelog.messages import Packet, Unsubscribe
 from wickhinge.changelog.nodes import FollowerNode, RelayNode, ReplicaNode
 from wickhinge.changelog.proposals import Outcome, Proposal, Proposals
 from wickhinge.changelog.settings_table import SettingsTable, State, check_value
 from wickhinge.changelog.storage import MemoryStorage
 from wickhinge.changelog.stored import NotLeader
+from wickhinge.decide import Purges
 from wickhinge.fields import Malformed
+from wickhinge.net.changes import Changes
 from wickhinge.options import Fault
 from wickhinge.options.load import check
 from wickhinge.peers.desk import Asking
@@ -471,3 +475,80 @@
     node = relay_node(sockets)
     desk = Administration(node, [KEY], 0.5)
     assert APPEND not in desk._desks[0].words and desk.status().source in REPLICAS
+
+
+# The router's wiring.
+
+
+@pytest.fixture
+def changes(sockets, tmp_path):
+    (tmp_path / "key").write_bytes(KEY)
+    options = check(ON.replace("/k", str(tmp_path / "key")) + "}", "x").changelog
+    told = []
+    node = SimpleNamespace(
+        reactor=sockets,
+        deadlines=SimpleNamespace(after=sockets.callLater),
+        log=SimpleNamespace(event=lambda event, **fields: told.append(event)),
+        router=SimpleNamespace(purges=Purges(6.0)),
+        copies=SimpleNamespace(proven=lambda copy, now: copy.made > 0),
+        forwards=SimpleNamespace(overtaken=lambda holds: told.append(holds)),
+        move_journal=lambda address: told.append(address),
+        purge=lambda *given: told.append(given),
+        take_purge=lambda *given: told.append(given),
+    )
+    made = Changes(options, "n1", node)
+    made.node, made.told, made.options = node, told, options
+    return made
+
+
+def test_own_copies_are_vouched_for_within_the_limit_alone(changes):
+    young, old, unproven = (SimpleNamespace(made=made) for made in (999.0, 990.0, 0.0))
+    proven = changes.node.copies.proven
+    assert [proven(copy, 1000.0) for copy in (young, old, unproven)] == [True, False, False]
+    changes.follower.oldest = lambda grace: None
+    assert [proven(copy, 1000.0) for copy in (young, old, unproven)] == [True, True, False]
+
+
+def test_the_limit_is_a_duration_whatever_the_time_of_day_is(changes):
+    purges = changes.node.router.purges
+    assert purges.oldest(1, 0, 0.0) == purges.oldest(1, 0, 2e9) == pytest.approx(0.94 * 6 - 0.001)
+
+
+def test_purges_and_settings_go_where_they_belong_and_others_nowhere(changes):
+    for number, change in enumerate(
+        (Noop(), Purge(7, 3, 5), Setting("journal", b"10.0.0.1:7", 1), Unknown(20, False, b""))
+    ):
+        changes.follower.do(Apply(entry(number + 1, change)))
+    assert changes.told == [(7, 3, 5, 0), ("10.0.0.1", 7), "changelog_setting"]
+
+
+def test_a_snapshots_purges_are_taken_together_and_overtake_what_waits(changes):
+    changes.follower.do(Reset(Snapshot(1, 9, b"d" * 8, (), (Purge(7, 3, 5), Purge(None, 4, 6)))))
+    assert changes.told[:2] == [(7, 3, 5, 0), (None, 4, 6, 0)] and changes.told[3] == "changelog_reset"
+    waiting = [
+        SimpleNamespace(forward=SimpleNamespace(visit=SimpleNamespace(item=SimpleNamespace(key=key), group=group)))
+        for key, group in ((7, 0), (8, 4), (8, 3))
+    ]
+    assert [changes.told[2](sent) for sent in waiting] == [False, False, True]
+
+
+def test_what_waits_to_be_written_is_decided_anew_once_ages_are_limited(changes):
+    changes.follower.oldest = lambda grace: None
+    changes.follower.ticked(0.0)
+    changes.told.clear()
+    changes.follower.oldest = lambda grace: 5.0
+    changes.follower.ticked(0.0)
+    changes.follower.ticked(0.0)
+    holds, event = changes.told
+    assert event == "changelog_uninformed"
+    assert not holds(
+        SimpleNamespace(forward=SimpleNamespace(visit=SimpleNamespace(tariff=SimpleNamespace(passes_on=0))))
+    )
+
+
+def test_only_keys_change_while_running(changes):
+    assert changes.keys_in(changes.options) == [KEY]
+    with pytest.raises(Malformed, match="changelog.grace_s: changes at a restart only"):
+        changes.keys_in(msgspec.structs.replace(changes.options, grace_s=9.0))
+    with pytest.raises(Malformed, match="changelog.key_file: /nowhere can't be read"):
+        changes.keys_in(msgspec.structs.replace(changes.options, key_file="/nowhere"))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -250,6 +250,18 @@
     assert purges.oldest(key, group, now) == pytest.approx(oldest, abs=0.002)
 
 
+@pytest.mark.parametrize(
+    "limit, known, oldest",
+    [(None, None, None), (2.0, None, 2.0), (None, 0.5, 0.5), (2.0, 0.5, 0.5), (0.2, 0.5, 0.2)],
+)
+def test_while_purges_may_be_missing_no_copy_is_older_than_the_limit(limit, known, oldest):
+    purges = Purges(6.0)
+    purges.limit = lambda now: limit
+    if known is not None:
+        purges.told(7, 0, 10.0 - known, 10.0)
+    assert purges.oldest(7, 0, 10.0) == pytest.approx(oldest, abs=0.002)
+
+
 def test_every_forward_of_a_purged_object_carries_the_limit():
     made = router()
     made.purges.told(5, 3, 99.0, 100.0)
