Change log: a restore is refused while a replica runs in its epoch

Need: a replica whose files were lost must not come back in the running epoch by way of the same backup: it would have forgotten votes and entries that it had promised.

--- a/tests/test_changelog_control.py
+++ b/tests/test_changelog_control.py
@@ -138,6 +138,8 @@
     assert answer.epoch == 2 and answer.number <= lost
     assert fleet.maxage(0xAB) > 0
     eventually(lambda: all(machine.status and machine.status.epoch == 2 for machine in fleet.machines()))
+    code, told = fleet.command("restore", "--name", restored[0], "--epoch", "2", str(backup))
+    assert (code, "runs in epoch 2" in told) == (2, True)
     eventually(lambda: not any(machine.status.blank for machine in fleet.machines() if machine.status))
 
 
--- a/wickhinge/cli/changelog.py
+++ b/wickhinge/cli/changelog.py
@@ -266,7 +266,8 @@
 def restore(options: str | None, name: str, epoch: int, file: str) -> None:
     """Make a replica's files out of the backup FILE, in a new epoch.
 
-    The same at a majority of the replicas, all of them stopped, their old files moved away.
+    The same at a majority of the replicas, all of them stopped, their old files moved away. Refused while a replica
+    answers that is in this epoch already: what the others promised would be forgotten here.
     """
     import msgspec
 
@@ -284,6 +285,9 @@
         fail(f"{file}: {fault}")
     if snapshot.epoch >= epoch:
         fail(f"restore: --epoch: the backup is of epoch {snapshot.epoch}, a higher one is needed")
+    for machine in client(options).machines(machine.name for machine in settings(options).replicas):
+        if machine.status is not None and machine.status.epoch >= epoch:
+            fail(f"restore: --epoch: {machine.name} runs in epoch {machine.status.epoch}; a higher one is needed")
     snapshot = msgspec.structs.replace(snapshot, epoch=epoch, term=0)
     try:
         FileStorage.create(directory, Stored(epoch=epoch, snapshot=snapshot), Files()).close()
