--- a/tests/changelog_fleet.py
+++ b/tests/changelog_fleet.py
@@ -314,8 +314,10 @@
 
 def lines_until(process, word):
     found = []
-    while True:
+    deadline = time.monotonic() + PATIENT
+    while time.monotonic() < deadline:
         line = process.lines.get(timeout=PATIENT)
         if word in line:
             return found
         found.append(line)
+    raise AssertionError(f"no {word}")
