--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,165 @@
+"""A client that closes or cancels has gone: no attempt for it begins later than 0.1 s after that reached the socket.
+
+Machines are the test itself and count the attempts that come to them. Each test takes one place where a request waits
+before it is sent; `docs/notes/crossings.md` lists them."""
+
+import os
+import socket
+import struct
+import time
+
+import pytest
+from stand import SERVED, Stand
+from test_sockets import Client
+
+from wickhinge.net import msgpack
+
+LATE = 0.15  # seconds; past the 0.1 in which an attempt may still begin
+FAR = 0.7 + LATE  # seconds in which what waits in the router is looked at once
+EVERY_WAY = ["abort", "pieces", "close", "half", "reset"]
+LARGE = b"x" * 47_000  # two of them are more than one read of a socket gives
+
+
+@pytest.fixture
+def stand(tmp_path):
+    made = []
+
+    def build(*told, **more):
+        made.append(Stand(tmp_path, *told, **more))
+        return made[0]
+
+    yield build
+    for one in made:
+        one.close()
+
+
+def leave(client, call, way):
+    abort = msgpack.pack([2, "abort", [call]])
+    if way == "abort":
+        client.socket.sendall(abort)
+    elif way == "pieces":
+        for place in range(len(abort)):
+            client.socket.sendall(abort[place : place + 1])
+    elif way == "half":
+        client.socket.shutdown(socket.SHUT_WR)
+    else:
+        if way == "reset":
+            client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.socket.close()
+
+
+def patient(conf):
+    """Connections may take long to come up, and results are worth waiting for."""
+    conf["limits"]["connectTimeoutMs"] = 9000
+    conf["classes"][1]["onTimeMs"] = 2900
+
+
+def request(call, tariff="pages", body=b"", **fields):
+    told = {"rid": os.urandom(8).hex(), "budget": "3000", "obj": "00000000000000aa", **fields}
+    return msgpack.pack([0, call, tariff, [told, body]])
+
+
+def warmed(made, client, place=0):
+    """The machine's connection, up and idle."""
+    call = client.ask("pages" if place == 0 else "results", block="7")
+    line = made.line(place)
+    line.next().answer("OK", SERVED, b"x")
+    assert client.answer(call)[2] is None
+    return line
+
+
+def hold(client):
+    """Bad requests in one write: nothing of this client is begun for the next second."""
+    calls = range(101, 106)
+    client.socket.sendall(b"".join(request(call, rid="bad") for call in calls))
+    for call in calls:
+        assert client.answer(call)[2][0] == "BadRequest"
+
+
+# A reactor that was busy.
+
+
+@pytest.mark.parametrize("way", EVERY_WAY)
+def test_a_first_attempt_is_not_begun_where_the_end_lies_behind_its_request(stand, way):
+    made = stand()
+    client, other = made.client(), made.client()
+    warmed(made, other)
+    with made.stopped():
+        call = client.ask()
+        leave(client, call, way)
+        time.sleep(LATE)
+    assert other.ping() and other.ping()
+    assert made.attempts() == 0
+
+
+@pytest.mark.parametrize("way", EVERY_WAY)
+def test_a_fill_is_not_begun_where_the_miss_is_read_before_the_end(stand, way):
+    made = stand()
+    client, other = made.client(), made.client()
+    call = client.ask()
+    asked = made.line(0).next()
+    with made.stopped():
+        asked.answer("MISS")
+        leave(client, call, way)
+        time.sleep(LATE)
+    assert other.ping() and other.ping()
+    assert made.attempts() == 0
+
+
+@pytest.mark.parametrize("way", EVERY_WAY)
+def test_what_waits_for_its_connection_is_not_sent_where_that_comes_up_before_the_end_is_read(stand, way):
+    made = stand(change=patient)
+    late, client, other = made.shut(0), made.client(), made.client()
+    call = client.ask()
+    assert client.ping() and other.ping()
+    with made.stopped():
+        late()
+        leave(client, call, way)
+        time.sleep(LATE)
+    assert other.ping() and other.ping()
+    assert made.attempts() == 0
+
+
+@pytest.mark.parametrize("way", EVERY_WAY)
+@pytest.mark.parametrize("waits", ["retry", "fill", "cold"])
+def test_what_waits_in_the_router_is_not_sent_where_its_time_comes_before_the_end_is_read(stand, waits, way):
+    """Deadlines have their turn between two reads of eight descriptors each."""
+    machines = ("box", "parent") if waits == "cold" else ("box", "origin")
+    made = stand(machines, change=patient)
+    client, others = made.client(), [made.client() for _ in range(24)]
+    wait_for_room(made, client, waits)
+    call = client.calls
+    assert others[0].ping()
+    with made.stopped():
+        for other in others:
+            other.calls += 1
+            other.socket.sendall(msgpack.pack([0, other.calls, "ping", [{}]]))
+        leave(client, call, way)
+        time.sleep(FAR)
+    for other in others:
+        assert other.answer(other.calls)[2] is None
+    assert others[0].ping()
+    assert made.attempts() == 0
+
+
+def wait_for_room(made, client, waits):
+    """A request that waits in the router: for a pause before its retry, after a refused fill, for a cold parent."""
+    if waits == "retry":
+        client.ask("results", b"mark")
+        made.line(1).next().answer("BUSY")
+        return
+    client.ask(budget="3000")
+    box = made.line(0)
+    box.next().answer("MISS")
+    if waits == "fill":
+        box.next().answer("BUSY")
+
+
+@pytest.mark.parametrize("waits", ["retry", "fill", "cold"])
+def test_what_waits_in_the_router_is_sent_while_its_client_is_there(stand, waits):
+    """Else the test above would prove nothing."""
+    made = stand(("box", "parent") if waits == "cold" else ("box", "origin"), change=patient)
+    client = made.client()
+    wait_for_room(made, client, waits)
+    line = made.lines[0] if waits == "cold" else made.line(1 if waits == "retry" else 0)  # no id again where it was refused
+    assert line.next() is not None
--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -24,8 +24,21 @@
 UNREAD = 0.25  # seconds after connecting in which a request may lie unread while the router pauses
 FAULTS = 32  # kinds of faults told apart between two reports
 HOLD, HELD = 0.05, 1.0  # seconds in which nothing is begun after a bad request, doubled for each, and the most
-LATER = 8192  # bytes read of a client in a hold, past which it is not read either
+LATER = 8192  # bytes of requests read in a hold that each client may keep here
+LATER_ALL = 1 << 20  # and all of them together, past which a request beyond a client's own share is refused
 LOOKED = 8  # connections looked at for one to hang up on
+UNSEEN = 0.05  # seconds that an abort or a close may lie unread when an attempt begins; 0.1 counts as too late
+READ = 65536  # bytes that one read gives at most, as the transport's own
+READS = 32  # reads of a socket in one look: as much as a client's open requests may take
+
+
+class Waiting:
+    """A request that was read and has not begun yet."""
+
+    __slots__ = ("method", "params", "since", "size")
+
+    def __init__(self, method: str, params: list[Any], since: float, size: int) -> None:
+        self.method, self.params, self.since, self.size = method, params, since, size
 
 
 class Client(Protocol):
@@ -34,24 +47,31 @@
         self.stream = msgpack.Stream()
         self.open: dict[int, Any] = {}
         self.out: deque[bytes | Body] = deque()
-        self.later: deque[tuple[list[Any], float]] = deque()  # requests read in a hold, and when
-        self.kept = 0  # bytes read in it
-        self.full = self.held = self.ended = self.paused = False
-        self.moved = self.until = 0.0
+        self.later: dict[int, Waiting] = {}  # requests read and not begun, by their ids, in order
+        self.kept = 0  # bytes of those read in a hold
+        self.full = self.held = self.ended = False
+        self.dry = True  # nothing lay in the socket behind what was read last
+        self.moved = self.until = self.made = self.looked = 0.0
         self.bad = 0
         self.socket: Any = None
 
     def connectionMade(self) -> None:
+        self.made = self.clients.deadlines.now()
         self.clients.came(self)
         self.transport.setTcpNoDelay(True)
         self.socket = self.transport.getHandle()
         self.throttle()
 
     def dataReceived(self, data: bytes) -> None:
+        self.dry = len(data) < READ
+        self.receive(data)
+        self.begin()  # all of this read, also beside a bad request, which holds back what comes next
+        self.throttle()
+
+    def receive(self, data: bytes) -> None:
+        """Heed what was read, and begin nothing: a request's abort may have come beside it."""
         try:
             messages = self.stream.feed(data)
-            if self.held:
-                self.kept += len(data)
             if len(messages) > 1:
                 self.count(messages)
             for message in messages:
@@ -59,7 +79,39 @@
             self.clients.read(self, bool(messages))
         except msgpack.Unreadable as problem:
             self.fail(str(problem))
-        self.throttle()
+
+    def look(self) -> None:
+        """Read the socket to its end where an abort, a close or a reset may lie unread there for long: the reactor
+        was busy, or more came than one read gives. Called before each attempt, so it begins no request itself."""
+        deadlines = self.clients.deadlines
+        now, caught_up = deadlines.now(), deadlines.caught_up()
+        # A connection that was taken since then may have waited in the listener with all that came on it.
+        known = max(self.looked, caught_up if caught_up > self.made else 0.0)
+        if self.ended or self.dry and now - known <= UNSEEN:
+            return
+        self.looked = now
+        for _ in range(READS):
+            try:
+                data = self.socket.recv(READ)
+            except BlockingIOError:
+                self.dry = True
+                break
+            except OSError as problem:
+                self.lost(str(problem))
+                return
+            if not data:
+                self.lost("closed by the client")
+                return
+            self.receive(data)
+            if self.ended:
+                return
+        if self.later:
+            deadlines.soon(self.throttle)
+
+    def awaits(self, call: int) -> bool:
+        """Whether it is known to be there still, and not to have given this request up."""
+        self.look()
+        return call in self.open
 
     def count(self, messages: list[Any]) -> None:
         """Hundreds at once are refused whole, before the first of them costs a cache anything."""
@@ -83,25 +135,53 @@
                 return
             if (
                 call in self.open
-                or any(call == other[1] for other, _ in self.later)
+                or call in self.later
                 or type(message[2]) is not str
                 or len(self.open) + len(self.later) >= OPEN
             ):
                 raise msgpack.Unreadable("a request with an id in use, one too many, or with no method")
-            if self.held:
-                self.later.append((message, self.clients.deadlines.now()))
-            else:
-                self.request(call, message[2], params)
+            self.queue(call, message[2], params)
         elif kind == 2 and call == "abort" and type(first) is int:
             door = self.open.pop(first, None)
             if door is not None:
                 self.clients.visits.gone(door)
-            else:
-                self.later = deque(item for item in self.later if item[0][1] != first)
+            elif first in self.later:
+                self.unqueue(first)
         else:
             raise msgpack.Unreadable("a message that is no request and no abort")
 
-    def request(self, call: int, method: str, params: list[Any], waited: float = 0.0) -> None:
+    def queue(self, call: int, method: str, params: list[Any]) -> None:
+        """To begin when all that came with it has been heeded, or after the hold. In a hold it is kept in memory
+        that all clients share; past that it is refused, since unread it would hide an abort behind it."""
+        size = 0
+        if self.held:
+            size = sum(len(item) if type(item) is bytes else len(repr(item)) for item in params)
+            if self.kept + size > LATER and self.clients.kept + size > LATER_ALL:
+                self.error(call, "Overloaded", {})
+                return
+        self.later[call] = Waiting(method, params, self.clients.deadlines.now(), size)
+        self.kept += size
+        self.clients.kept += size
+
+    def unqueue(self, call: int) -> Waiting:
+        request = self.later.pop(call)
+        self.kept -= request.size
+        self.clients.kept -= request.size
+        return request
+
+    def begin(self) -> None:
+        """What has waited, in order, until something holds it."""
+        if self.later and not self.held:
+            self.look()
+        while self.later and not self.held:
+            self.begin_next()
+
+    def begin_next(self) -> None:
+        call = next(iter(self.later))
+        request = self.unqueue(call)
+        self.request(call, request.method, request.params, self.clients.deadlines.now() - request.since)
+
+    def request(self, call: int, method: str, params: list[Any], waited: float) -> None:
         fields = params[0]
         try:
             body = params[1] if len(params) > 1 else b""
@@ -211,16 +291,11 @@
             return
         now = self.clients.deadlines.now()
         self.held = self.clients.paused or self.until > now
+        if self.later and not self.held:
+            self.look()
         while self.later and not self.held:
-            message, since = self.later.popleft()
-            self.request(message[1], message[2], message[3], now - since)
+            self.begin_next()
             self.held = self.clients.paused or self.until > now
-        if not self.later:
-            self.kept = 0
-        pause = self.held and self.kept > LATER
-        if pause != self.paused and not self.ended:
-            self.paused = pause
-            (self.transport.pauseProducing if pause else self.transport.resumeProducing)()
 
     # Ends.
 
@@ -240,8 +315,11 @@
         transport.abortConnection()
 
     def connectionLost(self, reason: Failure) -> None:
+        self.lost(reason.getErrorMessage())
+
+    def lost(self, why: str) -> None:
         if self.open and not self.ended:
-            self.clients.log("client_lost", why=reason.getErrorMessage(), open=len(self.open))
+            self.clients.log("client_lost", why=why, open=len(self.open))
         self.leave()
 
     def leave(self) -> None:
@@ -249,7 +327,8 @@
             return
         self.ended = True
         self.clients.forget(self)
-        self.later.clear()
+        for call in list(self.later):
+            self.unqueue(call)
         doors, self.open = self.open, {}
         for door in doors.values():
             if door is not None:
@@ -273,6 +352,7 @@
         self.half: dict[Client, float] = {}
         self.idle: dict[Client, float] = {}
         self.leaving = self.paused = False
+        self.kept = 0  # bytes of requests that clients keep here in holds
         self.faults: dict[str, int] = {}
         self.closed, self.swept = 0, 0.0
 
--- a/wickhinge/net/caches.py
+++ b/wickhinge/net/caches.py
@@ -76,13 +76,17 @@
             self.unwritten.add(tag)
         self.queue.append((tag, payload))
         if self.up and not self.writing:
-            self.drain()
+            self.drain(False)
 
-    def drain(self) -> None:
+    def drain(self, waited: bool = True) -> None:
         """Straight into the socket: what the transport held would still go out after its visit's final
-        answer. The transport only tells when the socket takes more."""
+        answer. The transport only tells when the socket takes more. waited: what is here was not asked for just
+        now, so its client may have gone."""
         while self.queue and not self.cut:
             tag, payload = self.queue[0]
+            if waited and not self.begun and tag in self.open and not self.caches.awaited(self.open[tag]):
+                self.stop(tag, self.caches.deadlines.now())  # where its recall has not taken it out
+                continue
             try:
                 size = self.socket.send(payload)
             except OSError:  # full for now, or broken: the transport will tell
@@ -320,6 +324,7 @@
         self.paused = False
         self.answered: Callable[..., bool | None] = lambda *_: True
         self.ended: Callable[..., None] = lambda *_: None
+        self.awaited: Callable[[int], bool] = lambda _: True
         self.lates = 0
 
     def listed(self, mark: int, name: str, address: tuple[str, int]) -> None:
--- a/wickhinge/net/deadlines.py
+++ b/wickhinge/net/deadlines.py
@@ -44,6 +44,10 @@
         that denies what it takes for late has few of those."""
         return self.behind * 0.5 ** min((now - self.seen) / FADE, 60.0)
 
+    def caught_up(self) -> float:
+        """Whatever reached a socket that is read before this time has been read."""
+        return self.reactor.caught_up
+
     def arm(self) -> None:
         self.due = self.heap[0][0]
         # Never sooner than a tick from the last: thousands of deadlines a second share a few hundred turns.
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -37,7 +37,7 @@
         self.router: Any = None
         self.copies: Any = None  # of our own, where there are any
         self.members: Any = None  # who says what is there while nobody vouches for it, where that is on
-        caches.answered, caches.ended = self.answered, self.ended
+        caches.answered, caches.ended, caches.awaited = self.answered, self.ended, self.awaited
 
     def send(
         self,
@@ -87,6 +87,11 @@
     def put(self, sent: Sent, tag: bytes, payload: bytes, patience: float) -> int:
         number = self.slots.put(sent)
         sent.tag = tag or b"p%d" % number
+        if sent.door is not None:
+            sent.door.out[sent.forward] = number
+            if sent.door.left():
+                self.deadlines.soon(self.ended, number, End.RECALLED)
+                return number
         machine = self.caches.machines.get(sent.cache.mark)  # none: gone meanwhile, and freed
         if machine is not None:
             sent.line = machine.send(sent.tag, number, payload or resp.pack(b"STAT", sent.tag))
@@ -125,6 +130,11 @@
                 if sent is not None and sent.door is not None and not holds(sent):
                     self.recall(number)
 
+    def awaited(self, number: int) -> bool:
+        """Whether what has waited for its connection may be written now; else it has been recalled."""
+        sent = self.slots.get(number)
+        return sent is None or sent.door is None or not sent.door.left()
+
     def halt(self, number: int) -> None:
         sent = self.slots.get(number)
         if sent is not None and sent.line is not None:
--- a/wickhinge/net/loop.py
+++ b/wickhinge/net/loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from socket import MSG_PEEK
+from time import time
 from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
@@ -21,14 +22,19 @@
 
 
 class Reactor(EPollReactor):
+    caught_up = 0.0  # whatever reached a socket that is read before this time has been read
+
     def doPoll(self, timeout: float | None) -> None:
         try:
             events = self._poller.poll(-1 if timeout is None else timeout, AT_ONCE)
         except InterruptedError:
             return
+        returned = time()
         for descriptor, event in events:
             selectable = self._selectables.get(descriptor)
             if selectable is not None:
                 self._doReadOrWrite(selectable, descriptor, event)
+        if len(events) < AT_ONCE:  # the kernel had no more that were ready
+            self.caught_up = returned
 
     doIteration = doPoll
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -74,8 +74,7 @@
         renew: bool,
     ) -> None:
         self.visit = forward.visit
-        number = self.visits.forwards.send(self, forward, cache, patience, source, rank, oldest, join, held_only, renew)
-        self.out[forward] = number
+        self.visits.forwards.send(self, forward, cache, patience, source, rank, oldest, join, held_only, renew)
 
     def withdraw(self, forward: Any) -> None:
         number = self.out.get(forward)
@@ -121,6 +120,13 @@
         self.recall()
         self.settle()
 
+    def left(self) -> bool:
+        """Whether it is over, or its client has closed or given it up: read from its socket if that may lie there."""
+        client = self.client
+        if client is not None and not client.awaits(self.call):
+            self.visits.gone(self)
+        return self.final
+
     def recall(self) -> None:
         """It is over: what of it still waits to be written is not sent, also where nothing may be withdrawn."""
         for number in list(self.out.values()):
