--- a/tests/stand.py
+++ b/tests/stand.py
@@ -84,7 +84,7 @@
 
 
 class Stand:
-    def __init__(self, folder, machines=("box", "origin"), change=lambda conf: None):
+    def __init__(self, folder, machines=("box", "origin"), change=lambda conf: None, list_change=lambda hosts: None):
         self.stack = ExitStack()
         self.lines = []
         base = free(1)
@@ -92,6 +92,7 @@
         self.service = self.listening()
         conf = json.loads((ROOT / "example/config.json").read_text())
         hosts = [host(place, kind, made) for place, (kind, made) in enumerate(zip(machines, self.places, strict=True))]
+        list_change(hosts)
         self.kinds, self.number, self.address = machines, 1, ("127.0.0.1", base)
         conf |= {
             "listen": f"127.0.0.1:{base}",
@@ -137,6 +138,8 @@
             ours = {one.getsockname() for one in fillers}
             while (made := self.take(self.places[place])).getpeername() in ours:
                 pass
+            for one in fillers:
+                one.close()
             self.lines.append(Line(made))
             return self.lines[-1]
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -10,7 +10,6 @@
 
 import pytest
 from stand import SERVED, Stand
-from test_sockets import Client
 
 from wickhinge.net import msgpack
 
@@ -124,8 +123,7 @@
 @pytest.mark.parametrize("waits", ["retry", "fill", "cold"])
 def test_what_waits_in_the_router_is_not_sent_where_its_time_comes_before_the_end_is_read(stand, waits, way):
     """Deadlines have their turn between two reads of eight descriptors each."""
-    machines = ("box", "parent") if waits == "cold" else ("box", "origin")
-    made = stand(machines, change=patient)
+    made = waiting_stand(stand, waits)
     client, others = made.client(), [made.client() for _ in range(24)]
     wait_for_room(made, client, waits)
     call = client.calls
@@ -142,14 +140,29 @@
     assert made.attempts() == 0
 
 
+def waiting_stand(stand, waits):
+    if waits != "cold":
+        return stand(change=patient)
+    return stand(("box", "parent"), change=patient, list_change=cold_parent)
+
+
+def cold_parent(hosts):
+    hosts[1] |= {"born_ms": int(time.time() * 1000), "share": 8}
+
+
 def wait_for_room(made, client, waits):
     """A request that waits in the router: for a pause before its retry, after a refused fill, for a cold parent."""
     if waits == "retry":
         client.ask("results", b"mark")
         made.line(1).next().answer("BUSY")
         return
-    client.ask(budget="3000")
-    box = made.line(0)
+    if waits == "cold":  # what the parent may get now goes to another
+        first, box = client.ask(block="1"), made.line(0)
+        box.next().answer("MISS")
+        box.next().answer("OK", SERVED, b"x")
+        assert client.answer(first)[2] is None
+    client.ask()
+    box = made.lines[0] if waits == "cold" else made.line(0)
     box.next().answer("MISS")
     if waits == "fill":
         box.next().answer("BUSY")
@@ -158,8 +171,55 @@
 @pytest.mark.parametrize("waits", ["retry", "fill", "cold"])
 def test_what_waits_in_the_router_is_sent_while_its_client_is_there(stand, waits):
     """Else the test above would prove nothing."""
-    made = stand(("box", "parent") if waits == "cold" else ("box", "origin"), change=patient)
+    made = waiting_stand(stand, waits)
     client = made.client()
     wait_for_room(made, client, waits)
-    line = made.lines[0] if waits == "cold" else made.line(1 if waits == "retry" else 0)  # no id again where it was refused
+    line = (
+        made.lines[0] if waits == "cold" else made.line(1 if waits == "retry" else 0)
+    )  # no id again where it was refused
     assert line.next() is not None
+
+
+# A client in a hold: what it sends is read on, however much that is.
+
+
+@pytest.mark.parametrize("way", EVERY_WAY)
+def test_a_fill_is_not_begun_where_much_lies_before_the_end_in_a_hold(stand, way):
+    made = stand()
+    client, other = made.client(), made.client()
+    call = client.ask()
+    asked = made.line(0).next()
+    hold(client)
+    for _ in range(4):
+        client.ask("results", LARGE)
+    leave(client, call, way)
+    time.sleep(LATE)
+    asked.answer("MISS")
+    assert other.ping() and other.ping()
+    assert made.attempts() == 0
+
+
+def test_what_is_asked_and_given_up_in_a_hold_is_never_begun(stand):
+    """The others of it are, after the hold."""
+    made = stand()
+    client, other = made.client(), made.client()
+    line = warmed(made, other, 1)
+    hold(client)
+    calls = [client.ask("results", LARGE) for _ in range(6)]
+    for call in calls[::2]:
+        leave(client, call, "abort")
+    lines = [line]
+    for _ in calls[1::2]:
+        next_of(made, lines).answer("OK", "-", b"x")
+    for call in calls[1::2]:
+        assert client.answer(call)[2] is None
+    assert made.attempts() == 0
+
+
+def next_of(made, lines):
+    """The next attempt at the origin, on whatever connection."""
+    for line in lines:
+        if (asked := line.next(0.05)) is not None:
+            return asked
+    lines.append(made.line(1))
+    return lines[-1].next()
--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -49,6 +49,7 @@
         self.out: deque[bytes | Body] = deque()
         self.later: dict[int, Waiting] = {}  # requests read and not begun, by their ids, in order
         self.kept = 0  # bytes of those read in a hold
+        self.pings: list[int] = []  # to be answered when what came before them has begun
         self.full = self.held = self.ended = False
         self.dry = True  # nothing lay in the socket behind what was read last
         self.moved = self.until = self.made = self.looked = 0.0
@@ -105,7 +106,7 @@
             self.receive(data)
             if self.ended:
                 return
-        if self.later:
+        if self.later or self.pings:
             deadlines.soon(self.throttle)
 
     def awaits(self, call: int) -> bool:
@@ -131,7 +132,7 @@
         call, first = message[1], params[0]
         if kind == 0 and len(message) == 4 and type(call) is int and type(first) is dict:
             if message[2] == "ping":
-                self.write(msgpack.pack([1, call, None, [not self.clients.leaving, {}]]))
+                self.pings.append(call)
                 return
             if (
                 call in self.open
@@ -221,6 +222,11 @@
         self.write(b"\x94\x01" + msgpack.pack(call) + msgpack.failure(word, *fields.items()))
         self.clients.settle(self)
 
+    def answer_pings(self) -> None:
+        pings, self.pings = self.pings, []
+        for call in pings:
+            self.write(msgpack.pack([1, call, None, [not self.clients.leaving, {}]]))
+
     def write(self, data: bytes) -> None:
         self.out.append(data)
         if not self.full and not self.ended:
@@ -296,6 +302,7 @@
         while self.later and not self.held:
             self.begin_next()
             self.held = self.clients.paused or self.until > now
+        self.answer_pings()
 
     # Ends.
 
--- a/wickhinge/net/loop.py
+++ b/wickhinge/net/loop.py
@@ -34,7 +34,8 @@
             selectable = self._selectables.get(descriptor)
             if selectable is not None:
                 self._doReadOrWrite(selectable, descriptor, event)
-        if len(events) < AT_ONCE:  # the kernel had no more that were ready
+        # The kernel had no more that were ready. None at all may mean that a signal came, and nothing was asked.
+        if 0 < len(events) < AT_ONCE:
             self.caught_up = returned
 
     doIteration = doPoll
