--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -424,6 +424,9 @@
     def error(self, call, word, fields):
         self.had.append((call, word, fields))
 
+    def awaits(self, call):
+        return True
+
 
 def wired(with_store=True):
     world = begun()
