bench.scale: slopes of each mechanism, and docs/CAPACITY.md computed from them

A design whose cost grows with the whole fleet has to say what it costs at that size.

Change: `python -m bench.scale slopes` measures detector, joins, leases, lending, judgements, counts, watch, purges, k, candidates, probes, connections, log lines, settings files and the change log at four sizes or more, fits them, and says up to which size it saw. One router alone is played with a roster of 1,600; whole fleets up to 400 and 800. `capacity` computes the tables of docs/CAPACITY.md from bench/records; a test fails where page and records differ.

--- /dev/null
+++ b/bench/scale/__main__.py
@@ -0,0 +1,77 @@
+"""Growth of costs with the fleet: python -m bench.scale slopes|capacity
+
+    slopes     costs at several sizes, their fits; --record NAME keeps them in bench/records
+    capacity   docs/CAPACITY.md from the records; --check compares only
+
+The last line is one JSON object. Commands of other modules are added to `main`.
+"""
+
+from __future__ import annotations
+
+import sys
+
+import click
+import msgspec
+
+from bench.scale import page
+from bench.scale.design import ROUTERS
+from bench.scale.meter import Meter
+from bench.scale.records import FOLDER, Known, Record, Unusable, write
+
+
+def told(answer: dict[str, object]) -> None:
+    click.echo(msgspec.json.encode(answer).decode())
+
+
+def summary(record: Record) -> dict[str, object]:
+    """The last line: rows, the roles they are of, and which do not reach the design's routers."""
+    return {
+        "run": record.run,
+        "rounds": record.rounds,
+        "roles": sorted({one.role for one in record.rows}),
+        "extrapolated": [one.name for one in record.rows if one.axis == "routers" and one.extrapolated(ROUTERS)],
+        "rows": record.rows,
+    }
+
+
+@click.group()
+def main() -> None:
+    """Measure how costs grow with the fleet, and compute its capacity page."""
+
+
+@main.command()
+@click.option("--quick", is_flag=True, help="Small sizes, one round: for CI.")
+@click.option("--rounds", default=3, show_default=True, help="Of each CPU time; the median counts.")
+@click.option("--seed", default=7, show_default=True)
+@click.option("--record", "name", default="", help="Keep the result as bench/records/NAME.json.")
+@click.option("--json", "_", is_flag=True)
+def slopes(quick: bool, rounds: int, seed: int, name: str, _: bool) -> None:
+    """Costs of each mechanism at several sizes, fitted."""
+    from bench.scale.run import measure
+
+    command = "python -m bench.scale slopes" + " --quick" * quick
+    record = measure(Meter(quick, 1 if quick else rounds, seed), command)
+    if name:
+        write(FOLDER / f"{name}.json", record)
+    told(summary(record))
+
+
+@main.command()
+@click.option("--check", is_flag=True, help="Fail where the page is not what the records give; write nothing.")
+@click.option("--json", "_", is_flag=True)
+def capacity(check: bool, _: bool) -> None:
+    """Writes the tables of docs/CAPACITY.md."""
+    try:
+        known = Known()
+        new = page.generated(page.PAGE.read_text(), known)
+    except Unusable as problem:
+        raise click.ClickException(str(problem)) from None
+    same = new == page.PAGE.read_text()
+    if not check:
+        page.PAGE.write_text(new)
+    told({"records": known.digests, "over": page.over(known), "page_as_records": same})
+    sys.exit(1 if check and not same else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/scale/run.py
@@ -0,0 +1,52 @@
+"""All measurements of slopes in turn, as one record."""
+
+from __future__ import annotations
+
+import gc
+import sys
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+
+from bench.scale import (
+    change_log,
+    connections,
+    deciding,
+    detector,
+    fleet_faults,
+    judgements,
+    leases,
+    lending,
+    settings_file,
+    watching,
+)
+from bench.scale.meter import Meter, reference
+from bench.scale.records import Record, Row
+
+PARTS: dict[str, Callable[[Meter], list[Row]]] = {
+    "detector": detector.rows,
+    "faults": fleet_faults.rows,
+    "leases": leases.rows,
+    "lending": lending.rows,
+    "judgements": judgements.rows,
+    "watching": watching.rows,
+    "deciding": deciding.rows,
+    "connections": connections.rows,
+    "settings": settings_file.rows,
+    "change log": change_log.rows,
+}
+
+
+def measure(meter: Meter, command: str) -> Record:
+    """Every part; says on standard error how long each took."""
+    rows: list[Row] = []
+    gc.disable()  # as a router does
+    for name, part in PARTS.items():
+        began = time.monotonic()
+        rows += part(meter)
+        gc.collect()
+        print(f"{name}: {time.monotonic() - began:.1f} s", file=sys.stderr, flush=True)
+    today = datetime.now(UTC).date().isoformat()
+    return Record(
+        run=command, date=today, seed=meter.seed, rounds=meter.rounds, reference_s=round(reference(), 4), rows=rows
+    )
--- /dev/null
+++ b/bench/scale/tables.py
@@ -0,0 +1,247 @@
+"""The tables of the capacity page, as Markdown."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from bench.scale import design
+from bench.scale.claims import CLAIMS
+from bench.scale.design import Assumption
+from bench.scale.model import KINDS, SITUATIONS, TITLES, Figure, Kind, Mechanism, RoleModel
+from bench.scale.planned_roles import NEEDED, PLANNED
+from bench.scale.records import Known, Measured, Row
+from bench.scale.roles import ROLES, ROUTER_CONTROL
+from wickhinge.decide import SHELF_SIZE
+from wickhinge.store.purged import MOST
+
+ROUTERS = design.ROUTERS
+SLOPES = "slopes"  # the record of today's design; others are of what is to come
+TITLES_OF_KINDS: dict[Kind, str] = {"messages": "messages/s", "bytes": "bytes/s", "cpu": "core", "memory": "memory"}
+EXTRAPOLATED = "\\*"
+
+
+def number(value: float) -> str:
+    """Three digits, thousands apart."""
+    if value == 0:
+        return "0"
+    if abs(value) < 0.001:
+        return f"{value:.2g}"
+    if abs(value) < 100:
+        return f"{value:.3g}"
+    return f"{float(f'{value:.3g}'):,.0f}"
+
+
+def amount(kind: Kind, value: float) -> str:
+    if kind == "cpu":
+        return f"{number(100 * value)}%"
+    return f"{number(value / 1e6)} MB" if kind == "memory" else number(value)
+
+
+def shown(kind: Kind, figure: Figure) -> str:
+    return amount(kind, figure.value) + EXTRAPOLATED * figure.extrapolated if figure.told else "-"
+
+
+def line(cells: Iterable[object]) -> str:
+    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+
+
+def table(heads: list[str], rows: Iterable[Iterable[object]]) -> str:
+    return "\n".join([line(heads), line("---" for _ in heads), *map(line, rows)])
+
+
+def assumptions(all_of_them: Iterable[Assumption]) -> str:
+    return table(
+        ["assumption", "value", "unit", "source"],
+        ([one.name, number(one.value), one.unit or "-", one.source] for one in all_of_them),
+    )
+
+
+def runs(mechanism: Mechanism, known: Known) -> str:
+    names = {name for situation in SITUATIONS for name in mechanism.costs(situation).rows()}
+    return ", ".join(sorted({known.sources[name] for name in names}))
+
+
+def mechanisms(role: RoleModel, known: Known) -> str:
+    """By mechanism, where it differs between situations a line each."""
+    rows = []
+    for mechanism in role.mechanisms:
+        for situation in SITUATIONS:
+            if situation != "ordinary" and situation not in mechanism.others:
+                continue
+            costs = mechanism.costs(situation)
+            figures = [shown(kind, costs.figure(kind, known)) for kind in KINDS]
+            told = [mechanism.state, mechanism.carried_by, mechanism.bound] if situation == "ordinary" else [""] * 3
+            rows.append([mechanism.name, TITLES[situation], *told, *figures, runs(mechanism, known)])
+    heads = ["mechanism", "when", "state", "carried by", "bound when it hears nothing"]
+    return table([*heads, *TITLES_OF_KINDS.values(), "run"], rows)
+
+
+def total(role: RoleModel, situation: str, kind: Kind, known: Known) -> str:
+    text = shown(kind, role.total(situation, kind, known))
+    return f"**OVER** {text}" if role.over(situation, kind, known) else text
+
+
+def totals(role: RoleModel, known: Known) -> str:
+    rows = [
+        [
+            TITLES_OF_KINDS[kind],
+            amount(kind, role.allowed[kind]) if kind in role.allowed else "-",
+            *(total(role, situation, kind, known) for situation in SITUATIONS),
+        ]
+        for kind in KINDS
+    ]
+    return table(["computed, all mechanisms", "allowed", *(TITLES[one] for one in SITUATIONS)], rows)
+
+
+def role_tables(role: RoleModel, known: Known) -> str:
+    return f"### {role.title}\n\n{totals(role, known)}\n\n{mechanisms(role, known)}"
+
+
+def roles(known: Known) -> str:
+    return "\n\n".join(role_tables(role, known) for role in ROLES)
+
+
+def over(known: Known) -> list[str]:
+    """What is over its allowance, as "role: situation: kind"."""
+    return [
+        f"{role.title}: {TITLES[situation]}: {kind}"
+        for role in (*ROLES, *PLANNED)
+        for situation in SITUATIONS
+        for kind in KINDS
+        if role.over(situation, kind, known)
+    ]
+
+
+def fitted(one: Row) -> str:
+    if one.model == "power":
+        return f"{number(one.offset)} x ^ {number(one.slope)}"
+    return f"{number(one.offset)} + {number(one.slope)} x"
+
+
+def slope_row(one: Row, known: Known) -> list[str]:
+    points = ", ".join(f"{size:g}: {value:.4g}" for size, value in zip(one.sizes, one.values, strict=True))
+    at_design = "-"
+    if one.axis == "routers":
+        at_design = number(one.at(ROUTERS)) + EXTRAPOLATED * one.extrapolated(ROUTERS)
+    source = f"{one.played}, {known.sources[one.name]}"
+    return [
+        f"`{one.name}`",
+        one.axis,
+        points,
+        one.unit,
+        fitted(one),
+        f"{one.residual:.3f}",
+        at_design,
+        source,
+        one.method,
+    ]
+
+
+HEADS = ["row", "x", "measured", "unit", "fit", "residual", "at 1,600 routers", "how, run", "method"]
+
+
+def slopes(known: Known) -> str:
+    return table(HEADS, (slope_row(one, known) for one in known.rows.values() if known.sources[one.name] == SLOPES))
+
+
+def planned(known: Known) -> str:
+    """What other runs recorded of the mechanisms that are to replace the flat ones."""
+    rows = [one for one in known.rows.values() if known.sources[one.name] != SLOPES]
+    figures = [(name, one) for name, record in known.records.items() for one in record.figures]
+    parts = [role_tables(role, known) for role in PLANNED] if NEEDED in known.rows else []
+    if rows:
+        parts.append(table(HEADS, (slope_row(one, known) for one in rows)))
+    if figures:
+        heads = ["role", "mechanism", "resource", "when", "size", "figure", "unit", "how, run", "method"]
+        parts.append(table(heads, (figure_row(name, one) for name, one in figures)))
+    return "\n\n".join(parts) or "No record holds rows of relays or of control machines with the change log yet."
+
+
+def figure_row(record: str, one: Measured) -> list[str]:
+    size, source = f"{one.size:g} {one.axis}", f"{one.played}, {record}"
+    value = number(one.value)
+    return [one.role, one.mechanism, one.resource, one.situation, size, value, one.unit, source, one.method]
+
+
+def claims(known: Known) -> str:
+    rows = []
+    for one in CLAIMS:
+        measured = number(one.measured(known)) + EXTRAPOLATED * one.extrapolated(known)
+        rows.append([one.what, one.before, measured, one.unit, f"`{one.row}`"])
+    return table(["matter", "known before", "measured", "unit", "row"], rows)
+
+
+def records(known: Known) -> str:
+    heads = ["record", "run", "date", "seed", "rounds", "reference s", "rows", "BLAKE2b"]
+    return table(heads, (record_row(name, known) for name in known.records))
+
+
+def record_row(name: str, known: Known) -> list[object]:
+    one = known.records[name]
+    told = [one.run, one.date, one.seed, one.rounds, one.reference_s, len(one.rows) + len(one.figures)]
+    return [f"`{name}.json`", *told, known.digests[name]]
+
+
+def at_design(known: Known, name: str) -> str:
+    one = known[name]
+    return number(one.at(ROUTERS)) + EXTRAPOLATED * one.extrapolated(ROUTERS)
+
+
+def cannot(known: Known) -> str:
+    """Five lines, worst first."""
+    lines = (lending_ends, leases_last, rosters_of_all, one_service, a_routers_part)
+    return "\n".join(f"{place}. {one(known)}" for place, one in enumerate(lines, 1))
+
+
+def lending_ends(known: Known) -> str:
+    left = at_design(known, "router.lending_usable.share")
+    few = known["router.lending_used.share"]
+    used = ", ".join(f"{number(value)} by {size:g}" for size, value in zip(few.sizes, few.values, strict=True))
+    return (
+        f"Budgets: of one of 120 pieces in 3 s, routers used {used}; {left} is left for {ROUTERS:,} processes that may"
+        " each spend a piece at once."
+    )
+
+
+def leases_last(known: Known) -> str:
+    term, new, joint = (at_design(known, f"router.name_lease_{one}.time") for one in ("term", "new", "joint"))
+    restart = known["router.name_lease_restart.time"].at(ROUTERS)
+    without_share = restart * design.RESTARTS_A_DAY / design.DAY
+    return (
+        f"Name leases: a term lasts {term} s; a new name waits {new} s for its share, a restarted process"
+        f" {number(restart)} s ({design.RESTARTS_A_DAY} restarts a day: {number(without_share)} routers without one at"
+        f" any time), all of them after a joint start {joint} s."
+    )
+
+
+def rosters_of_all(known: Known) -> str:
+    heard = at_design(known, "router.joint_start.state")
+    join, reunion, death = (at_design(known, f"router.{one}.time") for one in ("join", "reunion", "death"))
+    return (
+        f"Rosters of all: 15 s after a joint start a router has heard {heard} of {ROUTERS - 1:,} others; one that joins"
+        f" needs {join} s for nine tenths; halves that meet again need {reunion} s; a death is known after {death} s"
+        " (99th percentile)."
+    )
+
+
+def one_service(known: Known) -> str:
+    messages, cores = (at_design(known, f"list_service.watch.{one}") for one in ("messages", "cpu"))
+    settings = number(known["control.settings.bytes"].at(ROUTERS) / 1e6)
+    return (
+        f"One service that all watch: {messages} messages a second out of one process, {cores} cores for its sends"
+        f" alone; settings as whole files: {settings} MB a second, and no router knows that it missed one."
+    )
+
+
+def a_routers_part(known: Known) -> str:
+    cpu, sent = (ROUTER_CONTROL.total("ordinary", kind, known).value for kind in ("cpu", "bytes"))
+    purges = known["router.purges_lasting.memory"]
+    lasting, kept = purges.at(design.PURGES * design.DAY), amount("memory", purges.at(MOST))
+    k_memory = amount("memory", known["router.k.memory"].at(SHELF_SIZE))
+    return (
+        f"A router's control takes {amount('cpu', cpu)} of a core (allowed {amount('cpu', design.ALLOWED_CPU)}) and"
+        f" {number(sent)} bytes a second (allowed {design.ALLOWED_BYTES:,}); a day's purges that outlast copies"
+        f" {amount('memory', lasting)}{EXTRAPOLATED} (allowed {amount('memory', design.ALLOWED_MEMORY)};"
+        f" {MOST:,} are kept, {MOST / design.PURGES / 60:.0f} minutes' worth, for {kept}, then copies are dropped);"
+        f" k is known of {SHELF_SIZE:,} of {design.OBJECTS / 1e6:g} million objects, for {k_memory}."
+    )
