bench.scale: how far counts and words of machines spread while they count

Need: the time until others know was measured for the detector alone, not for counts and judgements.

Change: a zone's routers with their counts, and one witness of a lost parent, in virtual time; tests of both and of the played tree of the change log.

--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -18,6 +18,7 @@
     leases,
     lending,
     settings_file,
+    spread,
     watching,
 )
 from bench.scale.meter import Meter, reference
@@ -29,6 +30,7 @@
     "leases": leases.rows,
     "lending": lending.rows,
     "judgements": judgements.rows,
+    "spread": spread.rows,
     "watching": watching.rows,
     "deciding": deciding.rows,
     "connections": connections.rows,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,7 +9,8 @@
 import msgspec
 import pytest
 
-from bench.scale import fits, leases, lending
+from bench.scale import fits, leases, lending, spread
+from bench.scale.change_log import RELAYS, Tree, counted
 from bench.scale.one_router import OneRouter
 from bench.scale.records import Known, Record, Unusable, parse, row, write
 
@@ -118,6 +119,21 @@
     assert limiter.leases.until(router.now) > router.now
 
 
+def test_followers_of_the_played_tree_have_all_and_are_informed():
+    tree = Tree(3, 27.0, 7)
+    tree.run(5.0)
+    followers = [process.machine for name, process in tree.processes.items() if name.startswith("router")]
+    assert len(followers) == 6 and {one.source for one in followers} == set(RELAYS)
+    assert all(one.number >= tree.log.last - 27 and not one.uninformed(tree.now) for one in followers)
+    messages, size, _ = counted(tree, RELAYS[0], 5.0)
+    assert 25 < messages < 40 and 100 < size / messages < 200  # 3 that follow, 3 that watch, its replica
+
+
+def test_counts_and_words_reach_a_smaller_share_of_more_routers():
+    assert spread.Zone(4, 7).run() == 1.0 > spread.Zone(62, 7).run()
+    assert spread.words_heard(50, 7) > 4 * spread.words_heard(400, 7)
+
+
 def test_the_quick_slopes_end_with_their_json():
     began = time.monotonic()
     command = [sys.executable, "-m", "bench.scale", "slopes", "--quick", "--json"]
