Change log tests: the router is uninformed before its way is mended and it is waited for to be informed

One of three runs failed where the command was quick: the cut had ended before the bound, and no event came.

--- a/tests/test_changelog_control.py
+++ b/tests/test_changelog_control.py
@@ -153,4 +153,5 @@
     cut_off(fleet, ROUTER, RELAYS, inward=True, outward=False)
     code, told = fleet.command("append-purge", "00000000000000ce", "--timeout", "1")
     assert (code, "router n1 lacks it" in told) == (1, True)
+    fleet.event("uninformed")
     heal(fleet)
