bench.scale fleet: the change log and the present design on sockets, with faults

The design for 1,600 routers was made on paper figures: what replicas, relays and routers do as processes was not measured.

python -m bench.scale fleet starts 5 replicas, 6 relays, a stand-in of the list service, real routers and hollow routers (100 to a process, the product's follower, codec and socket each), proposes purges and settings from outside, cuts a region off, stops and kills processes, and compares what each router reports with what was proposed. Then the same for the flat watch by TCP. Every process is ended by its id, also at SIGINT, SIGTERM and an exception.

--- /dev/null
+++ b/bench/scale/fleet_flat.py
@@ -0,0 +1,164 @@
+"""The present design: hollow routers that each watch one service by TCP.
+
+    python -m bench.scale.fleet_flat PLAN PLACE    hollow routers, on the router's own `net.journal`
+
+A region's cut is played at the routers: its connections stand still, and no new one comes up, until the reunion. A
+setting is a list change of one machine. Headers: 20 bytes of IP, 32 of TCP with time stamps, each segment either way as
+the kernel counted it.
+"""
+
+from __future__ import annotations
+
+import socket
+import sys
+import time
+from pathlib import Path
+from struct import Struct
+from typing import Any
+
+from bench.scale.fleet_hollow import READY
+from bench.scale.fleet_network import Network, is_cut
+from bench.scale.fleet_recorder import Recorder
+from bench.scale.fleet_records import SAMPLE_S, Plan, Router, read, write
+from wickhinge.net.deadlines import Deadlines
+from wickhinge.net.journal import Journal, Reading
+
+CONNECT_WITHIN_S = 0.4
+IP_AND_TCP = 52  # bytes of a segment's headers
+HANDSHAKE_SEGMENTS = 3
+SERVICE_REGION = 0
+TCP_INFO_BYTES = 144
+RECEIVED_AND_SEGMENTS = Struct("=QII")  # of struct tcp_info: tcpi_bytes_received, tcpi_segs_out, tcpi_segs_in
+RECEIVED_AT = 128
+
+
+class TcpTotals:
+    """Messages and bytes of a connection, as the kernel counts them."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        received, segments_out, segments_in = RECEIVED_AND_SEGMENTS.unpack_from(info, RECEIVED_AT)
+        self.bytes = received + IP_AND_TCP * (segments_out + segments_in)
+
+
+class CutJournal(Journal):
+    """A journal whose connection stands still, and does not come up again, while `cut()`."""
+
+    def __init__(self, *arguments: Any, group: FlatGroup, router: Router) -> None:
+        super().__init__(*arguments)
+        self._group, self._router = group, router
+        self.frames = self.connections = 0
+        self._former_bytes = 0  # of connections that ended
+
+    def cut(self) -> bool:
+        schedule = self._group.network.schedule
+        if schedule is None:
+            return False
+        return is_cut(schedule.cuts, SERVICE_REGION, self._router.region, time.monotonic())
+
+    def start(self, after: int | None = None) -> None:
+        if not self.cut():
+            super().start(after)
+            return
+        if after in (None, self.round):
+            self.round += 1
+            self.deadlines.after(CONNECT_WITHIN_S, self.again, "no answer", self.round)
+
+    def connected(self, reading: Reading, told: int) -> None:
+        super().connected(reading, told)
+        self.connections += 1
+
+    def drop(self, reading: Reading, why: str) -> None:
+        self._count_ended(reading)
+        super().drop(reading, why)
+
+    def read(self, reading: Reading, data: bytes) -> None:
+        if self.cut():
+            reading.transport.pauseProducing()
+            return
+        super().read(reading, data)
+
+    def frame(self, number: int, kind: int, payload: bytes) -> None:
+        self.frames += 1
+        super().frame(number, kind, payload)
+
+    def bytes_so_far(self) -> int:
+        return self._former_bytes + (0 if self.reading is None else self._bytes_of(self.reading))
+
+    def _count_ended(self, reading: Reading) -> None:
+        self._former_bytes += self._bytes_of(reading)
+
+    def _bytes_of(self, reading: Reading) -> int:
+        try:
+            return TcpTotals(reading.transport.getHandle()).bytes
+        except OSError:
+            return 0
+
+
+class FlatGroup:
+    """The routers of one process, sampled every SAMPLE_S until the schedule's end."""
+
+    def __init__(self, plan: Plan, place: int, reactor: Any) -> None:
+        self._plan, self._reactor = plan, reactor
+        self.network = Network(plan)
+        self._path = Path(plan.folder) / f"flat-{place}.json"
+        self._recorder = Recorder(plan.groups[place])
+        self._began = [False] * len(plan.groups[place])
+        deadlines = Deadlines(reactor, lambda text: print(text, file=sys.stderr))
+        self._journals = [self._journal(number, one, deadlines) for number, one in enumerate(plan.groups[place])]
+        self._ready = False
+
+    def _journal(self, place: int, router: Router, deadlines: Deadlines) -> CutJournal:
+        def told_list(whole: bool, machines: list[tuple[int, ...]]) -> None:
+            self._recorder.applied(place, journal.last + 1, -machines[0][0], time.monotonic())
+
+        def told_purge(key: int | None, group: int, stamp_ms: int) -> None:
+            self._recorder.applied(place, journal.last + 1, key, time.monotonic())
+
+        journal = CutJournal(
+            self._reactor,
+            deadlines,
+            (self._plan.service_host, self._plan.service_port),
+            0,
+            CONNECT_WITHIN_S,
+            told_list,
+            told_purge,
+            lambda event, **fields: None,
+            group=self,
+            router=router,
+        )
+        return journal
+
+    def start(self) -> None:
+        self.network.watch_for_schedule(self._reactor)
+        for journal in self._journals:
+            journal.start()
+        self._sample()
+
+    def _sample(self) -> None:
+        now, schedule = time.monotonic(), self.network.schedule
+        if schedule is not None and now >= schedule.end:
+            write(self._path, self._recorder.report(0, 0))
+            self._reactor.stop()
+            return
+        self._reactor.callLater(SAMPLE_S, self._sample)
+        if not self._ready and all(journal.reading is not None for journal in self._journals):
+            self._ready = True
+            print(READY, flush=True)
+        if schedule is not None:
+            messages = [journal.frames + journal.connections for journal in self._journals]
+            sizes = [journal.bytes_so_far() for journal in self._journals]
+            # The present design sets no limit where it has heard nothing for long: any copy passes.
+            self._recorder.sample(now, [None] * len(sizes), messages, sizes)
+
+
+def main() -> None:
+    from twisted.internet import reactor
+
+    group = FlatGroup(read(Path(sys.argv[1]), Plan), int(sys.argv[2]), reactor)
+    reactor.callWhenRunning(group.start)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/scale/fleet_judge.py
@@ -0,0 +1,187 @@
+"""What the hollow routers reported against what the proposer knows: delay, completeness, order, stale copies.
+
+A change asked for while routers were cut off, or so shortly before that it was still on its way, counts for them from
+the moment of their reunion.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from bench.scale.fleet_records import Change, Cut, HollowReport, Vouched, ZoneTimes
+
+PURGE_BOUND_S, SETTING_BOUND_S = 3.1, 7.0
+BIN_S = 1.0
+PEAK_WITHIN_S = 6.0
+
+
+class Pause(msgspec.Struct, frozen=True):
+    """The hollow process at `group` stood still."""
+
+    group: int
+    since: float
+    until: float
+
+
+class Delays(msgspec.Struct):
+    """Seconds from asking to the last router, of purges and of settings, and how many there were."""
+
+    purge_max_s: float = 0.0
+    config_max_s: float = 0.0
+    purges: int = 0
+    settings: int = 0
+
+    def add(self, identity: int, delay_s: float) -> None:
+        if identity >= 0:
+            self.purge_max_s = max(self.purge_max_s, delay_s)
+        else:
+            self.config_max_s = max(self.config_max_s, delay_s)
+
+
+class Verdict(msgspec.Struct):
+    """`stale_served`: times that a router would have let a copy pass that a purge, over its grace, had voided.
+    `unequal`: routers whose changes at the end differ from the others'."""
+
+    quiet: Delays
+    faults: Delays
+    missed: int
+    out_of_order: int
+    stale_served: int
+    stale_seen: int  # samples that were judged
+    unequal: int
+    late_resets: int
+    sample_late_max_s: float
+
+
+class Judge:
+    def __init__(
+        self, truth: list[Change], cuts: list[Cut], pauses: list[Pause], quiet_until: float, grace_s: float
+    ) -> None:
+        self._truth = sorted(truth, key=lambda change: change.number)
+        self._cuts, self._pauses = cuts, pauses
+        self._quiet_until, self._grace_s = quiet_until, grace_s
+        self._earliest = self._earliest_after()
+
+    def verdict(self, reports: list[HollowReport]) -> Verdict:
+        found = Verdict(Delays(), Delays(), 0, 0, 0, 0, 0, 0, 0.0)
+        for change in self._truth:
+            delays = self._phase(found, change)
+            delays.purges += change.identity >= 0
+            delays.settings += change.identity < 0
+        for group, report in enumerate(reports):
+            self._judge_report(found, group, report)
+        digests = [digest for report in reports for digest in report.digests]
+        found.unequal = len(digests) - max(digests.count(digest) for digest in set(digests)) if digests else 0
+        return found
+
+    def _phase(self, found: Verdict, change: Change) -> Delays:
+        return found.quiet if change.asked < self._quiet_until else found.faults
+
+    def _judge_report(self, found: Verdict, group: int, report: HollowReport) -> None:
+        found.missed += report.missed
+        found.out_of_order += report.out_of_order + report.different
+        found.late_resets += report.late_resets
+        found.sample_late_max_s = max(found.sample_late_max_s, report.late_max_s)
+        for change in self._truth:
+            found.out_of_order += report.changes.get(change.number, change.identity) != change.identity
+            for zone in report.zones:
+                found.missed += zone.routers - zone.counts.get(change.number, 0)
+                if change.number in zone.latest:
+                    delay_s = zone.latest[change.number] - self._counts_from(change, group, zone)
+                    self._phase(found, change).add(change.identity, delay_s)
+        found.stale_seen += len(report.vouched)
+        found.stale_served += sum(one.routers for one in report.vouched if self._stale(one))
+
+    def _counts_from(self, change: Change, group: int, zone: ZoneTimes) -> float:
+        bound_s = PURGE_BOUND_S if change.identity >= 0 else SETTING_BOUND_S
+        times = [change.asked]
+        times += [cut.until for cut in self._cuts if cut.region == zone.region and within(cut, change, bound_s)]
+        times += [one.until for one in self._pauses if one.group == group and within(one, change, bound_s)]
+        return max(times)
+
+    def _earliest_after(self) -> dict[int, float]:
+        """By the number after which a router stands: when the earliest purge that it lacks was stamped."""
+        earliest, found = float("inf"), {}
+        for change in reversed(self._truth):
+            found[change.number] = earliest
+            if change.identity >= 0:
+                earliest = min(earliest, change.stamped)
+        self._before_all = earliest
+        return found
+
+    def _stale(self, one: Vouched) -> bool:
+        known = self._truth[self._place(one.number) - 1].number if self._place(one.number) else None
+        stamped = self._before_all if known is None else self._earliest[known]
+        if one.time - stamped < self._grace_s:
+            return False
+        if one.limit is None:
+            return True
+        lacking = self._truth[self._place(one.number) :]
+        ages = [one.time - change.stamped for change in lacking if change.identity >= 0]
+        return any(self._grace_s <= age <= one.limit for age in ages)
+
+    def _place(self, number: int) -> int:
+        """How many changes have numbers up to this one."""
+        low, high = 0, len(self._truth)
+        while low < high:
+            middle = (low + high) // 2
+            if self._truth[middle].number <= number:
+                low = middle + 1
+            else:
+                high = middle
+        return low
+
+
+def within(fault: Cut | Pause, change: Change, bound_s: float) -> bool:
+    return fault.since - bound_s <= change.asked < fault.until
+
+
+class MessageRate(msgspec.Struct):
+    """Messages a second of all hollow routers: in the quiet time, and at most in a second after the reunion."""
+
+    ordinary: float
+    peak: float
+
+    @property
+    def ratio(self) -> float | None:
+        return round(self.peak / self.ordinary, 2) if self.ordinary else None
+
+
+def message_rate(
+    reports: list[HollowReport], start: float, quiet_until: float, reunion: float, region: int | None = None
+) -> MessageRate:
+    """Of one region's routers, or of all."""
+    bins: dict[int, int] = {}
+    for report in reports:
+        wanted = [zone.zone for zone in report.zones if region in (None, zone.region)]
+        for zone in wanted:
+            samples = report.traffic[zone]
+            for former, sample in zip(samples, samples[1:], strict=False):
+                place = int((sample.time - start) / BIN_S)
+                bins[place] = bins.get(place, 0) + sample.messages - former.messages
+    quiet = [bins.get(place, 0) for place in range(1, int((quiet_until - start) / BIN_S))]
+    first = int((reunion - start) / BIN_S)
+    after = [bins.get(place, 0) for place in range(first, first + int(PEAK_WITHIN_S / BIN_S))]
+    ordinary = sum(quiet) / len(quiet) / BIN_S if quiet else 0.0
+    return MessageRate(ordinary, max(after) / BIN_S)
+
+
+class ByteRate(msgspec.Struct):
+    """Bytes a second of a hollow router with headers: the mean, and the worst router's worst 10 s."""
+
+    mean: float
+    worst: float
+
+
+def byte_rate(reports: list[HollowReport], since: float, until: float, span_s: float) -> ByteRate:
+    """Between two times; the worst span counts where it lies whole between them."""
+    total, router_seconds, worst = 0.0, 0.0, 0
+    for report in reports:
+        for zone in report.zones:
+            samples = [one for one in report.traffic[zone.zone] if since <= one.time <= until]
+            if len(samples) < 2:
+                continue
+            total += samples[-1].bytes - samples[0].bytes
+            router_seconds += (samples[-1].time - samples[0].time) * zone.routers
+            worst = max([worst, *(one.worst for one in samples if one.time >= since + span_s)])
+    return ByteRate(round(total / router_seconds, 1) if router_seconds else 0.0, round(worst / span_s, 1))
--- /dev/null
+++ b/bench/scale/fleet_launch.py
@@ -0,0 +1,24 @@
+"""A replica or relay behind the stand-in for the network: python -m bench.scale.fleet_launch PLAN replica ..."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from bench.scale.fleet_network import Network, install
+from bench.scale.fleet_records import Plan, read
+
+
+def main() -> None:
+    from twisted.internet import reactor
+
+    from wickhinge.cli import main as command_line
+
+    network = Network(read(Path(sys.argv[1]), Plan))
+    install(network)
+    network.watch_for_schedule(reactor)
+    command_line(["changelog", *sys.argv[2:]])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/scale/fleet_processes.py
@@ -0,0 +1,117 @@
+"""Processes of the fleet run: started, waited for, measured, and each ended by its own id, however the run ends.
+
+The kernel ends them, too, where the run itself is killed.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from types import FrameType, TracebackType
+
+ROOT = Path(__file__).parent.parent.parent
+START_WITHIN_S = 60.0
+POLL_S = 0.05
+MOST_PROCESSES = 60
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+
+
+class NotStarted(Exception):
+    """A process ended, or did not say in time that it was ready; the text names it and its last lines."""
+
+
+def end_with_parent() -> None:
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def interrupted(number: int, frame: FrameType | None) -> None:
+    raise KeyboardInterrupt
+
+
+class Processes:
+    """A context manager. `folder`: for their output, a file each. From __enter__ on SIGTERM is like SIGINT: an
+    exception, so that all are ended. To be used by the main thread."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._children: list[subprocess.Popen[bytes]] = []
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.most = 0
+
+    def __enter__(self) -> Processes:
+        self._former = signal.signal(signal.SIGTERM, interrupted)
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, value: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.end_all()
+        signal.signal(signal.SIGTERM, self._former)
+
+    def start(self, name: str, *words: str, environment: dict[str, str] | None = None) -> None:
+        """`python WORDS`; of an earlier process of that name the output is kept."""
+        alive = sum(child.poll() is None for child in self.running.values()) + 1
+        if alive > MOST_PROCESSES:
+            raise NotStarted(f"{name}: would be process {alive} of {MOST_PROCESSES}")
+        self.most = max(self.most, alive)
+        with open(self.output(name), "ab") as output:
+            child = subprocess.Popen(
+                [sys.executable, *words],
+                cwd=ROOT,
+                env={**os.environ, **(environment or {})},
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                preexec_fn=end_with_parent,
+            )
+        self._children.append(child)
+        self.running[name] = child
+
+    def output(self, name: str) -> Path:
+        return self._folder / f"{name}.log"
+
+    def wait_for(self, names: list[str], word: bytes) -> None:
+        """Until the output of each holds the word. Raises NotStarted."""
+        deadline = time.monotonic() + START_WITHIN_S
+        for name in names:
+            while word not in (text := self.output(name).read_bytes()):
+                if self.running[name].poll() is not None or time.monotonic() > deadline:
+                    raise NotStarted(f"{name}: {text[-600:].decode(errors='replace')}")
+                time.sleep(POLL_S)
+
+    def wait_for_end(self, names: list[str], within_s: float) -> None:
+        """Raises NotStarted where one does not end by itself."""
+        deadline = time.monotonic() + within_s
+        for name in names:
+            try:
+                code = self.running[name].wait(max(deadline - time.monotonic(), POLL_S))
+            except subprocess.TimeoutExpired:
+                code = -1
+            if code != 0:
+                raise NotStarted(f"{name}: ended with {code}: {self.output(name).read_text()[-600:]}")
+            del self.running[name]
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self.running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        child = self.running.pop(name)
+        child.kill()
+        child.wait()
+
+    def pids(self) -> dict[str, int]:
+        return {name: child.pid for name, child in self.running.items() if child.poll() is None}
+
+    def end_all(self) -> None:
+        for child in self._children:
+            if child.poll() is None:
+                child.kill()
+        for child in self._children:
+            child.wait()
+        self.running.clear()
--- /dev/null
+++ b/bench/scale/fleet_real.py
@@ -0,0 +1,100 @@
+"""Real routers of the fleet run: `python -m wickhinge`, seen from outside by their log lines and by the kernel."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+from pathlib import Path
+
+import msgspec
+import orjson
+
+from bench.scale.fleet_judge import Delays
+from bench.scale.fleet_layout import PORT, REAL_REGION, address, relay_order
+from bench.scale.fleet_processes import ROOT, Processes
+from bench.scale.fleet_records import Change, Plan
+
+LISTEN_BLOCK = "127.91.1"
+FIRST_PLACE = 100
+OPEN = b'"event":"open"'
+
+
+def free_port(host: str) -> int:
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+def write_configuration(folder: Path, name: str, place: int, service: str) -> Path:
+    host = f"{LISTEN_BLOCK}.{place + 1}"
+    configuration = json.loads((ROOT / "example/config.json").read_text())
+    configuration |= {"listen": f"{host}:{free_port(host)}", "journal": service, "name": name}
+    path = folder / f"{name}.json"
+    path.write_text(json.dumps(configuration))
+    return path
+
+
+def write_options(folder: Path, plan: Plan, name: str, place: int) -> Path:
+    known = {relay.name: relay for relay in plan.relays}
+    relays = [known[relay] for relay in relay_order(REAL_REGION)]
+    listed = ", ".join(f'{{name: "{one.name}", address: "{one.host}:{one.port}"}}' for one in relays)
+    bind = f"{address(REAL_REGION, FIRST_PLACE + place)}:{PORT}"
+    path = folder / f"{name}.cue"
+    path.write_text(
+        f'changelog: {{mode: "on", key_file: "{folder}/key", bind: "{bind}", grace_s: {plan.grace_s}\n'
+        f"relays: [{listed}]}}\n"
+    )
+    return path
+
+
+def start(processes: Processes, folder: Path, plan: Plan, name: str, place: int, with_log: bool) -> None:
+    """A router that follows the change log, or one that knows nothing of it. Returns before it is open."""
+    service = f"{plan.service_host}:{plan.service_port}"
+    environment = {"RELAY_CONFIG": str(write_configuration(folder, name, place, service))}
+    if with_log:
+        environment["WICKHINGE_OPTIONS"] = str(write_options(folder, plan, name, place))
+    processes.start(name, "-m", "wickhinge", environment=environment)
+
+
+class RealVerdict(msgspec.Struct):
+    quiet: Delays
+    faults: Delays
+    missed: int = 0
+    out_of_order: int = 0
+    faults_logged: int = 0
+
+
+def purges_of(output: Path, ahead_s: float) -> tuple[dict[int, float], int]:
+    """By key the time at which the router had the purge, in their order, and how many faults it logged. Of a purge that
+    is in the log twice, as its proposer had no answer to the first, the later one counts."""
+    times: dict[int, float] = {}
+    faults = 0
+    for line in output.read_bytes().splitlines():
+        faults += b'"event":"fault"' in line or line.startswith(b"Traceback")
+        if b'"event":"purge"' not in line:
+            continue
+        event = orjson.loads(line)
+        key = int(event["key"], 16)
+        times.pop(key, None)
+        times[key] = event["t"] - ahead_s
+    return times, faults
+
+
+def judge(outputs: list[Path], truth: list[Change], quiet_until: float) -> RealVerdict:
+    """Purges alone: a router's log tells of settings, too, but not of each one's value."""
+    found = RealVerdict(Delays(), Delays())
+    ahead_s = time.time() - time.monotonic()
+    purges = sorted((change for change in truth if change.identity >= 0), key=lambda change: change.number)
+    wanted = [change.identity for change in purges]
+    for output in outputs:
+        times, faults = purges_of(output, ahead_s)
+        found.faults_logged += faults
+        found.missed += sum(change.identity not in times for change in purges)
+        had = [key for key in wanted if key in times]
+        found.out_of_order += sum(one != other for one, other in zip(times, had, strict=False))
+        for change in purges:
+            if change.identity in times:
+                delays = found.quiet if change.asked < quiet_until else found.faults
+                delays.add(change.identity, times[change.identity] - change.asked)
+    return found
--- /dev/null
+++ b/bench/scale/fleet_recorder.py
@@ -0,0 +1,93 @@
+"""What a hollow process notes about its routers, whichever design they follow: order, times, what they would vouch for.
+
+Numbers are to come once each and in order, from the first one a router had. What the truth was, the driver knows.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from zlib import crc32
+
+from bench.scale.fleet_records import SAMPLE_S, WORST_SPAN_S, HollowReport, Router, Traffic, Vouched, ZoneTimes
+
+SAMPLES_A_SPAN = int(WORST_SPAN_S / SAMPLE_S)
+
+
+class Recorder:
+    def __init__(self, routers: list[Router]) -> None:
+        self._routers = routers
+        self._zones: dict[int, ZoneTimes] = {}
+        for one in routers:
+            self._zones.setdefault(one.zone, ZoneTimes(one.zone, one.region, 0)).routers += 1
+        self._last = [0] * len(routers)
+        self._digests = [0] * len(routers)  # over the run's changes in the order in which they were applied
+        self._changes: dict[int, int] = {}
+        self._out_of_order = self._different = self._missed = self._late_resets = 0
+        self._vouched: list[Vouched] = []
+        self._traffic: dict[int, list[Traffic]] = {zone: [] for zone in self._zones}
+        self._recent: list[deque[int]] = [deque(maxlen=SAMPLES_A_SPAN + 1) for _ in routers]
+        self._sampled_at = 0.0
+        self.late_max_s = 0.0  # of a sample: how busy the process, or the machine, was
+
+    def began(self, place: int, number: int) -> None:
+        """The router's first state holds all up to `number`."""
+        self._last[place] = number
+
+    def applied(self, place: int, number: int, identity: int | None, now: float) -> None:
+        """`identity` of the change as in Change; None: of a kind that the run does not propose."""
+        last, self._last[place] = self._last[place], max(number, self._last[place])
+        if number <= last:
+            self._out_of_order += 1
+            return
+        self._missed += number - last - 1
+        if identity is not None and self._changes.setdefault(number, identity) != identity:
+            self._different += 1
+        if identity is not None:
+            self._digests[place] = crc32(f"{number} {identity};".encode(), self._digests[place])
+        zone = self._zones[self._routers[place].zone]
+        zone.latest[number] = now
+        zone.counts[number] = zone.counts.get(number, 0) + 1
+
+    def was_reset(self, place: int, number: int, identities: set[int], now: float) -> None:
+        """A later state replaced the log up to `number`: its purges must hold each one that others had."""
+        self._late_resets += 1
+        for skipped in range(self._last[place] + 1, number + 1):
+            identity = self._changes.get(skipped)
+            if identity is None or (identity >= 0 and identity not in identities):
+                self._missed += 1
+            self.applied(place, skipped, identity, now)
+
+    def sample(self, now: float, limits: list[float | None], messages: list[int], sizes: list[int]) -> None:
+        """Every SAMPLE_S: what each router would let pass, its messages and bytes so far."""
+        if self._sampled_at:
+            self.late_max_s = max(self.late_max_s, now - self._sampled_at - SAMPLE_S)
+        self._sampled_at = now
+        seen = Counter(zip(self._last, limits, strict=True))
+        self._vouched += [Vouched(now, number, limit, count) for (number, limit), count in seen.items()]
+        totals = {zone: [0, 0, 0] for zone in self._zones}
+        for place, router in enumerate(self._routers):
+            recent, total = self._recent[place], totals[router.zone]
+            recent.append(sizes[place])
+            total[0] += messages[place]
+            total[1] += sizes[place]
+            if len(recent) > SAMPLES_A_SPAN:
+                total[2] = max(total[2], recent[-1] - recent[0])
+        for zone, (count, size, worst) in totals.items():
+            self._traffic[zone].append(Traffic(now, count, size, worst))
+
+    def report(self, dropped: int, unsent: int) -> HollowReport:
+        return HollowReport(
+            list(self._zones.values()),
+            self._vouched,
+            self._traffic,
+            self._changes,
+            self._out_of_order,
+            self._different,
+            self._missed,
+            self._late_resets,
+            list(self._last),
+            list(self._digests),
+            dropped,
+            unsent,
+            self.late_max_s,
+        )
--- /dev/null
+++ b/bench/scale/fleet_report.py
@@ -0,0 +1,177 @@
+"""The figures of a fleet run and the checks on them: the last line of `python -m bench.scale fleet`."""
+
+from __future__ import annotations
+
+import statistics
+
+import msgspec
+
+from bench.scale.fleet_flat_run import SERVICE, FlatRun
+from bench.scale.fleet_judge import PURGE_BOUND_S, SETTING_BOUND_S, byte_rate, message_rate
+from bench.scale.fleet_layout import CUT_REGION
+from bench.scale.fleet_log_run import LogRun, Moment
+from bench.scale.fleet_measure import MB, cores
+from bench.scale.fleet_records import WORST_SPAN_S
+
+MOST_CORE_SHARE, MOST_BYTES_PER_S, MOST_MEMORY_MB, MOST_MEMORY_SHARE, MOST_MACHINES = 0.019, 2048.0, 32.0, 0.5, 11
+
+
+class Figures(msgspec.Struct, omit_defaults=False):
+    """Of one design. `_faults`: while faults were played, from reunion for those cut off; without it: before them.
+    Delays are from the first asking, of hollow and real routers, to the last router. Bytes and messages: of a hollow
+    router, both ways, with headers. Core and memory: a real router with the design's control less one without."""
+
+    purge_max_s: float
+    purge_max_faults_s: float
+    config_max_s: float
+    config_max_faults_s: float
+    purges: int
+    settings: int
+    missed: int
+    out_of_order: int
+    unequal: int
+    late_resets: int
+    stale_served: int
+    stale_samples: int
+    control_core_share: float | None
+    control_core_share_worst: float | None
+    control_core_share_faults: float | None
+    hollow_core_share: float
+    control_bytes_per_s: float
+    control_bytes_per_s_worst_10s: float
+    control_bytes_per_s_faults: float
+    control_bytes_per_s_faults_worst_10s: float
+    control_memory_mb: float | None
+    control_memory_part: float | None
+    messages_per_s: float
+    reunion_peak: float | None
+    reunion_peak_region: float | None
+    machines: int
+    processes: int
+    memory_share: float
+    sample_late_max_s: float
+
+
+class RoleFigures(msgspec.Struct):
+    """The worst machine of a role in the quiet time. Bytes, with headers, and messages are both ways."""
+
+    role: str
+    bytes_per_s: float | None
+    messages_per_s: float | None
+    core_share: float
+    memory_mb: float
+
+
+def mean(values: list[float]) -> float:
+    return statistics.fmean(values) if values else 0.0
+
+
+def shares(moments: list[Moment], place: int, prefix: str) -> list[float]:
+    """Parts of a core of the processes whose names begin so, from moment `place` to the next one."""
+    before, after = moments[place].usages, moments[place + 1].usages
+    found = [cores(before, after, name) for name in before if name.startswith(prefix)]
+    return [share for share in found if share is not None]
+
+
+def added(values: list[float], without: list[float]) -> float | None:
+    return round(mean(values) - mean(without), 5) if values and without else None
+
+
+def resident_mb(moment: Moment, prefix: str) -> list[float]:
+    return [one.resident / MB for name, one in moment.usages.items() if name.startswith(prefix)]
+
+
+def figures_of(
+    run: LogRun | FlatRun, real: str, hollow: str, plain: list[Moment], machines: int, routers: int
+) -> Figures:
+    """`real` and `hollow`: how the names of these processes begin. `plain`: moments of a run with routers that have
+    no control, whose names begin with "plain"."""
+    verdict, moments, found = run.verdict, run.moments, run.schedule
+    with_control, without = shares(moments, 0, real), shares(plain, 0, "plain")
+    memory = added(resident_mb(moments[-1], real), resident_mb(plain[-1], "plain"))
+    quiet = byte_rate(run.reports, found.start, found.quiet_until, WORST_SPAN_S)
+    faults = byte_rate(run.reports, found.quiet_until, found.end, WORST_SPAN_S)
+    reunion = found.cuts[0].until
+    everywhere = message_rate(run.reports, found.start, found.quiet_until, reunion)
+    region = message_rate(run.reports, found.start, found.quiet_until, reunion, CUT_REGION)
+    return Figures(
+        purge_max_s=round(max(verdict.quiet.purge_max_s, run.real.quiet.purge_max_s), 3),
+        purge_max_faults_s=round(max(verdict.faults.purge_max_s, run.real.faults.purge_max_s), 3),
+        config_max_s=round(verdict.quiet.config_max_s, 3),
+        config_max_faults_s=round(verdict.faults.config_max_s, 3),
+        purges=verdict.quiet.purges + verdict.faults.purges,
+        settings=verdict.quiet.settings + verdict.faults.settings,
+        missed=verdict.missed + run.real.missed,
+        out_of_order=verdict.out_of_order + run.real.out_of_order,
+        unequal=verdict.unequal,
+        late_resets=verdict.late_resets,
+        stale_served=verdict.stale_served,
+        stale_samples=verdict.stale_seen,
+        control_core_share=added(with_control, without),
+        control_core_share_worst=added([max(with_control, default=0.0)], without),
+        control_core_share_faults=added(shares(moments, 1, real), shares(plain, 1, "plain")),
+        hollow_core_share=round(sum(shares(moments, 0, hollow)) / max(routers, 1), 5),
+        control_bytes_per_s=quiet.mean,
+        control_bytes_per_s_worst_10s=quiet.worst,
+        control_bytes_per_s_faults=faults.mean,
+        control_bytes_per_s_faults_worst_10s=faults.worst,
+        control_memory_mb=memory,
+        control_memory_part=None if memory is None else round(memory / MOST_MEMORY_MB, 3),
+        messages_per_s=round(everywhere.ordinary / max(routers, 1), 2),
+        reunion_peak=everywhere.ratio,
+        reunion_peak_region=region.ratio,
+        machines=machines,
+        processes=run.processes,
+        memory_share=round(run.memory_share, 4),
+        sample_late_max_s=round(verdict.sample_late_max_s, 3),
+    )
+
+
+def failed_checks(figures: Figures) -> list[str]:
+    """Names of the checks of the change log that its figures do not pass."""
+    bounds = [
+        ("purge_max_s", figures.purge_max_s, PURGE_BOUND_S),
+        ("purge_max_faults_s", figures.purge_max_faults_s, PURGE_BOUND_S),
+        ("config_max_s", figures.config_max_s, SETTING_BOUND_S),
+        ("config_max_faults_s", figures.config_max_faults_s, SETTING_BOUND_S),
+        ("missed", figures.missed, 0),
+        ("out_of_order", figures.out_of_order, 0),
+        ("unequal", figures.unequal, 0),
+        ("stale_served", figures.stale_served, 0),
+        ("control_core_share", figures.control_core_share or 0.0, MOST_CORE_SHARE),
+        ("control_bytes_per_s", figures.control_bytes_per_s, MOST_BYTES_PER_S),
+        ("control_bytes_per_s_worst_10s", figures.control_bytes_per_s_worst_10s, MOST_BYTES_PER_S),
+        ("control_memory_mb", figures.control_memory_mb or 0.0, MOST_MEMORY_MB),
+        ("memory_share", figures.memory_share, MOST_MEMORY_SHARE),
+        ("machines", figures.machines, MOST_MACHINES),
+    ]
+    failed = [name for name, value, most in bounds if value > most]
+    return failed + ["nothing was played"] * (figures.purges == 0 or figures.stale_samples == 0)
+
+
+def role_figures(run: LogRun, role: str, prefix: str) -> RoleFigures:
+    """The worst of each figure over the machines of the role."""
+    first, second = run.moments[0], run.moments[1]
+    span_s = second.time - first.time
+    names = [name for name in first.statuses if name in second.statuses and name.startswith(prefix)]
+    moved, messages = [], []
+    for name in names:
+        one, other = first.statuses[name], second.statuses[name]
+        moved.append(other.received_bytes + other.sent_bytes - one.received_bytes - one.sent_bytes)
+        counted = [status.counters.received + status.counters.sent for status in (one, other)]
+        messages.append(counted[1] - counted[0])
+    return RoleFigures(
+        role,
+        round(max(moved, default=0) / span_s, 1),
+        round(max(messages, default=0) / span_s, 1),
+        round(max(shares(run.moments, 0, prefix), default=0.0), 4),
+        round(max(resident_mb(second, prefix), default=0.0), 1),
+    )
+
+
+def service_figures(run: FlatRun) -> RoleFigures:
+    """The one service of the present design; its messages are those of all its watchers."""
+    found = run.schedule
+    messages = message_rate(run.reports, found.start, found.quiet_until, found.cuts[0].until).ordinary
+    core, memory = shares(run.moments, 0, SERVICE), resident_mb(run.moments[1], SERVICE)
+    return RoleFigures("list_service", None, round(messages, 1), round(max(core), 4), round(max(memory), 1))
--- /dev/null
+++ b/bench/scale/fleet_service.py
@@ -0,0 +1,125 @@
+"""The one service of the present design, as a stand-in: python -m bench.scale.fleet_service PLAN
+
+Tells each watcher, over its TCP connection, the events from the number that it names on, and once a second that there
+is nothing more. By the schedule it makes purges and list changes itself and writes when each was made. Without one
+it only keeps its watchers, which are real routers then. The first line of output says that it listens.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.protocol import Factory, Protocol
+
+from bench.scale.fleet_network import Network
+from bench.scale.fleet_records import Change, Plan, read, write
+from wickhinge.net.journal import CHANGES, HEAD, NOTHING, NUMBER, OBJECT, PURGED_OBJECT, RECORD
+
+BEAT_S = 1.0
+TURN_S = 0.005
+TRUTH_FILE = "flat-truth.json"
+BACKLOG = 4096
+NO_ADDRESS = (0, 0, 3, 0, 0, 0, 1000, 0)  # of a machine in a list change: nobody asks it
+
+
+def frame(number: int, kind: int, payload: bytes = b"") -> bytes:
+    return HEAD.pack(HEAD.size - 4 + len(payload), number, kind) + payload
+
+
+class Watcher(Protocol):
+    """One connection: eight bytes name the last number had, then events go out."""
+
+    def __init__(self, service: Service) -> None:
+        self._service, self._asked = service, b""
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:
+        if len(self._asked) < NUMBER.size:
+            self._asked += data
+            if len(self._asked) >= NUMBER.size:
+                self._service.watch(self, NUMBER.unpack(self._asked[: NUMBER.size])[0])
+
+    def connectionLost(self, reason: Any) -> None:
+        self._service.watchers.discard(self)
+
+
+class Service(Factory):
+    noisy = False
+
+    def __init__(self, plan: Plan, reactor: Any) -> None:
+        self._plan, self._reactor, self._network = plan, reactor, Network(plan)
+        self.watchers: set[Watcher] = set()
+        self._frames: list[bytes] = []
+        self._truth: list[Change] = []
+        self._purges = self._settings = 0
+
+    def buildProtocol(self, addr: Any) -> Watcher:
+        return Watcher(self)
+
+    def start(self) -> None:
+        port = self._reactor.listenTCP(
+            self._plan.service_port, self, backlog=BACKLOG, interface=self._plan.service_host
+        )
+        print(port.getHost().port, flush=True)
+        self._network.watch_for_schedule(self._reactor)
+        self._beat()
+        self._turn()
+
+    def watch(self, watcher: Watcher, number: int) -> None:
+        missed = self._frames[number:]
+        watcher.transport.write(b"".join(missed) + frame(len(self._frames), NOTHING))
+        self.watchers.add(watcher)
+
+    def _beat(self) -> None:
+        self._reactor.callLater(BEAT_S, self._beat)
+        self._tell(frame(len(self._frames), NOTHING))
+
+    def _tell(self, data: bytes) -> None:
+        for watcher in self.watchers:
+            watcher.transport.write(data)
+
+    def _turn(self) -> None:
+        """Makes what is due by the schedule."""
+        now, schedule = time.monotonic(), self._network.schedule
+        if schedule is not None and now >= schedule.end:
+            write(Path(self._plan.folder) / TRUTH_FILE, self._truth)
+            self._reactor.stop()
+            return
+        self._reactor.callLater(TURN_S, self._turn)
+        if schedule is None or not schedule.start <= now < schedule.last_change:
+            return
+        elapsed = now - schedule.start
+        if self._purges < elapsed * self._plan.rate_flat:
+            self._purges += 1
+            due = schedule.start + self._purges / self._plan.rate_flat
+            payload = OBJECT.pack(self._purges, int(time.time() * 1000))
+            self._make(PURGED_OBJECT, payload, self._purges, min(due, now))
+        if self._settings < elapsed * self._plan.settings_rate:
+            self._settings += 1
+            self._make(CHANGES, RECORD.pack(self._settings, *NO_ADDRESS), -self._settings, now)
+
+    def _make(self, kind: int, payload: bytes, identity: int, asked: float) -> None:
+        """`asked`: when it was due, so that a service that can't keep up shows it."""
+        number = len(self._frames) + 1
+        data = frame(number, kind, payload)
+        self._frames.append(data)
+        stamped = time.monotonic()
+        self._tell(data)
+        self._truth.append(Change(number, identity, asked, stamped, time.monotonic()))
+
+
+def main() -> None:
+    from twisted.internet import reactor
+
+    service = Service(read(Path(sys.argv[1]), Plan), reactor)
+    reactor.callWhenRunning(service.start)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
