--- a/bench/scale/fleet.py
+++ b/bench/scale/fleet.py
@@ -162,9 +162,9 @@
     began = time.monotonic()
     answer = play(Wanted(routers, real_routers, rate, rate_flat, quick, plant), flat)
     answer["seconds"] = round(time.monotonic() - began, 1)
+    click.echo(msgspec.json.encode(answer).decode())
     if record:
         from bench.scale.fleet_keep import keep
 
         keep(answer)
-    click.echo(msgspec.json.encode(answer).decode())
     raise SystemExit(0 if answer["passed"] else 1)
