bench.scale fleet: stand-ins for caches, and requests that see purges from outside

Cause: real routers had no caches, so their purges were seen by their log lines alone. Change: a process of stand-in machines and a client of each real router; the machine that is asked for a purged object must hear a greatest age. The stand-in of the list service tells the machines as its first event.

--- a/bench/scale/fleet.py
+++ b/bench/scale/fleet.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from bench.scale import fleet_layout
-from bench.scale.fleet_flat_run import FlatFleet, FlatRun, start_service
+from bench.scale.fleet_flat_run import FlatFleet, FlatRun, start_caches, start_service
 from bench.scale.fleet_log_run import ChangeLogFleet, LogRun
 from bench.scale.fleet_measure import load
 from bench.scale.fleet_processes import Processes
@@ -49,7 +49,7 @@
         return QUICK if self.quick else FULL
 
 
-def make_plan(wanted: Wanted, folder: Path) -> Plan:
+def make_plan(wanted: Wanted, folder: Path, caches_port: int) -> Plan:
     block = fleet_layout.block_of(os.getpid())
     return Plan(
         folder=str(folder),
@@ -63,6 +63,7 @@
         plant=wanted.plant,
         service_host=SERVICE_HOST,
         service_port=free_port(SERVICE_HOST),
+        caches_port=caches_port,
         rate_flat=wanted.rate_flat,
         settings_rate=SETTINGS_PER_S,
     )
@@ -72,7 +73,7 @@
     idle = folder / "idle"  # where no schedule comes: the real routers' list service has nothing to tell
     idle.mkdir()
     with Processes(folder) as processes:
-        plan = make_plan(wanted, folder)
+        plan = make_plan(wanted, folder, start_caches(processes, folder))
         write(idle / "plan.json", msgspec.structs.replace(plan, folder=str(idle)))
         start_service(processes, idle / "plan.json")
         fleet = ChangeLogFleet(processes, folder, plan, wanted.real_routers, wanted.rate)
@@ -82,7 +83,8 @@
 
 def run_flat(wanted: Wanted, folder: Path) -> FlatRun:
     with Processes(folder) as processes:
-        fleet = FlatFleet(processes, folder, make_plan(wanted, folder), wanted.real_routers)
+        plan = make_plan(wanted, folder, start_caches(processes, folder))
+        fleet = FlatFleet(processes, folder, plan, wanted.real_routers)
         fleet.start()
         return fleet.play(wanted.timing)
 
@@ -91,18 +93,27 @@
     hollow = wanted.routers - wanted.real_routers
     machines = fleet_layout.REPLICAS + fleet_layout.RELAYS
     figures = figures_of(run, "real", "hollow-process", run.moments, machines, hollow)
-    failed = failed_checks(figures) + ["not appended"] * bool(run.failures) + ["logged"] * bool(run.real.faults_logged)
+    failed = failed_checks(figures) + other_failures(run)
     roles = [role_figures(run, "relay", "relay-"), role_figures(run, "control", "replica-")]
     return {
         **msgspec.to_builtins(figures),
         "acknowledged_max_s": round(run.acknowledged_max_s, 3),
         "not_appended": len(run.failures),
+        "requests": msgspec.to_builtins(run.caches),
         "roles": msgspec.to_builtins(roles),
         "failed": failed,
         "passed": not failed,
     }
 
 
+def other_failures(run: LogRun) -> list[str]:
+    """What is not a figure with a bound."""
+    caches = run.caches
+    found = ["not appended"] * bool(run.failures) + ["logged"] * bool(run.real.faults_logged)
+    found += ["copies of before a purge allowed"] * bool(caches.unlimited + caches.too_loose)
+    return found + ["no request judged"] * (caches.judged == 0) + ["requests failed"] * bool(caches.failed)
+
+
 def flat_answer(wanted: Wanted, run: FlatRun, log: LogRun) -> dict[str, Any]:
     hollow = wanted.routers - wanted.real_routers
     figures: Figures = figures_of(run, "flat-real", "flat-process", log.moments, 1, hollow)
@@ -110,6 +121,7 @@
     return {
         **told,
         "service_lag_max_s_flat": round(run.lag_max_s, 3),
+        "requests_flat": msgspec.to_builtins(run.caches),
         "roles_flat": msgspec.to_builtins([service_figures(run)]),
     }
 
--- a/bench/scale/fleet_flat_run.py
+++ b/bench/scale/fleet_flat_run.py
@@ -9,9 +9,10 @@
 import msgspec
 
 from bench.scale import fleet_real
+from bench.scale.fleet_caches import REPORT_FILE, CachesReport
 from bench.scale.fleet_hollow import READY
 from bench.scale.fleet_judge import Judge, Pause, Verdict
-from bench.scale.fleet_log_run import END_WITHIN_S, LEAD_S, MEASURED_AFTER_S, Moment
+from bench.scale.fleet_log_run import CACHES, END_WITHIN_S, LEAD_S, MEASURED_AFTER_S, Moment
 from bench.scale.fleet_measure import memory_share, usages
 from bench.scale.fleet_network import SCHEDULE_FILE
 from bench.scale.fleet_processes import Processes
@@ -30,6 +31,7 @@
     reports: list[HollowReport]
     verdict: Verdict
     real: RealVerdict
+    caches: CachesReport
     moments: list[Moment]
     memory_share: float
     processes: int
@@ -57,7 +59,7 @@
         self._processes.wait_for(self._real, fleet_real.OPEN)
 
     def play(self, timing: Timing) -> FlatRun:
-        found = schedule(timing, time.monotonic() + LEAD_S)
+        found = schedule(timing, time.monotonic() + LEAD_S, self._plan.rate_flat)
         write(self._folder / SCHEDULE_FILE, found)
         pauses: list[Pause] = []
         actions = [
@@ -73,7 +75,7 @@
         for when, act in sorted(actions, key=lambda one: one[0]):
             time.sleep(max(when - time.monotonic(), 0.0))
             act()
-        self._processes.wait_for_end([*self._hollow, SERVICE], timing.end + END_WITHIN_S)
+        self._processes.wait_for_end([*self._hollow, SERVICE, CACHES], timing.end + END_WITHIN_S)
         return self._result(found, pauses)
 
     def _measure(self) -> None:
@@ -88,6 +90,7 @@
             reports,
             Judge(truth, found.cuts, pauses, found.quiet_until, self._plan.grace_s).verdict(reports),
             fleet_real.judge(outputs, truth, found.quiet_until),
+            read(self._folder / REPORT_FILE, CachesReport),
             self._moments,
             max(memory_share(moment.usages) for moment in self._moments),
             self._processes.most,
@@ -96,6 +99,13 @@
         )
 
 
+def start_caches(processes: Processes, folder: Path) -> int:
+    """The port of its machines."""
+    processes.start(CACHES, "-m", "bench.scale.fleet_caches", str(folder))
+    processes.wait_for([CACHES], b"\n")
+    return int(processes.output(CACHES).read_text().split()[0])
+
+
 def start_service(processes: Processes, plan_path: Path) -> None:
     processes.start(SERVICE, "-m", "bench.scale.fleet_service", str(plan_path))
     processes.wait_for([SERVICE], b"\n")
--- a/bench/scale/fleet_log_run.py
+++ b/bench/scale/fleet_log_run.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bench.scale import fleet_real
+from bench.scale.fleet_caches import REPORT_FILE, CachesReport
 from bench.scale.fleet_hollow import KEY_FILE, READY
 from bench.scale.fleet_judge import Judge, Pause, Verdict
 from bench.scale.fleet_measure import Usage, memory_share, usages
@@ -25,6 +26,7 @@
 from wickhinge.options import load
 
 STARTED = b'"event":"changelog_start"'
+CACHES = "caches"
 RELAY_KILLED = "relay-4"
 LEAD_S = 1.0  # from the schedule's writing to its start
 END_WITHIN_S = 30.0
@@ -47,6 +49,7 @@
     reports: list[HollowReport]
     verdict: Verdict
     real: RealVerdict
+    caches: CachesReport
     moments: list[Moment]
     failures: list[str]
     memory_share: float
@@ -91,7 +94,7 @@
         self._processes.wait_for(self._real, b'"event":"changelog_informed"')
 
     def play(self, timing: Timing) -> LogRun:
-        found = schedule(timing, time.monotonic() + LEAD_S)
+        found = schedule(timing, time.monotonic() + LEAD_S, self._rate)
         write(self._folder / SCHEDULE_FILE, found)
         proposer = Proposer(self._client, self._rate, self._plan.settings_rate)
         thread = threading.Thread(target=proposer.run, args=(found.start, found.last_change), daemon=True)
@@ -103,7 +106,7 @@
         finally:
             proposer.stop()
         thread.join(END_WITHIN_S)
-        self._processes.wait_for_end(self._hollow, END_WITHIN_S)
+        self._processes.wait_for_end([*self._hollow, CACHES], END_WITHIN_S)
         return self._result(found, proposer)
 
     def _actions(self, timing: Timing, found: Schedule) -> list[tuple[float, Callable[[], None]]]:
@@ -167,6 +170,7 @@
             reports,
             judge.verdict(reports),
             fleet_real.judge(outputs, proposer.truth, found.quiet_until),
+            read(self._folder / REPORT_FILE, CachesReport),
             self._moments,
             proposer.failures,
             max(memory_share(moment.usages) for moment in self._moments),
--- a/bench/scale/fleet_real.py
+++ b/bench/scale/fleet_real.py
@@ -10,6 +10,7 @@
 import msgspec
 import orjson
 
+from bench.fleet import SETTINGS
 from bench.scale.fleet_judge import Delays
 from bench.scale.fleet_layout import PORT, REAL_REGION, address, relay_order
 from bench.scale.fleet_processes import ROOT, Processes
@@ -29,7 +30,7 @@
 def write_configuration(folder: Path, name: str, place: int, service: str) -> Path:
     host = f"{LISTEN_BLOCK}.{place + 1}"
     configuration = json.loads((ROOT / "example/config.json").read_text())
-    configuration |= {"listen": f"{host}:{free_port(host)}", "journal": service, "name": name}
+    configuration |= {"listen": f"{host}:{free_port(host)}", "journal": service, "name": name, "settings": SETTINGS}
     path = folder / f"{name}.json"
     path.write_text(json.dumps(configuration))
     return path
--- a/bench/scale/fleet_records.py
+++ b/bench/scale/fleet_records.py
@@ -41,19 +41,21 @@
 
 
 class Schedule(msgspec.Struct, frozen=True):
-    """`quiet_until`: no fault before it. Changes are proposed from `start` to `last_change`; hollow routers report at
-    `end`."""
+    """`quiet_until`: no fault before it. Changes are proposed from `start` to `last_change`, `rate` purges a second;
+    hollow routers report at `end`."""
 
     start: float
     quiet_until: float
     last_change: float
     end: float
     cuts: list[Cut]
+    rate: float
 
 
 class Plan(msgspec.Struct, frozen=True):
     """What every process of a run is told before its start. `block`: of its addresses. `groups`: the routers of each
-    hollow process. `plant`: a fault put in on purpose, "" for none. `service`: host and port of the flat design's."""
+    hollow process. `plant`: a fault put in on purpose, "" for none. `service`: host and port of the flat design's.
+    `caches_port`: the first one of fleet_caches."""
 
     folder: str
     block: int
@@ -66,6 +68,7 @@
     plant: str
     service_host: str
     service_port: int
+    caches_port: int
     rate_flat: float
     settings_rate: float
 
--- a/bench/scale/fleet_schedule.py
+++ b/bench/scale/fleet_schedule.py
@@ -40,10 +40,10 @@
 QUICK = Timing(quiet_s=2.0, cut=(0.5, 7.0), end=11.5, last_change=8.0, leader_killed=2.5)
 
 
-def schedule(timing: Timing, start: float) -> Schedule:
+def schedule(timing: Timing, start: float, rate: float) -> Schedule:
     quiet_until = start + timing.quiet_s
     cuts = [Cut(CUT_REGION, quiet_until + timing.cut[0], quiet_until + timing.cut[1])]
     if timing.one_way is not None:
         since, until = timing.one_way
         cuts.append(Cut(ONE_WAY_REGION, quiet_until + since, quiet_until + until, one_way=True))
-    return Schedule(start, quiet_until, quiet_until + timing.last_change, quiet_until + timing.end, cuts)
+    return Schedule(start, quiet_until, quiet_until + timing.last_change, quiet_until + timing.end, cuts, rate)
--- a/bench/scale/fleet_service.py
+++ b/bench/scale/fleet_service.py
@@ -14,9 +14,10 @@
 
 from twisted.internet.protocol import Factory, Protocol
 
+from bench.scale.fleet_caches import machine_records
 from bench.scale.fleet_network import Network
 from bench.scale.fleet_records import Change, Plan, read, write
-from wickhinge.net.journal import CHANGES, HEAD, NOTHING, NUMBER, OBJECT, PURGED_OBJECT, RECORD
+from wickhinge.net.journal import CHANGES, HEAD, NOTHING, NUMBER, OBJECT, PURGED_OBJECT, RECORD, WHOLE
 
 BEAT_S = 1.0
 TURN_S = 0.005
@@ -54,7 +55,7 @@
     def __init__(self, plan: Plan, reactor: Any) -> None:
         self._plan, self._reactor, self._network = plan, reactor, Network(plan)
         self.watchers: set[Watcher] = set()
-        self._frames: list[bytes] = []
+        self._frames = [frame(1, WHOLE, machine_records(plan.caches_port))]
         self._truth: list[Change] = []
         self._purges = self._settings = 0
 
