bench.scale fleet: a planted router that follows no change log is found

Cause: nothing showed that the check by requests can fail. Change: plant 'deaf', found as missed purges and as requests without an age limit.

--- a/bench/scale/fleet.py
+++ b/bench/scale/fleet.py
@@ -31,7 +31,7 @@
 SETTINGS_PER_S = 0.5  # 7,300 a day are 0.084: more, so that a short run has some
 DELAY_S, JITTER_S = 0.04, 0.01
 GRACE_S, QUICK_GRACE_S = 6.0, 4.0
-PLANTS = ("", "skip", "vouch")
+PLANTS = ("", "skip", "vouch", "deaf")
 
 
 class Wanted(msgspec.Struct, frozen=True):
--- a/bench/scale/fleet_log_run.py
+++ b/bench/scale/fleet_log_run.py
@@ -64,6 +64,7 @@
         self._processes, self._folder, self._plan, self._rate = processes, folder, plan, rate
         self._plan_path = folder / "plan.json"
         self._real = [f"real-{place}" for place in range(real_routers)]
+        self._deaf = self._real[:1] if plan.plant == "deaf" else []
         self._baselines = [f"plain-{place}" for place in range(BASELINES if real_routers else 0)]
         self._hollow = [f"hollow-process-{place}" for place in range(len(plan.groups))]
         self._killed: list[str] = []
@@ -88,10 +89,12 @@
         for place, name in enumerate(self._hollow):
             self._processes.start(name, "-m", "bench.scale.fleet_hollow", str(self._plan_path), str(place))
         for place, name in enumerate([*self._real, *self._baselines]):
-            fleet_real.start(self._processes, self._folder, self._plan, name, place, name in self._real)
+            follows = name in self._real and name not in self._deaf
+            fleet_real.start(self._processes, self._folder, self._plan, name, place, follows)
         self._processes.wait_for(self._hollow, READY.encode())
         self._processes.wait_for([*self._real, *self._baselines], fleet_real.OPEN)
-        self._processes.wait_for(self._real, b'"event":"changelog_informed"')
+        followers = [name for name in self._real if name not in self._deaf]
+        self._processes.wait_for(followers, b'"event":"changelog_informed"')
 
     def play(self, timing: Timing) -> LogRun:
         found = schedule(timing, time.monotonic() + LEAD_S, self._rate)
--- a/tests/test_fleet_run.py
+++ b/tests/test_fleet_run.py
@@ -94,15 +94,17 @@
     assert (code, answer["failed"]) == (0, [])
     assert (answer["missed"], answer["out_of_order"], answer["unequal"], answer["stale_served"]) == (0, 0, 0, 0)
     assert answer["purges"] > 200 and answer["settings"] > 2 and answer["not_appended"] == 0
+    assert answer["requests"]["judged"] > 10 and answer["requests"]["unlimited"] == 0
     assert answer["routers"] == 50 and answer["real_routers"] == 2 and answer["machines"] == 11
 
 
-@pytest.mark.parametrize(("plant", "found"), [("skip", "missed"), ("vouch", "stale_served")])
+@pytest.mark.parametrize(("plant", "found"), [("skip", "missed"), ("vouch", "stale_served"), ("deaf", "missed")])
 def test_planted_fault_is_found(plant, found):
     code, answer = play(*SMALL, "--plant", plant)
     assert code == 1
     assert answer[found] > 0
     assert found in answer["failed"]
+    assert (answer["requests"]["unlimited"] > 0) == (plant == "deaf")
 
 
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
