--- /dev/null
+++ b/tests/test_fleet_judge.py
@@ -0,0 +1,149 @@
+"""The deciding parts of the fleet run: what is late, missed, out of order or stale, and which ways are cut."""
+
+import os
+
+import pytest
+
+from bench.scale.fleet_judge import Judge, Pause, byte_rate, message_rate
+from bench.scale.fleet_layout import (
+    CUT_REGION,
+    NOT_PLACED,
+    REGIONS,
+    RELAY_REGIONS,
+    ZONES,
+    address,
+    block_of,
+    groups,
+    region_of,
+    relay_order,
+)
+from bench.scale.fleet_measure import cores, usage
+from bench.scale.fleet_network import is_cut
+from bench.scale.fleet_recorder import Recorder
+from bench.scale.fleet_records import Change, Cut, HollowReport, Router, Traffic, Vouched, ZoneTimes
+
+GRACE_S = 6.0
+QUIET_UNTIL = 100.0
+TWO_ROUTERS = [Router("one", CUT_REGION, 7, []), Router("two", CUT_REGION, 7, [])]
+
+
+def change(number, asked, identity=None):
+    identity = number if identity is None else identity
+    return Change(number, identity, asked, asked + 0.1, asked + 0.2)
+
+
+def report(latest, counts=None, vouched=(), routers=2, digests=(1, 1)):
+    counts = dict.fromkeys(latest, routers) if counts is None else counts
+    zone = ZoneTimes(7, CUT_REGION, routers, latest, counts)
+    return HollowReport([zone], list(vouched), {}, {}, 0, 0, 0, 0, [], list(digests), 0, 0, 0.0)
+
+
+def verdict(truth, one_report, cuts=(), pauses=()):
+    return Judge(truth, list(cuts), list(pauses), QUIET_UNTIL, GRACE_S).verdict([one_report])
+
+
+def test_delays_count_from_the_first_asking():
+    truth = [change(1, 10.0), change(2, 20.0, identity=-1), change(3, 150.0)]
+    found = verdict(truth, report({1: 12.5, 2: 26.0, 3: 151.0}))
+    assert (found.quiet.purge_max_s, found.quiet.config_max_s) == (2.5, 6.0)
+    assert (found.faults.purge_max_s, found.faults.config_max_s) == (1.0, 0.0)
+    assert (found.missed, found.unequal) == (0, 0)
+
+
+def test_who_was_cut_off_or_stopped_counts_from_the_reunion():
+    truth = [change(1, 118.0), change(2, 125.0), change(3, 131.0)]
+    cut = Cut(CUT_REGION, 120.0, 130.0)
+    assert verdict(truth, report({1: 131.0, 2: 132.0, 3: 132.5}), cuts=[cut]).faults.purge_max_s == 2.0
+    pause = Pause(0, 120.0, 130.0)
+    assert verdict(truth, report({1: 131.0, 2: 132.0, 3: 132.5}), pauses=[pause]).faults.purge_max_s == 2.0
+    elsewhere = Cut(CUT_REGION + 1, 120.0, 130.0)
+    assert verdict(truth, report({1: 131.0, 2: 132.0, 3: 132.5}), cuts=[elsewhere]).faults.purge_max_s == 13.0
+
+
+def test_a_change_that_a_router_lacks_is_missed():
+    assert verdict([change(1, 10.0)], report({})).missed == 2
+    assert verdict([change(1, 10.0)], report({1: 11.0}, {1: 1})).missed == 1
+
+
+def test_routers_that_ended_otherwise_than_most_are_counted():
+    assert verdict([change(1, 10.0)], report({1: 11.0}, digests=(5, 5, 6))).unequal == 1
+
+
+@pytest.mark.parametrize(
+    ("time", "number", "limit", "stale"),
+    [
+        (16.05, 0, None, 0),  # within the grace
+        (16.15, 0, None, 2),
+        (16.15, 1, None, 0),  # it has the purge, and the next one's grace is not over
+        (26.15, 1, None, 2),
+        (26.15, 2, None, 0),
+        (26.15, 0, 5.9, 0),  # no copy of before a purge whose grace is over
+        (26.15, 0, 6.1, 2),
+    ],
+)
+def test_stale_copies(time, number, limit, stale):
+    truth = [change(1, 10.0), change(2, 20.0)]
+    vouched = [Vouched(time, number, limit, 2)]
+    assert verdict(truth, report({1: 10.5, 2: 20.5}, vouched=vouched)).stale_served == stale
+
+
+def test_recorder_tells_gaps_repeats_and_differences():
+    recorder = Recorder(TWO_ROUTERS)
+    for place in (0, 1):
+        recorder.began(place, 5)
+        recorder.applied(place, 6, 60, 1.0)
+    recorder.applied(0, 8, 80, 2.0)  # without 7
+    recorder.applied(0, 6, 60, 3.0)  # again
+    recorder.applied(1, 7, 70, 4.0)
+    recorder.applied(1, 8, 81, 5.0)  # another change than the first router's
+    found = recorder.report(0, 0)
+    assert (found.missed, found.out_of_order, found.different) == (1, 1, 1)
+    assert (found.zones[0].latest[8], found.zones[0].counts) == (5.0, {6: 2, 7: 1, 8: 2})
+    assert found.digests[0] != found.digests[1]
+
+
+def test_a_late_snapshot_must_hold_the_purges_it_stands_for():
+    recorder = Recorder(TWO_ROUTERS)
+    for number in (1, 2, 3):
+        recorder.applied(0, number, number, 1.0)
+    recorder.was_reset(1, 3, {1, 2}, 2.0)
+    found = recorder.report(0, 0)
+    assert (found.missed, found.late_resets) == (1, 1)
+
+
+def test_bytes_and_messages():
+    samples = [Traffic(second, 10 * second, 1000 * second, 4000) for second in range(11)]
+    samples += [Traffic(11, 200, 12_000, 9000)]
+    one = report({})
+    one.traffic = {7: samples}
+    assert byte_rate([one], 0, 10, 2.0).mean == 500.0
+    assert byte_rate([one], 0, 11, 2.0).worst == 4500.0
+    rate = message_rate([one], 0.0, 8.0, reunion=10.0)
+    assert (rate.ordinary, rate.peak, rate.ratio) == (10.0, 100.0, 10.0)
+    assert message_rate([one], 0.0, 8.0, 10.0, region=CUT_REGION + 1).ratio is None
+
+
+def test_cuts_go_both_ways_or_one():
+    cut, one_way = Cut(3, 10.0, 20.0), Cut(3, 10.0, 20.0, one_way=True)
+    assert is_cut([cut], 3, 5, 15.0) and is_cut([cut], 5, 3, 15.0)
+    assert is_cut([one_way], 5, 3, 15.0) and not is_cut([one_way], 3, 5, 15.0)
+    assert not is_cut([cut], 5, 3, 20.0) and not is_cut([cut], 5, 6, 15.0)
+
+
+def test_layout():
+    routers = [one for group in groups(1592) for one in group]
+    assert len(routers) == 1592 and max(len(group) for group in groups(1592)) == 100
+    assert {one.region for one in routers} == set(range(REGIONS))
+    assert {one.zone for one in routers} == set(range(ZONES))
+    assert all(sorted(relay_order(region)) == sorted(relay_order(0)) for region in range(REGIONS))
+    assert relay_order(CUT_REGION)[0] == f"relay-{RELAY_REGIONS.index(CUT_REGION)}"
+    assert region_of(address(block_of(12345), 9, 1)) == 9
+    assert region_of("127.0.0.1") == region_of("127.91.0.1") == NOT_PLACED
+
+
+def test_cores_of_a_process():
+    before = {"this": usage(os.getpid())}
+    sum(range(200_000))
+    share = cores(before, {"this": usage(os.getpid())}, "this")
+    assert share is not None and share > 0
+    assert cores(before, {}, "this") is None
