Fleet run's tests leave no files of a killed run

Cause: a run ended by SIGKILL left its folder under the system's temporary directory. Change: the tests give it theirs.

--- a/tests/test_fleet_run.py
+++ b/tests/test_fleet_run.py
@@ -69,9 +69,11 @@
     return True
 
 
-def interrupt(number, after_children, after_s=0.0):
+def interrupt(folder, number, after_children, after_s=0.0):
     """Interrupts a run that has so many processes, so long after that; those processes, and its exit code."""
-    run = subprocess.Popen([*COMMAND, *SMALL], cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    told = {**os.environ, "TMPDIR": str(folder)}  # a run that is killed leaves its files
+    nothing = subprocess.DEVNULL
+    run = subprocess.Popen([*COMMAND, *SMALL], cwd=ROOT, env=told, stdout=nothing, stderr=nothing)
     try:
         deadline = time.monotonic() + LONGEST_S
         while len(children := children_of(run.pid)) < after_children and time.monotonic() < deadline:
@@ -108,14 +110,14 @@
 
 
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
-def test_interrupted_run_leaves_no_process(number):
-    processes, code = interrupt(number, after_children=15)
+def test_interrupted_run_leaves_no_process(tmp_path, number):
+    processes, code = interrupt(tmp_path, number, after_children=15)
     assert code != 0
     assert ended(processes)
 
 
-def test_run_interrupted_while_changes_are_made_ends_at_once():
-    processes, code = interrupt(signal.SIGINT, CHILDREN, after_s=6.0)
+def test_run_interrupted_while_changes_are_made_ends_at_once(tmp_path):
+    processes, code = interrupt(tmp_path, signal.SIGINT, CHILDREN, after_s=6.0)
     assert code != 0
     assert ended(processes)
 
