--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -1,7 +1,8 @@
-"""Growth of costs with the fleet: python -m bench.scale slopes|capacity
+"""Growth of costs with the fleet: python -m bench.scale slopes|capacity|fleet
 
     slopes     costs at several sizes, their fits; --record NAME keeps them in bench/records
     capacity   docs/CAPACITY.md from the records; --check compares only
+    fleet      the whole fleet on this machine's sockets, with faults (bench.scale.fleet)
 
 The last line is one JSON object. Commands of other modules are added to `main`.
 """
@@ -15,6 +16,7 @@
 
 from bench.scale import page
 from bench.scale.design import ROUTERS
+from bench.scale.fleet import fleet
 from bench.scale.meter import Meter
 from bench.scale.records import FOLDER, Known, Record, Unusable, write
 
@@ -73,5 +75,7 @@
     sys.exit(1 if check and not same else 0)
 
 
+main.add_command(fleet)
+
 if __name__ == "__main__":
     main()
