--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -1,8 +1,9 @@
-"""Growth of costs with the fleet: python -m bench.scale slopes|capacity|fleet
+"""Growth of costs with the fleet: python -m bench.scale slopes|capacity|fleet|day
 
     slopes     costs at several sizes, their fits; --record NAME keeps them in bench/records
     capacity   docs/CAPACITY.md from the records; --check compares only
     fleet      the whole fleet on this machine's sockets, with faults (bench.scale.fleet)
+    day        the design's failures of a day in virtual time; fails where anything was missed or exceeded
 
 The last line is one JSON object. Commands of other modules are added to `main`.
 """
@@ -77,5 +78,18 @@
 
 main.add_command(fleet)
 
+
+@main.command()
+@click.option("--seed", default=7, show_default=True)
+@click.option("--json", "_", is_flag=True)
+def day(seed: int, _: bool) -> None:
+    """A day of the fleet in virtual time: change log, then leases and budgets."""
+    from bench.scale.day import Size, play
+
+    result = play(seed, Size())
+    click.echo(msgspec.json.encode(result).decode())
+    sys.exit(0 if result.passed else 1)
+
+
 if __name__ == "__main__":
     main()
