--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -9,7 +9,7 @@
 import time
 
 import pytest
-from stand import SERVED, Stand
+from stand import SERVED
 from test_sockets import PATIENT
 
 from wickhinge.net import msgpack
@@ -21,19 +21,6 @@
 LARGE = b"x" * 47_000  # two of them are more than one read of a socket gives
 
 
-@pytest.fixture
-def stand(tmp_path):
-    made = []
-
-    def build(*told, **more):
-        made.append(Stand(tmp_path, *told, **more))
-        return made[0]
-
-    yield build
-    for one in made:
-        one.close()
-
-
 def leave(client, call, way):
     abort = msgpack.pack([2, "abort", [call]])
     if way == "abort":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 
 import pytest
 from helpers import end, router, take, tariff
-from stand import SERVED, Stand, host
+from stand import SERVED, host
 from test_sockets import ROOT, Client
 from wires import line
 
@@ -27,19 +27,6 @@
 OBJECT = 0xAA
 
 
-@pytest.fixture
-def stand(tmp_path):
-    made = []
-
-    def build(*told, **more):
-        made.append(Stand(tmp_path, *told, **more))
-        return made[0]
-
-    yield build
-    for one in made:
-        one.close()
-
-
 def slow(conf, **limits):
     """Connections may take long to come up."""
     conf["limits"] |= {"connectTimeoutMs": 9000, **limits}
