--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,8 @@
 import pytest
 from stand import Stand
 
+from bench.faults import shim
+
 
 @pytest.fixture
 def stand(tmp_path):
@@ -15,3 +17,19 @@
     yield build
     for one in made:
         one.close()
+
+
+@pytest.fixture(scope="session")
+def shim_library(tmp_path_factory):
+    return shim.build(tmp_path_factory.mktemp("shim"))
+
+
+@pytest.fixture
+def faulty(stand, shim_library, tmp_path):
+    """A stand whose router's wall clock can be stepped and whose system calls can be made to fail."""
+
+    def build(*told, **more):
+        made = shim.Shim(shim_library, tmp_path / "shim.page", files=tmp_path)
+        return stand(*told, environment=made.environment, **more), made
+
+    return build
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -91,10 +91,12 @@
         change=lambda conf: None,
         list_change=lambda hosts: None,
         limits=None,
+        environment=None,
         **process,
     ):
         self.stack = ExitStack()
         self.lines = []
+        self.folder = folder
         base = free(1)
         self.places = [self.listening() for _ in machines]
         self.service = self.listening()
@@ -111,7 +113,7 @@
         conf["settings"]["limits"]["probes"] = False
         change(conf["settings"])
         (folder / "config.json").write_text(json.dumps(conf))
-        told = {**os.environ, "RELAY_CONFIG": str(folder / "config.json")}
+        told = {**os.environ, "RELAY_CONFIG": str(folder / "config.json"), **(environment or {})}
         self.router = Process("-m", "wickhinge", env=told, **process)
         self.stack.callback(self.router.close)
         self.journal = self.take(self.service)
@@ -181,7 +183,8 @@
         self.number += kind != 0
         self.journal.sendall((9 + len(payload)).to_bytes(4) + self.number.to_bytes(8) + bytes((kind,)) + payload)
 
-    def drain(self, place):
+    def tell_drain(self, place):
+        """What is told; the router may not have heard of it yet."""
         self.tell(
             2,
             journal.RECORD.pack(
@@ -196,6 +199,9 @@
                 0,
             ),
         )
+
+    def drain(self, place):
+        self.tell_drain(place)
         self.router.wait("draining")
 
     def client(self):
