Log why each request was not served, its steps, standstills and wall clock steps; trace RID

Change: decide says why it gives up (Refusal, passed with deny and abandon); net/request_log keeps each request's steps and writes a line for each that was not served, 20 a second at most, counts in report; net/standstill measures turns and waits of the loop; a look each 0.5 s finds steps of the wall clock; hang-ups are counted by reason; wickhinge trace RID LOG... prints a life. The sampled event visit is now request.

--- a/bench/cold_sum.py
+++ b/bench/cold_sum.py
@@ -29,7 +29,7 @@
 
 from bench import told
 from wickhinge.decide import Cache, Chance, Cold, Fleet, Forward, Purges, Router, Shelf
-from wickhinge.interface import Effect, Listing, Outcome, Permitted, Request, Tariff
+from wickhinge.interface import Effect, Listing, Outcome, Permitted, Refusal, Request, Tariff
 from wickhinge.lab.many import stands
 from wickhinge.lab.many.rig import Rig
 from wickhinge.lab.many.schedule import Fault, Schedule
@@ -231,10 +231,10 @@
     def withdraw(self, forward: Forward) -> None:
         forward.visit.ended(forward, Outcome.WITHDRAWN, 0.0, True, None, self.play.wheel.now)
 
-    def deny(self, wait: float) -> None:
+    def deny(self, wait: float, why: Refusal) -> None:
         self.play.denied += 1
 
-    def abandon(self) -> None:
+    def abandon(self, why: Refusal) -> None:
         self.play.denied += 1
 
 
--- a/bench/discovery.py
+++ b/bench/discovery.py
@@ -22,7 +22,7 @@
 
 from bench import told
 from wickhinge.decide import Chance, Router
-from wickhinge.interface import Effect, Listing, Outcome, Request, Tariff
+from wickhinge.interface import Effect, Listing, Outcome, Refusal, Request, Tariff
 from wickhinge.lab.play import emulated
 from wickhinge.lab.wheel import Wheel
 from wickhinge.membership.keeper import Keeper
@@ -497,10 +497,10 @@
             self.herd.now, lambda: forward.visit.ended(forward, Outcome.WITHDRAWN, 0.0, False, None, self.herd.now)
         )
 
-    def deny(self, wait: float) -> None:
+    def deny(self, wait: float, why: Refusal) -> None:
         self.herd.denied += 1
 
-    def abandon(self) -> None:
+    def abandon(self, why: Refusal) -> None:
         self.herd.denied += 1
 
     def read(self, copy: Any) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -23,10 +23,10 @@
     def withdraw(self, forward):
         self.withdrawn.append(forward)
 
-    def deny(self, wait):
+    def deny(self, wait, why):
         self.answers.append(("denied", wait))
 
-    def abandon(self):
+    def abandon(self, why):
         self.answers.append(("abandoned", None))
 
     def wake(self, delay, call):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,7 @@
 from wickhinge.net.accept import Client as Taken
 from wickhinge.net.ends import End
 from wickhinge.net.forwards import Forwards, Sent
+from wickhinge.net.request_log import RequestLog
 from wickhinge.net.visits import Door
 
 OBJECT = 0xAA
@@ -242,7 +243,8 @@
             soon=lambda call, *told: self.soon.append(call),
             caught_up=lambda: self.now,
         )
-        visits = SimpleNamespace(take=self.take, gone=self.gone.append)
+        requests = RequestLog(lambda *_, **more: None)
+        visits = SimpleNamespace(take=self.take, gone=lambda door, why: self.gone.append(door), requests=requests)
         self.clients = Clients(visits, clock, 9, lambda *_, **more: None)
         self.made = Taken(self.clients)
         self.made.transport = self.made.socket = SimpleNamespace(
--- /dev/null
+++ b/tests/test_request_log.py
@@ -0,0 +1,118 @@
+"""What a router leaves of a request that it did not serve, and how it is read again."""
+
+import json
+import os
+import signal
+import time
+
+import pytest
+from click.testing import CliRunner
+
+from wickhinge.cli import main
+from wickhinge.clocks import WallClockWatch
+from wickhinge.net.ends import End
+from wickhinge.net.request_log import LINES_AT_ONCE, SAMPLED, STEPS, RequestLog, RequestTrace, Step
+from wickhinge.net.standstill import Standstills
+
+RID = b"9b1f03aa5c7e2d41"
+
+
+class Lines(list):
+    def __call__(self, event, **fields):
+        self.append({"event": event, **fields})
+
+
+def ended(log, end="denied", reason="late", now=1.0, trace=None):
+    log.ended(now, RID, end, reason, trace or RequestTrace(0.0, 0.0))
+
+
+def test_each_end_is_counted_and_a_flood_leaves_a_bounded_number_of_lines():
+    lines = Lines()
+    log = RequestLog(lines)
+    for _ in range(200):
+        ended(log)
+    assert len(lines) == LINES_AT_ONCE and log.unlogged == 200 - LINES_AT_ONCE
+    assert log.reasons == {"late": 200}
+    ended(log, now=1.5)
+    assert len(lines) == LINES_AT_ONCE + 1
+
+
+def test_of_what_is_served_a_sample_is_logged_and_nothing_counted():
+    lines = Lines()
+    log = RequestLog(lines)
+    for _ in range(3 * SAMPLED):
+        ended(log, "honoured", "")
+    assert len(lines) == 3 and log.reasons == {}
+
+
+def test_steps_tell_server_source_budget_and_end():
+    lines = Lines()
+    trace = RequestTrace(10.0, 0.05)
+    trace.add(10.001, Step.SENT, 0xA1, (2949, 0xB2))
+    trace.add(10.3, Step.ENDED, 0xA1, (End.ERR, b"detail=s,ttfb=12"))
+    trace.add(10.4, Step.CLIENT_LEFT, 0, "aborted")
+    ended(RequestLog(lines), now=10.5, trace=trace)
+    assert lines[0]["unread_ms"] == 50.0 and lines[0]["ms"] == 500.0
+    assert lines[0]["steps"] == [
+        {"ms": 1.0, "step": "sent", "server": "000000a1", "budget_ms": 2949, "source": "000000b2"},
+        {"ms": 300.0, "step": "ended", "server": "000000a1", "end": "err", "detail": "s", "ttfb": "12"},
+        {"ms": 400.0, "step": "client left", "why": "aborted"},
+    ]
+
+
+def test_the_steps_of_one_request_are_bounded():
+    trace = RequestTrace(0.0, 0.0)
+    for _ in range(STEPS + 5):
+        trace.add(0.0, Step.SENT, 1, (1, 0))
+    assert len(trace.lines()) == STEPS and trace.more == 5
+
+
+@pytest.mark.parametrize("by", [-3600.0, -3.0, 3.0])
+def test_a_step_of_the_wall_clock_is_found_once_and_drift_is_none(by):
+    watch = WallClockWatch(1e9, 50.0)
+    assert watch.step(1e9 + 0.501, 50.5) == 0.0
+    assert watch.step(1e9 + 1.0 + by, 51.0) == pytest.approx(by, abs=0.01)
+    assert watch.step(1e9 + 1.5 + by, 51.5) == 0.0
+
+
+def test_standstills_are_found_in_waits_and_in_turns_and_counted_anew_after_a_report():
+    lines = Lines()
+    meter = Standstills()
+    meter.log = lines
+    meter.waited(0.0, 0.25, 0.25)  # in time
+    meter.waited(0.26, 0.25, 1.01)  # half a second past its time
+    meter.waited(1.31, None, 9.0)  # a turn of 0.3 s; a wait without end is never late
+    assert meter.report() == {"count": 2, "longest_ms": 500, "total_ms": 800}
+    assert [line["where"] for line in lines] == ["wait", "turn"]
+    assert meter.report()["count"] == 0
+
+
+def test_a_request_that_nobody_answers_leaves_its_life_and_the_command_prints_it(stand, tmp_path):
+    made = stand()
+    client = made.client()
+    rid = "00000000000000f1"
+    call = client.ask("pages", rid=rid, budget="900")
+    assert made.line(0).next() is not None
+    assert client.answer(call)[2][0] == "Overloaded"
+    line = made.router.wait(rid)
+    assert json.loads(line)["reason"] == "its time was up"
+    log = tmp_path / "router.log"
+    log.write_text("cut off in the mid\n" + line)
+    told = CliRunner().invoke(main, ["trace", rid, str(log)])
+    assert told.exit_code == 0
+    assert "denied its time was up" in told.output and "sent" in told.output and "000000a1" in told.output
+    assert json.loads(CliRunner().invoke(main, ["trace", rid, str(log), "--json"]).output)[0]["rid"] == rid
+    assert CliRunner().invoke(main, ["trace", "0" * 16, str(log)]).exit_code == 1
+
+
+def test_a_router_tells_that_it_stood_still_and_that_its_wall_clock_was_stepped(faulty):
+    made, shim = faulty()
+    shim.step_wall_clock(-2.0)
+    assert -2.1 < json.loads(made.router.wait("wall_clock_stepped"))["by_s"] < -1.9
+    pid = made.router.child.pid
+    os.kill(pid, signal.SIGSTOP)
+    os.waitid(os.P_PID, pid, os.WSTOPPED)
+    made.router.child.poll()
+    time.sleep(0.7)
+    os.kill(pid, signal.SIGCONT)
+    assert json.loads(made.router.wait("stood_still"))["ms"] >= 400
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -11,6 +11,7 @@
 ROOT = Path(__file__).parent.parent
 OURS = {
     "wickhinge",
+    "wickhinge.clocks",
     "wickhinge.decide",
     "wickhinge.fields",
     "wickhinge.interface",
@@ -20,7 +21,7 @@
         f"wickhinge.net.{name}"
         for name in (
             "accept buffers caches config deadlines deferred_imports descriptors dial ends forwards journal listener "
-            "log loop msgpack opening resp router slots start visits"
+            "log loop msgpack opening request_log resp router slots standstill start visits"
         ).split()
     ),
 }
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -529,7 +529,7 @@
     net = wired()
     visited(net), visited(net)
     door = ask(net)
-    net.visits.gone(door)
+    net.visits.gone(door, "aborted")
     net.world.lanes.go()
     net.heap.run(net.heap.clock + 5.0)
     assert len(net.client.had) == 2 and not list(net.visits.slots)
--- a/wickhinge/decide.py
+++ b/wickhinge/decide.py
@@ -24,6 +24,7 @@
     Outcome,
     Outside,
     Permitted,
+    Refusal,
     Request,
     Tariff,
 )
@@ -394,7 +395,7 @@
         """Ask the cache on the part's hash, and the next where that one fails or would be late."""
         router, fleet = self.router, self.router.fleet
         if self.late(0.0, now) and not self.pending():  # late anywhere: a flood is denied without a choice
-            return self.give_up(now)
+            return self.give_up(now, Refusal.LATE)
         # An error may pass, and elsewhere the part must be filled anew: the same cache is asked twice more.
         failed = [f.cache for f in self.forwards if f.outcome not in FINE]
         failed += [f.cache for f in self.forwards if f.outcome in PASSING][2:]
@@ -417,7 +418,7 @@
         if wanted and hopeful and self.allowed(wanted, now):
             self.send(wanted, source or wanted, now)
         elif not self.pending():
-            self.give_up(now)
+            self.give_up(now, Refusal.NO_SERVER)
 
     def fill(self, now: float) -> None:
         """Fill the miss at self.at from the object's parent; wait for a place while there is hope."""
@@ -428,8 +429,10 @@
         rank = router.shelf.rank(self.item, self.part, self.work) or int(now - cache.started < EMPTY)
         if not cache.usable(now):
             self.look(now)
-        elif self.late(crowd := max(cache.crowd(), router.link_crowd()), now) or not self.fits(cache, now):
-            self.give_up(now)
+        elif self.late(crowd := max(cache.crowd(), router.link_crowd()), now):
+            self.give_up(now, Refusal.LATE)
+        elif not self.fits(cache, now):
+            self.give_up(now, Refusal.NO_SERVER)
         elif not (source := router.source(self, now)):
             self.wait(now)
         else:
@@ -442,7 +445,8 @@
         held = not fetched and bool(router.gap or self.refusing)
         behind = (origin or source if fetched else source).lag(self, held)
         if self.late(crowd, now + max(behind, source.lag(self, True))) or fetched and now < router.turn:
-            return self.give_up(now)  # its link is full, or what is behind it slow or refusing
+            # Its link is full, or what is behind it slow or refusing.
+            return self.give_up(now, Refusal.SOURCE_LATE)
         if fetched and router.gap:
             router.turn = now + router.gap * (0.5 + router.chance.draw())
         self.send(cache, source, now, rank, held)
@@ -454,7 +458,7 @@
             self.held = True
             self.router.outside.wake(
                 max(self.due - 0.9 * self.work - now, 0.001),
-                lambda then: self.give_up(then) if self.held else None,
+                lambda then: self.give_up(then, Refusal.NO_ROOM) if self.held else None,
             )
 
     def send(self, cache: Cache, source: Cache, now: float, rank: int = -1, held: bool = False) -> None:
@@ -535,10 +539,10 @@
             self.fill(now)
         elif self.pending():
             return
-        elif now + self.work > self.due or (
-            outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE
-        ):
-            self.give_up(now)
+        elif now + self.work > self.due:
+            self.give_up(now, Refusal.LATE)
+        elif outcome is Outcome.WITHDRAWN and self.tariff.effect is not Effect.RERUNNABLE:
+            self.give_up(now, Refusal.MAY_HAVE_RUN)
         elif filled and ours and not forward.held and source in self.refusing and cache.usable(now):
             self.at = cache
             self.fill(now)  # asked for what it holds: who refused shows, and it may be the answer
@@ -562,7 +566,7 @@
         for forward in self.pending() if self.router.cancel else ():
             self.caller.withdraw(forward)
 
-    def give_up(self, now: float) -> None:
+    def give_up(self, now: float, why: Refusal = Refusal.TIME_UP) -> None:
         """Given up on: answered at once, with a time to come back where a new try is harmless."""
         if self.done or self.own(now, True):
             return
@@ -570,8 +574,8 @@
         harmless |= self.tariff.effect is Effect.TICKETED and self.tariff.group == "all"
         self.finish(now)
         if harmless:
-            return self.caller.deny(self.router.longest_wait)
-        self.caller.abandon()
+            return self.caller.deny(self.router.longest_wait, why)
+        self.caller.abandon(why)
 
 
 class Router:
--- a/wickhinge/interface.py
+++ b/wickhinge/interface.py
@@ -59,6 +59,18 @@
     ORIGIN_FAILED = 10
 
 
+class Refusal(Enum):
+    """Why a request was given up on before any server answered it; for logs and counts, nobody decides by it."""
+
+    TIME_UP = "its time was up"
+    LATE = "an answer would have been late"
+    NO_SERVER = "no server could be asked"
+    SOURCE_LATE = "what a miss is filled from would have been late or refuses"
+    NO_ROOM = "no room at a server that started lately"
+    MAY_HAVE_RUN = "it may have run and must not be repeated"
+    ENDING = "the router ended"
+
+
 @dataclass(frozen=True, slots=True)
 class Tariff:
     """One class of visits, as the settings state it."""
@@ -141,10 +153,10 @@
     def read(self, copy: Copy) -> None:
         """Answer with a copy of our own; what came of it is a call of Visit.read."""
 
-    def deny(self, wait: float) -> None:
+    def deny(self, wait: float, why: Refusal) -> None:
         """Final: trying again is harmless, and best not before wait."""
 
-    def abandon(self) -> None:
+    def abandon(self, why: Refusal) -> None:
         """Final: promises nothing."""
 
 
--- a/wickhinge/lab/play.py
+++ b/wickhinge/lab/play.py
@@ -10,7 +10,7 @@
 import numpy as np
 
 from wickhinge.decide import Chance, Cold, Fleet, Purges, Router, Shelf, Visit
-from wickhinge.interface import Effect, Listing, Outcome, Permitted, Request, Tariff
+from wickhinge.interface import Effect, Listing, Outcome, Permitted, Refusal, Request, Tariff
 from wickhinge.lab.judge import Judge
 from wickhinge.lab.machines import Fabric, Machine
 from wickhinge.lab.scenario import Failure, Scenario
@@ -138,12 +138,12 @@
     def read(self, copy: Any) -> None:
         raise AssertionError("no copies of their own here")
 
-    def deny(self, wait: float) -> None:
+    def deny(self, wait: float, why: Refusal) -> None:
         self.play.judge.denied(self.asked, self.play.wheel.now)
         self.play.answer(self.asked, "denied")
         self.play.came_back(self.asked, wait)
 
-    def abandon(self) -> None:
+    def abandon(self, why: Refusal) -> None:
         self.play.answer(self.asked, "abandoned")
 
 
--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -146,9 +146,10 @@
         elif kind == 2 and call == "abort" and type(first) is int:
             door = self.open.pop(first, None)
             if door is not None:
-                self.clients.visits.gone(door)
+                self.clients.visits.gone(door, "aborted")
             elif first in self.later:
                 self.unqueue(first)
+                self.clients.visits.requests.count("aborted before it began")
         else:
             raise msgpack.Unreadable("a message that is no request and no abort")
 
@@ -160,6 +161,7 @@
             size = sum(len(item) if type(item) is bytes else len(repr(item)) for item in params)
             if self.kept + size > LATER and self.clients.kept + size > LATER_ALL:
                 self.error(call, "Overloaded", {})
+                self.clients.visits.requests.count("refused in a hold")
                 return
         self.later[call] = Waiting(method, params, self.clients.deadlines.now(), size)
         self.kept += size
@@ -197,6 +199,7 @@
         except Bad as problem:
             self.open.pop(call, None)
             self.clients.bad(str(problem))
+            self.clients.visits.requests.count("unusable")
             self.error(call, "BadRequest", {"why": str(problem)})
             # Against one that asks the same again as soon as it is answered: it waits, nobody else does.
             self.bad += 1
@@ -313,34 +316,35 @@
 
     def close(self) -> None:
         """Nothing is open here; a request on its way crosses the close and is sent again."""
-        self.leave()
+        self.leave("closed idle")
         self.transport.loseConnection()
 
     def fail(self, why: str) -> None:
         self.clients.bad(why)
         transport = self.transport
-        self.leave()
+        self.leave(why)
         transport.abortConnection()
 
     def connectionLost(self, reason: Failure) -> None:
         self.lost(reason.getErrorMessage())
 
     def lost(self, why: str) -> None:
-        if self.open and not self.ended:
-            self.clients.log("client_lost", why=why, open=len(self.open))
-        self.leave()
+        if (self.open or self.later) and not self.ended:
+            self.clients.log("client_lost", why=why, open=len(self.open), unbegun=len(self.later))
+        self.leave(why)
 
-    def leave(self) -> None:
+    def leave(self, why: str) -> None:
         if self.ended:
             return
         self.ended = True
         self.clients.forget(self)
         for call in list(self.later):
             self.unqueue(call)
+            self.clients.visits.requests.count("connection ended before it began")
         doors, self.open = self.open, {}
         for door in doors.values():
             if door is not None:
-                self.clients.visits.gone(door)
+                self.clients.visits.gone(door, f"connection ended: {why}")
         for item in self.out:
             if isinstance(item, Body):
                 item.release()
@@ -365,7 +369,8 @@
         self.leaving = self.paused = False
         self.kept = 0  # bytes of requests that clients keep here in holds
         self.faults: dict[str, int] = {}
-        self.closed, self.swept = 0, 0.0
+        self.closed: dict[str, int] = {}  # connections that the router has ended, by why
+        self.swept = 0.0
 
     def came(self, client: Client) -> None:
         self.all.add(client)
@@ -384,7 +389,7 @@
         now = self.deadlines.now()
         for table, least in ((self.silent, UNREAD), (self.idle, 0.0), (self.half, UNREAD)):
             oldest = [client for client, since in islice(table.items(), LOOKED) if now - since >= least]
-            if any(self.turn_away(client) for client in oldest):
+            if any(self.turn_away(client, for_room=True) for client in oldest):
                 return True
         return False
 
@@ -432,17 +437,19 @@
         self.look_again()
         self.deadlines.after(SWEEP, self.sweep)
 
-    def turn_away(self, client: Client, must: bool = False) -> bool:
+    def turn_away(self, client: Client, must: bool = False, for_room: bool = False) -> bool:
         """Not one that has asked, or asked again, while the router stood still; must: it had time twice over."""
         if client.unread() and not must:
             if self.idle.pop(client, None) is not None:
                 self.settle(client)
             return False
-        self.closed += 1
+        why = "idle" if client in self.idle else "half a request" if client in self.half else "no request"
+        reason = f"{why}, for room" if for_room else why
+        self.closed[reason] = self.closed.get(reason, 0) + 1
         if client in self.idle:
             client.close()
         else:
-            client.fail("half a request" if client in self.half else "no request")
+            client.fail(why)
         return True
 
     def forget(self, client: Client) -> None:
--- a/wickhinge/net/forwards.py
+++ b/wickhinge/net/forwards.py
@@ -10,6 +10,7 @@
 from wickhinge.net.caches import Caches
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.ends import OUTCOMES, WORDS, End
+from wickhinge.net.request_log import Step
 from wickhinge.net.slots import Slots
 
 PROBED = (End.UP, End.DOWN)
@@ -89,6 +90,8 @@
         sent.tag = tag or b"p%d" % number
         if sent.door is not None:
             sent.door.out[sent.forward] = number
+            source = sent.forward.source.mark if sent.forward.source is not sent.cache else 0
+            sent.door.trace.add(sent.since, Step.SENT, sent.cache.mark, (round(patience * 1000), source))
             if sent.door.left():
                 self.deadlines.soon(self.ended, number, End.RECALLED)
                 return number
@@ -185,8 +188,7 @@
             return
         if self.members is not None:
             self.members.ended(sent, outcome)
-        if door.steps is not None:
-            door.trace(sent, end, took, resp.fields(told))
+        door.trace.add(now, Step.ENDED, sent.cache.mark, (end, told))
         if outcome is Outcome.HONOURED:
             if self.copies is not None and not door.final:
                 self.copies.passed(sent.forward.visit, resp.fields(told), body)
--- a/wickhinge/net/loop.py
+++ b/wickhinge/net/loop.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from socket import MSG_PEEK
-from time import time
+from time import monotonic, time
 from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
 
+from wickhinge.net.standstill import Standstills
+
 AT_ONCE = 8  # descriptors served before the deadlines have their turn again; the kernel goes on in order
 
 
@@ -24,11 +26,18 @@
 class Reactor(EPollReactor):
     caught_up = 0.0  # whatever reached a socket that is read before this time has been read
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.standstills = Standstills()
+
     def doPoll(self, timeout: float | None) -> None:
+        entered = monotonic()
         try:
             events = self._poller.poll(-1 if timeout is None else timeout, AT_ONCE)
         except InterruptedError:
             return
+        finally:
+            self.standstills.waited(entered, timeout, monotonic())
         returned = time()
         for descriptor, event in events:
             selectable = self._selectables.get(descriptor)
--- /dev/null
+++ b/wickhinge/net/request_log.py
@@ -0,0 +1,124 @@
+"""What became of each request: its steps with their times, why it ended, and a bounded number of log lines a second.
+
+A request that ends without an answer from a server leaves one line with all its steps, as far as the bound allows; of
+those that are served, one in `SAMPLED` does. Every end is counted by its reason, logged or not.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from wickhinge.net import resp
+
+SAMPLED = 32  # one served request of so many leaves its steps in the log
+LINES_A_SECOND = 20.0  # of requests that were not served
+LINES_AT_ONCE = 40.0
+STEPS = 40  # kept of one request; what comes after is counted
+SERVED = "honoured"
+
+
+class Step(Enum):
+    """Something that happened to a request."""
+
+    SENT = "sent"  # decided: it goes to a server, maybe after its connection has come up
+    WRITTEN_LATER = "written later"  # its first byte went once a connection was there
+    ENDED = "ended"  # an attempt ended, with how
+    TAKEN_BACK = "taken back"  # an attempt of which nothing had been written, with why
+    CLIENT_LEFT = "client left"
+
+
+class RequestTrace:
+    """The steps of one request. Times are seconds of the router's monotonic clock."""
+
+    __slots__ = ("taken", "unread", "steps", "more")
+
+    def __init__(self, taken: float, unread: float) -> None:
+        """unread: seconds for which it lay unread before it was taken, as far as the router can tell."""
+        self.taken, self.unread = taken, unread
+        self.steps: list[tuple[float, Step, int, Any]] = []
+        self.more = 0
+
+    def add(self, now: float, step: Step, server: int, detail: Any = None) -> None:
+        """server: its id; detail: milliseconds of budget for SENT, (end, told) for ENDED, why for the others."""
+        if len(self.steps) < STEPS:
+            self.steps.append((now, step, server, detail))
+        else:
+            self.more += 1
+
+    def lines(self) -> list[dict[str, Any]]:
+        return [self.line(*step) for step in self.steps]
+
+    def line(self, now: float, step: Step, server: int, detail: Any) -> dict[str, Any]:
+        line: dict[str, Any] = {"ms": milliseconds(now - self.taken), "step": step.value}
+        if server:
+            line["server"] = f"{server:08x}"
+        if step is Step.SENT:
+            line["budget_ms"], source = detail
+            if source:
+                line["source"] = f"{source:08x}"
+        elif step is Step.ENDED:
+            end, told = detail
+            fields = resp.fields(told)
+            line["end"] = end.value
+            line |= {name: fields[name] for name in ("detail", "ttfb") if name in fields}
+        elif detail:
+            line["why"] = detail
+        return line
+
+
+def milliseconds(seconds: float) -> float:
+    return round(seconds * 1000, 1)
+
+
+class Bound:
+    """So many lines a second, so many at once."""
+
+    def __init__(self, rate: float, most: float) -> None:
+        self.rate, self.most, self.tokens, self.filled = rate, most, most, 0.0
+
+    def allows(self, now: float) -> bool:
+        self.tokens = min(self.tokens + (now - self.filled) * self.rate, self.most)
+        self.filled = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class RequestLog:
+    """Counts ends by reason and writes the lines."""
+
+    def __init__(self, log: Callable[..., None]) -> None:
+        self.log = log
+        self.bound = Bound(LINES_A_SECOND, LINES_AT_ONCE)
+        self.reasons: dict[str, int] = {}  # since the start, of requests that were not served
+        self.served = self.unlogged = 0
+
+    def count(self, reason: str) -> None:
+        """An end without an answer from a server."""
+        self.reasons[reason] = self.reasons.get(reason, 0) + 1
+
+    def ended(self, now: float, rid: bytes, end: str, reason: str, trace: RequestTrace, **more: Any) -> None:
+        """A request is over and nothing of it is out. reason: empty for one that was served."""
+        if end == SERVED:
+            self.served += 1
+            if self.served % SAMPLED != 1:
+                return
+        else:
+            self.count(reason or end)
+            if not self.bound.allows(now):
+                self.unlogged += 1
+                return
+        self.log(
+            "request",
+            rid=rid.decode(),
+            end=end,
+            **({"reason": reason} if reason else {}),
+            ms=milliseconds(now - trace.taken),
+            unread_ms=milliseconds(trace.unread),
+            steps=trace.lines(),
+            **({"more_steps": trace.more} if trace.more else {}),
+            **more,
+        )
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from wickhinge import settings
+from wickhinge.clocks import WallClockWatch, monotonic, wall
 from wickhinge.fields import Malformed
 from wickhinge.interface import Listing
 from wickhinge.net import config
@@ -32,6 +33,7 @@
 LONGEST = 3.0  # and counts no longer patience than this
 LATEST = 0.1  # after that the program ends, whatever is open
 REPORT = 5.0
+CLOCK_LOOK = 0.5  # seconds between two looks for a step of the wall clock
 # Objects more than at the last walk, 5 MB of them: by the peak alone a second walk came only past a limit of 32 MB.
 CIRCLES = 25_000
 
@@ -137,6 +139,9 @@
         # A full walk takes 70 ms, in which visits run out. Visits leave no circles, so none is needed.
         gc.disable()
         self.deadlines.after(REPORT, self.report)
+        self.reactor.standstills.log = self.log.event
+        self.clock_watch = WallClockWatch(wall(), monotonic())
+        self.look_at_clock()
         self.log.event("start", listen=":".join(map(str, self.listen)), pool=self.pool.limit)
 
     # The module's Outside.
@@ -242,6 +247,13 @@
     def fault(self, where: str) -> None:
         self.log.event("fault", where=where, cause=traceback.format_exc(limit=-6))
 
+    def look_at_clock(self) -> None:
+        """Nothing is decided by the wall clock's steps; staff are told of them."""
+        step = self.clock_watch.step(wall(), monotonic())
+        if step:
+            self.log.event("wall_clock_stepped", by_s=round(step, 3))
+        self.deadlines.after(CLOCK_LOOK, self.look_at_clock)
+
     def report(self) -> None:
         usage = resource.getrusage(resource.RUSAGE_SELF)
         if usage.ru_maxrss > self.collect_over or gc.get_count()[0] > CIRCLES:
@@ -260,7 +272,10 @@
             lines=sum(len(machine.lines) for machine in self.caches.machines.values()),
             line_descriptors=self.caches.held,
             buffers=self.pool.peak,
+            unserved=self.visits.requests.reasons,
+            unlogged=self.visits.requests.unlogged,
             late_ms=round(self.deadlines.late * 1000, 1),
+            stood_still=self.reactor.standstills.report(),
             late_answers=self.caches.lates,
             peak_kb=usage.ru_maxrss,
             closed=self.clients.closed,
--- /dev/null
+++ b/wickhinge/net/standstill.py
@@ -0,0 +1,50 @@
+"""How long the process stood still: in a turn of its loop that took long, or in a wait that ended past its time.
+
+Another process had the core, or a signal had stopped this one. The router cannot tell that from a turn that had much to
+do; either way what came meanwhile lay unread for so long.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+NOTED = 0.1  # seconds from which a standstill is counted
+LOGGED = 0.25  # and from which it leaves a line; one that long comes a few times a second at most
+
+
+class Standstills:
+    """Told of each wait of the loop; all times are seconds of the monotonic clock."""
+
+    def __init__(self) -> None:
+        self.longest = self.total = 0.0  # since the last report
+        self.count = 0
+        self.log: Callable[..., None] = lambda *_, **more: None
+        self._returned: float | None = None  # from the last wait
+
+    def waited(self, entered: float, timeout: float | None, returned: float) -> None:
+        """A wait for events of up to `timeout` seconds (None: without end) began and ended."""
+        if self._returned is not None:
+            self._note("turn", entered - self._returned)
+        if timeout is not None:
+            self._note("wait", returned - entered - timeout)
+        self._returned = returned
+
+    def _note(self, where: str, seconds: float) -> None:
+        if seconds < NOTED:
+            return
+        self.count += 1
+        self.total += seconds
+        self.longest = max(self.longest, seconds)
+        if seconds >= LOGGED:
+            self.log("stood_still", where=where, ms=round(seconds * 1000))
+
+    def report(self) -> dict[str, float]:
+        """What there was since the last report; counted anew from here."""
+        told = {
+            "count": self.count,
+            "longest_ms": round(self.longest * 1000),
+            "total_ms": round(self.total * 1000),
+        }
+        self.longest = self.total = 0.0
+        self.count = 0
+        return told
--- a/wickhinge/net/visits.py
+++ b/wickhinge/net/visits.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from wickhinge.interface import Effect, Request
+from wickhinge.interface import Effect, Refusal, Request
 from wickhinge.net.buffers import Body, Pool
 from wickhinge.net.deadlines import Deadlines
 from wickhinge.net.forwards import Forwards
+from wickhinge.net.request_log import SERVED, RequestLog, RequestTrace, Step
 from wickhinge.net.slots import Slots
 
 HEX = re.compile(r"[0-9a-f]{16}\Z").match
@@ -18,7 +19,6 @@
 BODY = 48_000
 RIDS = 2048
 GROUPS = 255
-TRACED = 32  # one visit of so many leaves its steps in the log
 SLACK = 0.001  # a forward that may run as long as its visit has no deadline of its own
 LATEST = 0.01  # past a visit's patience: by then the module has answered, or it never will
 
@@ -42,13 +42,16 @@
         "visit",
         "out",
         "number",
-        "steps",
+        "trace",
+        "reason",
         "until",
         "cached",
         "missed",
     )
 
-    def __init__(self, visits: Visits, client: Any, call: int, rid: str, tariff: Any, since: float) -> None:
+    def __init__(
+        self, visits: Visits, client: Any, call: int, rid: str, tariff: Any, since: float, unread: float = 0.0
+    ) -> None:
         self.visits, self.client, self.call, self.tariff, self.since = visits, client, call, tariff, since
         self.rid = rid.encode()
         self.passed = ""  # what goes on unchanged
@@ -57,7 +60,8 @@
         self.visit: Any = None
         self.missed: Any = None  # the connection on which a look missed last
         self.out: dict[Any, int] = {}
-        self.steps: list[Any] | None = None if visits.taken % TRACED else []
+        self.trace = RequestTrace(since, unread)
+        self.reason = ""  # why it ended unserved
 
     # The module's Caller.
 
@@ -84,12 +88,12 @@
     def read(self, copy: Any) -> None:
         self.visits.copies.read(self, copy)
 
-    def deny(self, wait: float) -> None:
+    def deny(self, wait: float, why: Refusal) -> None:
         fields = {"backoff": str(int(wait * 1000))} if wait > 0 else {}
-        self.end("denied", lambda client: client.error(self.call, "Overloaded", fields))
+        self.end("denied", why.value, lambda client: client.error(self.call, "Overloaded", fields))
 
-    def abandon(self) -> None:
-        self.end("abandoned", lambda client: client.error(self.call, "Abandoned", {}))
+    def abandon(self, why: Refusal) -> None:
+        self.end("abandoned", why.value, lambda client: client.error(self.call, "Abandoned", {}))
 
     # What happens to it.
 
@@ -99,21 +103,21 @@
                 body.release()
             return
         fields = {"keep": "1"} if same else {}
-        self.end("honoured", lambda client: client.serve(self.call, body, fields))
+        self.end(SERVED, "", lambda client: client.serve(self.call, body, fields))
 
     def broken(self) -> None:
         """A fault of ours: nothing is known of what ran, so nothing is promised."""
         if not self.final:
-            self.end("broken", lambda client: client.error(self.call, "Internal", {}))
+            self.end("broken", "a fault of ours", lambda client: client.error(self.call, "Internal", {}))
         if self.visit is not None:
             self.visit.done = True
         for number in list(self.out.values()):
             self.visits.forwards.withdraw(number)
 
-    def end(self, answer: str, tell: Callable[[Any], None]) -> None:
+    def end(self, answer: str, reason: str, tell: Callable[[Any], None]) -> None:
         if self.final:
             return
-        self.final, self.answer = True, answer
+        self.final, self.answer, self.reason = True, answer, reason
         client, self.client = self.client, None
         if client is not None:
             tell(client)
@@ -124,7 +128,7 @@
         """Whether it is over, or its client has closed or given it up: read from its socket if that may lie there."""
         client = self.client
         if client is not None and not client.awaits(self.call):
-            self.visits.gone(self)
+            self.visits.gone(self, "found gone before an attempt")
         return self.final
 
     def recall(self) -> None:
@@ -136,18 +140,6 @@
         """Whether this can be the answer: a copy carries its tag and its age."""
         return body is not None and (self.tariff.passes_on or b"etag=" in told and b"made=" in told)
 
-    def trace(self, sent: Any, end: Any, took: float, fields: dict[str, str]) -> None:
-        self.steps.append(
-            [
-                f"{sent.cache.mark:08x}",
-                round((sent.since - self.since) * 1000, 1),
-                round(took * 1000, 1),
-                end.value,
-                fields.get("detail", ""),
-                fields.get("ttfb", ""),
-            ]
-        )
-
     def forgotten(self, forward: Any) -> None:
         self.out.pop(forward, None)
         self.settle()
@@ -170,6 +162,7 @@
     ) -> None:
         self.forwards, self.deadlines, self.pool, self.tariffs = forwards, deadlines, pool, tariffs
         self.log, self.fault = log, fault
+        self.requests = RequestLog(log)
         self.slots = Slots()
         self.router: Any = None
         self.copies: Any = None  # of our own, where there are any
@@ -196,7 +189,7 @@
             raise Bad("field token is no mark of up to 64 letters and digits")
         if rid in self.rids or rid in self.before:
             raise Bad("field rid was used before")
-        door = Door(self, client, call, rid, tariff, now)
+        door = Door(self, client, call, rid, tariff, now, waited)
         door.body = Body(self.pool, body) if body else None
         door.passed = f"queue={method}"
         if "token" in fields:
@@ -231,15 +224,16 @@
         for forward in list(door.out.values()) if door is not None else ():
             self.forwards.expire(forward)
         if door is not None and not door.final:
-            self.log("overdue", rid=door.rid.decode())
+            self.log("overdue", rid=door.rid.decode(), steps=door.trace.lines())
             door.broken()
 
-    def gone(self, door: Door) -> None:
-        """The client has left: nothing is owed."""
+    def gone(self, door: Door, why: str) -> None:
+        """The client has left, or given the request up: nothing is owed."""
         door.client = None
         if door.final:
             return
-        door.final, door.answer = True, "gone"
+        door.final, door.answer, door.reason = True, "gone", why
+        door.trace.add(self.deadlines.now(), Step.CLIENT_LEFT, 0, why)
         if door.visit is not None:
             door.visit.finish(self.deadlines.now())
         door.recall()
@@ -249,7 +243,7 @@
         """The router ends: what is still open is answered while somebody can hear it."""
         for door in self.slots:
             if not door.final and door.visit is not None:
-                door.visit.give_up(self.deadlines.now())
+                door.visit.give_up(self.deadlines.now(), Refusal.ENDING)
 
     def open(self) -> int:
         return sum(not door.final for door in self.slots)
@@ -261,15 +255,13 @@
         if visit is not None:
             visit.forwards.clear()  # they name the visit: a circle that only the collector would find
         self.answers[door.answer] = self.answers.get(door.answer, 0) + 1
-        if door.steps is None:
-            return
-        self.log(
-            "visit",
-            rid=door.rid.decode(),
+        self.requests.ended(
+            self.deadlines.now(),
+            door.rid,
+            door.answer,
+            door.reason,
+            door.trace,
             tariff=door.tariff.name,
-            end=door.answer,
-            ms=round((self.deadlines.now() - door.since) * 1000, 1),
-            steps=door.steps,
             patience=round((door.until - door.since) * 1000),
             repeat=visit.repeat if visit else None,
             part=visit.part if visit else None,
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -8,7 +8,7 @@
 
 from wickhinge import fields as checks
 from wickhinge.fields import Malformed
-from wickhinge.interface import Listing, Note, Outcome, Request
+from wickhinge.interface import Listing, Note, Outcome, Refusal, Request
 from wickhinge.settings import build
 from wickhinge.wirehost import codec
 
@@ -63,11 +63,11 @@
     def withdraw(self, forward: Any) -> None:
         self.host.act("Abandon", {"ref": self.ref, "sendNo": self.forwards.index(forward)})
 
-    def deny(self, wait: float) -> None:
+    def deny(self, wait: float, why: Refusal) -> None:
         self.host.act("Refuse", {"ref": self.ref, "waitMs": wait * 1000.0})
         self.close()
 
-    def abandon(self) -> None:
+    def abandon(self, why: Refusal) -> None:
         self.host.act("DropRequest", {"ref": self.ref})
         self.close()
 
