Spans run on a steady clock: a step of the wall clock changes no answer

Cause: net/deadlines.py, net/loop.py and Twisted's reactor counted spans as differences of the wall clock.

--- a/wickhinge/net/deadlines.py
+++ b/wickhinge/net/deadlines.py
@@ -1,13 +1,14 @@
-"""All deadlines in one heap under one reactor timer, and the one place where the clock is read."""
+"""All deadlines in one heap under one reactor timer, by the clock that nobody steps."""
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from heapq import heappop, heappush
 from math import inf
 from typing import Any
 
+from wickhinge.clocks import steady
+
 FADE = 0.05  # seconds in which a backlog is half worked off
 TICK = 0.002  # seconds; the kernel's timer counts in milliseconds
 
@@ -24,7 +25,7 @@
 
     @staticmethod
     def now() -> float:
-        return time.time()
+        return steady()
 
     def at(self, when: float, call: Callable[..., None], *args: Any) -> None:
         self.serial += 1
--- a/wickhinge/net/loop.py
+++ b/wickhinge/net/loop.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from socket import MSG_PEEK
-from time import monotonic, time
 from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
 
+from wickhinge.clocks import monotonic, steady
 from wickhinge.net.standstill import Standstills
 
 AT_ONCE = 8  # descriptors served before the deadlines have their turn again; the kernel goes on in order
@@ -24,6 +24,7 @@
 
 
 class Reactor(EPollReactor):
+    seconds = staticmethod(monotonic)  # Twisted's own is the wall clock, which may be stepped
     caught_up = 0.0  # whatever reached a socket that is read before this time has been read
 
     def __init__(self) -> None:
@@ -38,7 +39,7 @@
             return
         finally:
             self.standstills.waited(entered, timeout, monotonic())
-        returned = time()
+        returned = steady()
         for descriptor, event in events:
             selectable = self._selectables.get(descriptor)
             if selectable is not None:
