--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -28,8 +28,10 @@
 def faulty(stand, shim_library, tmp_path):
     """A stand whose router's wall clock can be stepped and whose system calls can be made to fail."""
 
-    def build(*told, **more):
+    def build(*told, before=lambda shim: None, **more):
+        """before: what is done to the shim before the router is started."""
         made = shim.Shim(shim_library, tmp_path / "shim.page", files=tmp_path)
+        before(made)
         return stand(*told, environment=made.environment, **more), made
 
     return build
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -43,7 +43,10 @@
 
 
 class Line:
-    def __init__(self, made):
+    """A connection of the router to a machine, by the machine's place."""
+
+    def __init__(self, made, place=0):
+        self.place = place
         self.socket, self.stream, self.had = made, resp.Stream(Pool(99, lambda: None, lambda: None)), []
         made.settimeout(PATIENT)
 
@@ -92,6 +95,7 @@
         list_change=lambda hosts: None,
         limits=None,
         environment=None,
+        known=(),
         **process,
     ):
         self.stack = ExitStack()
@@ -107,7 +111,7 @@
         conf |= {
             "listen": f"127.0.0.1:{base}",
             "journal": at(self.service),
-            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]},
+            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}, *known]},
         }
         conf["limits"] = limits or conf["limits"]
         conf["settings"]["limits"]["probes"] = False
@@ -133,7 +137,7 @@
 
     def line(self, place):
         """The next connection to a machine."""
-        self.lines.append(Line(self.take(self.places[place])))
+        self.lines.append(Line(self.take(self.places[place]), place))
         return self.lines[-1]
 
     def shut(self, place):
--- a/wickhinge/clocks.py
+++ b/wickhinge/clocks.py
@@ -1,8 +1,8 @@
 """The two clocks, and the one place that relates them.
 
-Spans (deadlines, windows, waits, graces, leases) are differences of `steady`, which is never stepped. The wall clock may
-be stepped at any time, either way, and may be wrong from the start; it is read once, when this module is imported, so
-that the steady clock counts in Unix seconds, and later only to tell staff of its steps.
+Spans (deadlines, windows, waits, graces, leases) are differences of `steady`, which is never stepped. The wall clock
+may be stepped at any time, either way, and may be wrong from the start; it is read once, when this module is imported,
+so that the steady clock counts in Unix seconds, and later only to tell staff of its steps.
 
 Messages and files name times of day, as others' clocks have them; they are compared with the steady clock.
 """
