--- a/tests/test_changelog_parts.py
+++ b/tests/test_changelog_parts.py
@@ -490,7 +490,7 @@
         deadlines=SimpleNamespace(after=sockets.callLater),
         log=SimpleNamespace(event=lambda event, **fields: told.append(event)),
         router=SimpleNamespace(purges=Purges(6.0)),
-        copies=SimpleNamespace(proven=lambda copy, now: copy.made > 0),
+        copies=SimpleNamespace(proven=lambda copy, now: copy.made > 0, age=lambda copy, now: now - copy.made),
         forwards=SimpleNamespace(overtaken=lambda holds: told.append(holds)),
         move_journal=lambda address: told.append(address),
         purge=lambda *given: told.append(given),
