--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,154 @@
+"""The router's process stands still for a while at any line, as where others have its core: what it reads then is old.
+
+It is stopped by signal; what reaches its sockets meanwhile lies unread. Judged from outside, by the test's clock.
+"""
+
+import os
+import signal
+import threading
+import time
+
+import pytest
+from stand import SERVED
+from test_client_gone import patient, warmed
+
+from wickhinge.net import msgpack
+
+SLACK = 0.15  # seconds that the deadline passed on may be more than what is left
+BUDGET = 0.9
+PAUSES = [0.3, 0.6]
+
+
+def left_of(sent, budget=BUDGET):
+    return sent + budget - time.monotonic()
+
+
+def passed_on(asked):
+    """Seconds of budget that a request brought."""
+    return int(asked.fields["budget"]) / 1000
+
+
+def ask(client):
+    client.ask("pages", budget=str(round(BUDGET * 1000)))
+
+
+@pytest.mark.parametrize("pause", PAUSES)
+@pytest.mark.parametrize("connection", ["open", "new"])
+def test_the_budget_passed_on_is_what_the_client_has_left(stand, connection, pause):
+    made = stand()
+    client = made.client()
+    line = warmed(made, client)
+    with made.stopped():
+        if connection == "new":
+            client = made.client()
+        sent = time.monotonic()
+        ask(client)
+        time.sleep(pause)
+    asked = line.next(BUDGET)
+    assert asked is not None
+    assert passed_on(asked) <= left_of(sent) + SLACK
+
+
+@pytest.mark.parametrize("count", [2, 8])
+def test_each_of_several_requests_in_one_read_is_as_old_as_it_is(stand, count):
+    """They came one by one while the router stood still."""
+    made = stand()
+    client = made.client()
+    line = warmed(made, client)
+    sent = {}
+    with made.stopped():
+        for part in range(count):
+            sent[str(part)] = time.monotonic()
+            client.ask("pages", budget=str(round(BUDGET * 1000)), block=str(part))
+            time.sleep(0.5 / count)
+    lines = [line]
+    made.places[0].settimeout(0.2)
+    for _ in range(count):
+        asked = None
+        while asked is None:
+            for one in lines:
+                asked = asked or one.next(0.05)
+            if asked is None:
+                lines.append(made.line(0))
+        assert passed_on(asked) <= left_of(sent[asked.fields["blk"]]) + SLACK
+
+
+def test_the_budget_is_what_is_left_when_a_connection_has_come_up_late(stand):
+    made = stand(change=patient)
+    late, client = made.shut(0), made.client()
+    sent = time.monotonic()
+    client.ask("pages", budget="2500")
+    time.sleep(0.8)
+    asked = late().next()
+    assert passed_on(asked) <= left_of(sent, 2.5) + SLACK
+
+
+def test_nothing_begins_after_the_end_of_its_request(stand):
+    made = stand()
+    client = made.client()
+    line = warmed(made, client)
+    with made.stopped():
+        ask(client)
+        time.sleep(BUDGET + 0.1)
+    assert line.next(0.3) is None
+    assert client.answer(client.calls)[2] is not None
+
+
+@pytest.mark.parametrize("pause", [0.15, 0.3, 0.45])
+def test_what_was_written_before_a_stop_within_the_shutdown_is_answered(stand, pause):
+    """A router that ends stands still just as its last waits run out, with requests in its sockets."""
+    made = stand()
+    client, other = made.client(), made.client()
+    warmed(made, client)
+    assert other.ping()
+    os.kill(made.router.child.pid, signal.SIGTERM)
+    time.sleep(0.7)  # 0.75 is the time in which clients still come
+    with made.stopped():
+        new = made.client()
+        calls = [(one, one.ask("pages", block="9")) for one in (client, other, new)]
+        time.sleep(pause)
+    for one, call in calls:
+        assert one.answer(call)[0] == 1
+
+
+def test_a_client_that_wrote_while_the_router_stood_still_is_not_hung_up_on(stand):
+    """It had half a request here for longer than it may, twice over; the other half came in time."""
+    made = stand()
+    client, other = made.client(), made.client()
+    whole = msgpack.pack([0, 1, "ping", [{}]])
+    client.socket.sendall(whole[:3])
+    assert other.ping()
+    time.sleep(1.0)
+    with made.stopped():
+        client.socket.sendall(whole[3:])
+        time.sleep(3.6)
+    assert client.answer(1)[3][0] is True
+
+
+def serve_forever(line, stop):
+    while not stop.is_set():
+        asked = line.next(0.05)
+        if asked is not None:
+            asked.answer("OK", SERVED, b"x" * 2000)
+
+
+def test_stops_at_any_moment_lose_nothing(stand):
+    """A hundred short stops, drawn, under load."""
+    made = stand()
+    stop = threading.Event()
+    clients = [made.client() for _ in range(4)]
+    threads = [threading.Thread(target=serve_forever, args=(warmed(made, clients[0]), stop), daemon=True)]
+    threads[0].start()
+    made.places[0].settimeout(0.05)
+    for turn in range(30):
+        with made.stopped():
+            calls = [(client, client.ask("pages", budget="1500")) for client in clients]
+            time.sleep(0.02 + 0.01 * (turn % 5))
+        for client, call in calls:
+            client.answer(call)
+        try:
+            thread = threading.Thread(target=serve_forever, args=(made.line(0), stop), daemon=True)
+            thread.start()
+        except TimeoutError:
+            pass
+    stop.set()
