--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -235,6 +235,18 @@
     assert ended.stopped
 
 
+def test_a_rested_connection_is_closed_in_the_call_that_looked_at_it(ended):
+    """A turn of the loop later it may be half a second later, with a request in it that nobody reads."""
+    client = Client(ended.address)
+    client.socket.sendall(msgpack.pack([0, 1, "ping", [{}]]))
+    ended.turn()
+    assert client.answer(1)[3][0] is True
+    [made] = ended.node.clients.all
+    assert ended.node.clients.turn_away(made)
+    client.socket.settimeout(1.0)
+    assert client.socket.recv(1) == b""
+
+
 # Clients, without a socket.
 
 
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -6,6 +6,7 @@
 import os
 import queue
 import signal
+import socket
 import threading
 import time
 from contextlib import suppress
@@ -13,6 +14,7 @@
 import pytest
 from stand import SERVED, Line
 from test_client_gone import patient, warmed
+from test_sockets import PATIENT
 
 from wickhinge.net import msgpack
 
@@ -171,3 +173,70 @@
         except TimeoutError:
             pass
     stop.set()
+
+
+def test_a_request_is_decided_by_what_was_told_while_the_router_stood_still(stand):
+    """It lies behind the drain in time, whichever socket the system names first."""
+    made = stand(machines=("box", "box", "origin"))
+    clients = [made.client() for _ in range(12)]
+    for client in clients:
+        assert client.ping()
+    with made.stopped():
+        for client in clients:
+            for part in range(4):
+                client.ask("pages", block=str(part))
+        made.tell_drain(0)
+        time.sleep(1.2)
+    made.places[0].settimeout(0.5)
+    with pytest.raises(TimeoutError):
+        made.line(0)
+
+
+def has_ended(client):
+    """Whether the router has closed it, as far as has come here."""
+    client.socket.setblocking(False)
+    try:
+        return client.socket.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except ConnectionError:
+        return True
+    finally:
+        client.socket.settimeout(PATIENT)
+
+
+def test_a_request_within_the_stop_of_an_idle_close_is_answered(stand):
+    """Idle connections are closed 5 s after their last answer, found by a sweep each 0.25 s. The router stands still
+    again and again about then; nothing that is written on a connection that has not ended is lost."""
+    made = stand()
+    clients = [made.client() for _ in range(200)]
+    for client in clients:
+        assert client.ping()
+    time.sleep(5.0)
+    lost = 0
+    for _ in range(10):
+        with made.stopped():
+            time.sleep(0.02)  # what was closed before the stop has come here
+            some = [client for client in clients if not has_ended(client)][:20]
+            written = [(client, client.ask("pages", budget="3000")) for client in some]
+            time.sleep(0.12)
+        for client, call in written:
+            try:
+                client.answer(call)
+            except (AssertionError, ConnectionError):
+                lost += 1
+        clients = [client for client in clients if client not in some]
+    assert lost == 0
+
+
+def test_an_answer_that_came_in_time_is_not_given_up_on(stand):
+    """Deadlines that ran out while the router stood still ring after what lies in its sockets has been read."""
+    made = stand()
+    client = made.client()
+    line = warmed(made, client)
+    call = client.ask("pages", budget="600")
+    asked = line.next()
+    with made.stopped():
+        asked.answer("OK", SERVED, b"x")
+        time.sleep(0.7)
+    assert client.answer(call)[2] is None
