After a standstill, lists, answers and clients are read before deadlines and attempts

Cause: the loop rang deadlines first and took sockets in the kernel's order, so that after a stop answers in time were given up on, and requests were decided by the list of before it; a rested connection was looked at, and closed a turn later.

--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -114,3 +114,18 @@
         arrivals.polled(2.0 + turn, 2.0 + turn, MOST, MOST)
         arrivals.handled()
         assert arrivals.arrived == 1.0 == arrivals.settled
+
+
+def test_a_router_is_behind_from_a_standstill_until_all_that_there_was_is_read():
+    arrivals = Arrivals(0.0)
+    arrivals.waited(10.0, 0.05, 10.7, 0, MOST, False)  # broken off, and the system not asked any more
+    arrivals.handled()
+    assert arrivals.behind
+    arrivals.polled(10.71, 10.71, MOST, MOST)
+    arrivals.handled()
+    assert arrivals.behind
+    arrivals.polled(10.72, 10.72, 2, MOST)
+    arrivals.handled()
+    assert not arrivals.behind
+    arrivals.polled(10.9, 10.9, MOST, MOST)  # a turn of 0.18 s
+    assert arrivals.behind
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -429,6 +429,22 @@
             read(made)
 
 
+def test_what_lies_in_the_sockets_is_read_before_deadlines_that_a_standstill_made_late():
+    clock, called = Clock(), []
+    deadlines = Deadlines(clock, [].append)
+    clock.arrivals.returned = deadlines.now()
+    deadlines.after(-1.0, lambda: called.append(clock.caught_up))
+    deadlines.fire()
+    clock.arrivals.returned = deadlines.now() - 0.2
+    deadlines.after(-0.1, lambda: called.append(clock.caught_up))
+    deadlines.fire()
+    clock.arrivals.returned = deadlines.now()
+    clock.arrivals.behind = True  # the poll was broken off, and told nothing
+    deadlines.after(-0.1, lambda: called.append(clock.caught_up))
+    deadlines.fire()
+    assert called == [0, 1, 2]
+
+
 @pytest.mark.parametrize("how", ["closed by its peer", "closed by us", "refused", "given up"])
 def test_a_connection_that_has_ended_is_freed_without_the_collector(how):
     """The collector is off in service: 4 KB a connection, two of them a second, crashed a router in half an hour."""
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -147,10 +147,11 @@
 
 
 def serve_forever(line, stop):
-    while not stop.is_set():
-        asked = line.next(0.05)
-        if asked is not None:
-            asked.answer("OK", SERVED, b"x" * 2000)
+    with suppress(OSError):
+        while not stop.is_set():
+            asked = line.next(0.05)
+            if asked is not None:
+                asked.answer("OK", SERVED, b"x" * 2000)
 
 
 def test_stops_at_any_moment_lose_nothing(stand):
--- a/wickhinge/net/accept.py
+++ b/wickhinge/net/accept.py
@@ -335,12 +335,15 @@
         """Whether nothing of it is open here, waits to begin, or waits to be written."""
         return not (self.open or self.later or self.pings or self.out or self.full)
 
-    def close(self, why: str) -> None:
-        """It rests, and its socket was read to the end just now; a request on its way crosses the close and is sent
-        again. Closed in this call: a turn of the loop may last long."""
+    def close(self, why: str) -> bool:
+        """It rests, and its socket was read to the end just now. Closed in this call, since a turn of the loop may last
+        long: a request on its way crosses the close and is sent again. False where one has come meanwhile."""
         transport = self.transport
+        if not transport.end_unless_unread():
+            return False
         self.leave(why)
-        transport.loseConnection()
+        transport.close_ended()
+        return True
 
     def fail(self, why: str) -> None:
         """What it sent cannot be read on, or it takes nothing. What was read before is answered, if it takes that."""
@@ -482,10 +485,11 @@
             return False
         why = "idle" if table is self.idle else "half a request" if table is self.half else "no request"
         reason = f"{why}, for room" if for_room else why
+        if not client.close(reason):
+            return False
         self.closed[reason] = self.closed.get(reason, 0) + 1
         if table is not self.idle:
             self.bad(why)
-        client.close(reason)
         return True
 
     def forget(self, client: Client) -> None:
--- a/wickhinge/net/arrivals.py
+++ b/wickhinge/net/arrivals.py
@@ -14,6 +14,7 @@
 
 LONGEST_WAIT = 0.06  # seconds of one wait for events: what a standstill within it can hide
 OVERDUE = 0.01  # seconds past its time from which a wait counts as late
+STOOD_STILL = 0.05  # seconds from one poll to the next, from which much may lie unread
 ON_TIME = 0.002  # seconds past its time within which one that brought nothing has asked the system
 SOON = 0.005  # seconds since the last poll that left nothing over, within which it need not be asked first
 
@@ -24,6 +25,7 @@
         self.arrived = began  # what the latest poll handed out, or any socket holds, came then at the earliest
         self.settled = began  # all that came before this has been read and handled, without any doubt
         self.returned = began  # when the latest poll did
+        self.behind = False  # the process stood still, and what came meanwhile may not all have been read
         self._left_nothing = began  # the same as `arrived`, for what the next poll hands out
         self._settles = began  # the same as `settled`, once what the latest poll handed out is handled
 
@@ -33,6 +35,7 @@
 
     def polled(self, entered: float, returned: float, count: int, most: int) -> None:
         """A poll that does not wait handed out `count` of `most` events that it could."""
+        self.behind |= entered - self.returned > STOOD_STILL
         self.arrived = self._left_nothing
         if 0 < count < most:
             # No event at all is no proof: a signal may have come, and the system was not asked.
@@ -46,6 +49,7 @@
             self.polled(entered, returned, count, most)
             return
         took = returned - entered
+        self.behind |= took > limit + OVERDUE or entered - self.returned > STOOD_STILL
         self.arrived = self._left_nothing = returned if took <= limit + OVERDUE else entered
         # One that a signal broke off past its time asks the system no more, and looks as if nothing had come.
         if 0 < count < most or not count and took <= limit + ON_TIME:
@@ -54,4 +58,5 @@
 
     def handled(self) -> None:
         """What the latest poll handed out has been read."""
+        self.behind &= self.settled == self._settles
         self.settled = self._settles
--- a/wickhinge/net/deadlines.py
+++ b/wickhinge/net/deadlines.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from wickhinge.clocks import steady
+from wickhinge.net.arrivals import STOOD_STILL
 
-STOOD_STILL = 0.05  # seconds since the last poll, from which what lies in the sockets is read before deadlines ring
 TICK = 0.002  # seconds; the kernel's timer counts in milliseconds
 
 
@@ -50,6 +50,8 @@
             self.timer = self.reactor.callLater(delay, self.fire)
 
     def fire(self) -> None:
+        if self.arrivals.behind or self.now() - self.arrivals.returned > STOOD_STILL:
+            self.reactor.catch_up()
         heap, now, last = self.heap, self.now(), self.serial
         self.due = -1.0  # calls made from here add to the heap; the timer is set once, at the end
         while heap and heap[0][0] <= now and heap[0][1] <= last:
--- a/wickhinge/net/loop.py
+++ b/wickhinge/net/loop.py
@@ -88,9 +88,8 @@
     def catch_up(self) -> None:
         """Deadlines that ran out while the process stood still come after what lies in its sockets."""
         for _ in range(CATCH_UP):
-            before = self.arrivals.settled
             self.doPoll(0.0)
-            if self.arrivals.settled != before or not self._reads:
+            if not self.arrivals.behind or not self._reads:
                 return
 
     # Descriptors that the system does not take at once.
--- a/wickhinge/net/router.py
+++ b/wickhinge/net/router.py
@@ -77,6 +77,8 @@
         self.caches.stops = self.router.cancel
         self.others = self.forwards.others
         self.others.improved = lambda: self.router.fleet.relate(self.deadlines.now())
+        self.forwards.informed = self.informed
+        reactor.behind = lambda: self.journal.look()
         self.router.fleet.instant = self.router.purges.instant = self.others.instant
         self.last = min(max(tariff.patience for tariff in tariffs.values()), LONGEST) + LAST
         self.visits = Visits(self.forwards, self.deadlines, self.pool, tariffs, self.log.event, self.fault)
--- a/wickhinge/net/transport.py
+++ b/wickhinge/net/transport.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from socket import MSG_PEEK, SHUT_RDWR
 from typing import Any
 
 from twisted.internet import main, tcp
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-from wickhinge.net.patience import patiently, receive
+from wickhinge.net.patience import failed_calls, patiently, receive
 
 
 class Enduring:
@@ -28,8 +29,26 @@
             return main.CONNECTION_LOST
         return size or 0
 
-    def close_now(self) -> None:
-        """Closes in this call: what was looked at just before is all that there was. Nothing may wait to be written."""
+    def end_unless_unread(self) -> bool:
+        """Ends the connection, unless something lies unread there, or that cannot be told just now. The look and the
+        end are one step: the process may stand still between any two. Nothing may wait to be written."""
+        socket = self.socket
+        try:
+            if socket.recv(1, MSG_PEEK):
+                return False
+        except BlockingIOError:
+            pass
+        except OSError as problem:
+            failed_calls.count("recv", problem.errno)
+            return False
+        try:
+            socket.shutdown(SHUT_RDWR)
+        except OSError as problem:  # the peer has ended it already
+            failed_calls.count("shutdown", problem.errno)
+        return True
+
+    def close_ended(self) -> None:
+        """Gives the descriptor of a connection back that has ended, in this call."""
         self.connectionLost(Failure(ConnectionDone()))
 
 
