--- /dev/null
+++ b/tests/test_failing_calls.py
@@ -0,0 +1,139 @@
+"""System calls of a router fail once, with each error that Linux documents for a passing condition: one try is lost.
+
+They fail in a preloaded library; all is judged by what clients and machines see.
+"""
+
+import errno
+import threading
+import time
+from contextlib import suppress
+
+import pytest
+from stand import SERVED
+from test_sockets import Client
+
+from bench.faults.shim import Call
+
+ONE_IN_FIVE = 0.2
+ACCEPT_ERRORS = [
+    errno.ECONNABORTED,
+    errno.ENFILE,
+    errno.EMFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EPROTO,
+    errno.ENETDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENETUNREACH,
+    errno.EPERM,
+    errno.ETIMEDOUT,
+]
+
+
+class Serving:
+    """The cache answers all that comes to it at once."""
+
+    def __init__(self, made):
+        self.made, self.count, self.stop = made, 0, threading.Event()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        self.made.places[0].settimeout(0.05)
+        while not self.stop.is_set():
+            with suppress(OSError):
+                line = self.made.line(0)
+                threading.Thread(target=self.answer, args=(line,), daemon=True).start()
+
+    def answer(self, line):
+        with suppress(OSError):
+            while not self.stop.is_set():
+                asked = line.next(0.05)
+                if asked is not None:
+                    self.count += 1
+                    asked.answer("OK", SERVED, b"x" * 1000)
+
+
+@pytest.fixture
+def serving():
+    made = []
+    yield lambda stand: made.append(Serving(stand)) or made[-1]
+    for one in made:
+        one.stop.set()
+
+
+@pytest.mark.parametrize("error", ACCEPT_ERRORS)
+def test_a_failed_accept_hangs_up_on_nobody(faulty, error):
+    made, shim = faulty()
+    resting = [made.client() for _ in range(12)]
+    for client in resting:
+        assert client.ping()
+    time.sleep(0.3)
+    for _ in range(6):
+        shim.fail_next(Call.ACCEPT, 1, error)
+        assert made.client().ping()
+    for client in resting:
+        assert client.ping()
+
+
+def test_one_failed_accept_in_five_leaves_half_of_the_requests(faulty, serving):
+    """Each client connects anew for each request; the same number of them without and with the failures."""
+    made, shim = faulty()
+    serving(made)
+    resting = [made.client() for _ in range(20)]
+    for client in resting:
+        assert client.ping()
+
+    def served_in(seconds):
+        end, count = time.monotonic() + seconds, 0
+        while time.monotonic() < end:
+            client = Client(made.address)
+            assert client.answer(client.ask("pages"))[2] is None
+            client.socket.close()
+            count += 1
+        return count
+
+    undisturbed = served_in(1.5)
+    shim.fail(Call.ACCEPT, ONE_IN_FIVE)
+    assert served_in(1.5) >= undisturbed / 2
+    assert shim.failed(Call.ACCEPT) > 20
+    shim.calm()
+    for client in resting:
+        assert client.ping()
+
+
+@pytest.mark.parametrize("call", [Call.CLIENT_READ, Call.CLIENT_PEEK, Call.CLIENT_SEND])
+@pytest.mark.parametrize("error", [errno.ENOMEM, errno.ENOBUFS, errno.EINTR, errno.EAGAIN])
+def test_a_failed_call_on_a_client_s_connection_loses_no_request(faulty, serving, call, error):
+    made, shim = faulty()
+    serving(made)
+    clients = [made.client() for _ in range(8)]
+    shim.fail(call, ONE_IN_FIVE, error)
+    for _ in range(15):
+        calls = [(client, client.ask("pages")) for client in clients]
+        for client, number in calls:
+            assert client.answer(number)[2] is None
+    assert shim.failed(call) > 5 or call is Call.CLIENT_PEEK
+
+
+@pytest.mark.parametrize(
+    "call", [Call.SERVER_READ, Call.SERVER_PEEK, Call.SERVER_SEND, Call.SHORT_SEND, Call.SHORT_READ]
+)
+def test_a_failed_call_on_a_machine_s_connection_fails_no_request(faulty, serving, call):
+    """Results are exclusive: what may have run is not sent again, so that a cut connection shows as a failure."""
+    made, shim = faulty(change=lambda conf: conf["classes"][1].update(onTimeMs=2900))
+    serving(made)
+    client = made.client()
+    shim.fail(call, ONE_IN_FIVE)
+    for _ in range(40):
+        calls = [client.ask("pages", block=str(part)) for part in range(4)]
+        for number in calls:
+            assert client.answer(number)[2] is None
+    assert shim.failed(call) > 5
+
+
+def test_a_broken_list_watch_is_made_anew(faulty):
+    made, shim = faulty()
+    shim.fail_next(Call.BREAK, 1, errno.ETIMEDOUT)
+    made.tell(0)
+    anew = made.take(made.service)
+    assert int.from_bytes(anew.recv(8)) == made.number
