--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -4,13 +4,15 @@
 """
 
 import errno
+import os
+import signal
 import threading
 import time
 from contextlib import suppress
 
 import pytest
 from stand import SERVED
-from test_sockets import Client
+from test_sockets import PATIENT, Client
 
 from bench.faults.shim import Call
 
@@ -137,3 +139,43 @@
     made.tell(0)
     anew = made.take(made.service)
     assert int.from_bytes(anew.recv(8)) == made.number
+
+
+@pytest.mark.parametrize("call", [Call.SOCKET, Call.CONNECT, Call.REGISTER])
+def test_a_local_failure_to_connect_costs_one_try(faulty, serving, call):
+    """The machine is not blamed: the next request goes to it, and it is not taken for cold."""
+    made, shim = faulty(machines=("box", "box", "origin"))
+    served = serving(made)
+    shim.fail_next(call, 2)
+    client = made.client()
+    numbers = [client.ask("pages", block=str(part)) for part in range(8)]
+    for number in numbers:
+        assert client.answer(number)[2] is None
+    assert served.count > 0
+
+
+def test_a_descriptor_that_the_loop_does_not_take_at_once_is_served(faulty, serving):
+    made, shim = faulty()
+    serving(made)
+    for _ in range(5):
+        shim.fail_next(Call.REGISTER)
+        client = made.client()
+        assert client.answer(client.ask("pages"))[2] is None
+        assert shim.failed(Call.REGISTER)
+
+
+def test_requests_in_half_open_connections_of_a_router_that_ends_are_answered(faulty):
+    """Accepts fail now and then while it ends; nothing that was accepted by the system is left unread."""
+    made, shim = faulty()
+    shim.fail(Call.ACCEPT, ONE_IN_FIVE)
+    shim.fail(Call.CLIENT_READ, ONE_IN_FIVE)
+    shim.fail(Call.CLIENT_PEEK, ONE_IN_FIVE)
+    os.kill(made.router.child.pid, signal.SIGTERM)
+    end, asked = time.monotonic() + 0.5, []
+    while time.monotonic() < end:
+        client = made.client()
+        asked.append((client, client.ask("pages", budget="1000")))
+        time.sleep(0.005)
+    for client, number in asked:
+        assert client.answer(number)[0] == 1
+    assert made.router.child.wait(PATIENT) == 0
