A failed connect or epoll_ctl of our own blames no server and loses no connection

Cause: ends.unconnected mapped EADDRNOTAVAIL, ENETUNREACH, ENOBUFS and their like to NO_CONNECT, which rests a server and makes it cold; a descriptor that epoll_ctl did not take raised through the loop. Change: errors of this machine are NOT_BEGUN (never sent, nobody is blamed), EHOSTUNREACH and ETIMEDOUT count against a server at the second connection in a row; Reactor.register tries a descriptor again after 10 ms.

--- a/wickhinge/net/ends.py
+++ b/wickhinge/net/ends.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from wickhinge.interface import Outcome
+from wickhinge.net.patience import OURS
 
 
 class End(Enum):
@@ -86,4 +87,8 @@
     number = getattr(reason.value, "osError", None)
     if number == ECONNRESET or reason.check(error.ConnectionLost):
         return End.RESET_NEW
+    if number in OURS:
+        return End.NOT_BEGUN
+    if number in NO_WAY:
+        return End.NO_ROUTE
     return End.NO_CONNECT
--- a/wickhinge/net/loop.py
+++ b/wickhinge/net/loop.py
@@ -105,7 +105,6 @@
             add(selectable)
         except OSError as problem:
             failed_calls.count("epoll_ctl", problem.errno)
-            raise
             self.unregistered.setdefault(selectable, set()).add(add)
             self.callLater(AGAIN, self.register_again)
 
