--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -14,7 +14,7 @@
 from stand import SERVED
 from test_sockets import PATIENT, Client
 
-from bench.faults.shim import Call
+from bench.faults.shim import Call, Shim
 
 ONE_IN_FIVE = 0.2
 ACCEPT_ERRORS = [
@@ -179,3 +179,39 @@
     for client, number in asked:
         assert client.answer(number)[0] == 1
     assert made.router.child.wait(PATIENT) == 0
+
+
+@pytest.mark.parametrize("call", [Call.SOCKET, Call.REGISTER, Call.OPEN])
+@pytest.mark.parametrize("count", [1, 3])
+def test_a_start_goes_on_after_a_failed_call(stand, shim_library, tmp_path, call, count):
+    shim = Shim(shim_library, tmp_path / "shim.page", files=tmp_path)
+    shim.fail_next(call, count)
+    made = stand(environment=shim.environment)
+    assert made.client().ping()
+    assert shim.failed(call)
+
+
+def test_a_reload_goes_on_after_a_failed_open(faulty):
+    made, shim = faulty()
+    other = made.listening()
+    path = made.folder / "config.json"
+    text = path.read_text().replace(*("{}:{}".format(*place.getsockname()) for place in (made.service, other)))
+    path.write_text(text)
+    shim.fail_next(Call.OPEN, 2)
+    os.kill(made.router.child.pid, signal.SIGHUP)
+    moved = made.take(other)
+    assert int.from_bytes(moved.recv(8)) == made.number
+
+
+def test_a_reload_goes_on_when_the_file_was_half_written(faulty):
+    """Whoever writes it in place is read in the middle; the signal comes once."""
+    made, _ = faulty()
+    other = made.listening()
+    path = made.folder / "config.json"
+    text = path.read_text().replace(*("{}:{}".format(*place.getsockname()) for place in (made.service, other)))
+    path.write_text(text[: len(text) // 2])
+    os.kill(made.router.child.pid, signal.SIGHUP)
+    made.router.wait("reload_failed")
+    path.write_text(text)
+    moved = made.take(other)
+    assert int.from_bytes(moved.recv(8)) == made.number
