A repeat that waits for its connection is not written after its key's window

What callers saw: nobody has reported it; a request with an idempotency key could run twice.

Cause: RoutedRequest.may_send held the window against the time of the decision. The attempt may be written much later: its connection comes up late, or the process stands still. Client, deadline and list are looked at again before the first byte (Attempts.begin), the window was not.

Why this works: the decision tells for how long its attempt may still begin, counted from the decision of the first attempt that may have run, and an attempt past that is taken back where client, deadline and list are looked at.

--- a/wickhinge/interface.py
+++ b/wickhinge/interface.py
@@ -147,6 +147,7 @@
     collapse: bool  # the fill may join one in progress
     only_if_cached: bool  # the source answers only out of its cache
     revalidate: bool  # the cache may renew a stale copy
+    begin_within: float | None = None  # seconds, past which it must not be written any more; None: no such bound
 
 
 class Completion(NamedTuple):
--- a/wickhinge/net/upstream/attempts.py
+++ b/wickhinge/net/upstream/attempts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import Any
 
 from wickhinge.clocks import OthersTime
@@ -24,11 +25,12 @@
 class SentAttempt:
     """One forward on its way; for a probe there is no door and no forward, only the cache."""
 
-    __slots__ = ("door", "forward", "cache", "line", "tag", "since", "until", "fields", "offered", "fills")
+    __slots__ = ("door", "forward", "cache", "line", "tag", "since", "until", "begin_until", "fields", "offered", "fills")
 
     def __init__(self, door: Any, forward: Any, cache: Any, since: float, until: float) -> None:
         """since: decided; until: nobody waits for it any more."""
         self.door, self.forward, self.cache, self.since, self.until = door, forward, cache, since, until
+        self.begin_until = inf  # no byte of it may be written for the first time later
         self.fields = ""  # as they go out, but for the budget, which is what is left then
         self.offered: Any = None  # the copy whose tag goes with it: the client's (its tag), or one of our own
         self.line: Any = None
@@ -94,6 +96,8 @@
             door.missed.leave(door.rid)  # this may end as a miss, and the look's, come twice, would be taken for it
         now = self.deadlines.now()
         sent = SentAttempt(door, forward, cache, now, now + parameters.timeout)
+        if parameters.begin_within is not None:
+            sent.begin_until = now + parameters.begin_within
         sent.fills = source is not None and source is not cache and not parameters.only_if_cached
         if door.cached:
             sent.offered = door.cached
@@ -177,6 +181,9 @@
             if now >= sent.until:
                 self.take_back(number, "its time was over before it was written")
                 return None
+            if now >= sent.begin_until:
+                self.take_back(number, "the servers may have forgotten its key")
+                return None
             if not self._is_up_to_date(now):
                 self.take_back(number, "decided by an old list")
                 return None
--- a/wickhinge/routing/routed_request.py
+++ b/wickhinge/routing/routed_request.py
@@ -78,10 +78,18 @@
             return True
         if idempotency is Idempotency.NOT_IDEMPOTENT:
             return False
-        if now - earlier[0].sent >= self.request_class.deduplication_window - DEDUPLICATION_MARGIN_S:
+        time_left = self._time_to_repeat(now)
+        if time_left is not None and time_left <= 0.0:
             return False
         return self._shares_keys(server, earlier)
 
+    def _time_to_repeat(self, now: float) -> float | None:
+        """Seconds for which the servers still know the idempotency key of what may have run; None: there is none."""
+        earlier = self.may_have_run()
+        if not earlier or self.request_class.idempotency is not Idempotency.IDEMPOTENCY_KEY:
+            return None
+        return earlier[0].sent + self.request_class.deduplication_window - DEDUPLICATION_MARGIN_S - now
+
     def _shares_keys(self, server: Server, earlier: list[Attempt]) -> bool:
         """Whether the server drops a repeat of any of these attempts."""
         group = self.request_class.deduplication_group
@@ -256,6 +264,7 @@
         router, self.is_waiting = self.router, False
         if rank is None:
             rank = self._retention_rank(server)
+        time_to_repeat = self._time_to_repeat(now)
         attempt = Attempt(self, server, source, now, only_if_cached=only_if_cached)
         self.attempts.append(attempt)
         router.attempt_begins(attempt)
@@ -269,6 +278,7 @@
             collapse=router.capabilities.collapse_fills and source is not server,
             only_if_cached=only_if_cached,
             revalidate=bool(rank and self.request_class.freshness_lifetime),
+            begin_within=time_to_repeat,
         )
         self.transport.forward(parameters)
         overdue_after = 0.3 + 2 * (self.work + source.fill_delay(self))
