A request that only a guess of its work makes late is tried, one of a class at a time

Cause: until an answer has told better, RoutedRequest.work is INITIAL_WORK_SHARE, half of the objective, and is_late forbids the attempt whose answer would correct it. What was learned of a class or an object when servers were slow locks itself likewise.

An answer tells the object's work at once.

--- /dev/null
+++ b/tests/routing/test_work_evidence.py
@@ -0,0 +1,78 @@
+"""Requests that only an unconfirmed estimate would make late are tried, one at a time."""
+
+import pytest
+
+from tests.support.routing import end, request_class, router, take
+from wickhinge.interface import Idempotency, Outcome
+from wickhinge.routing.work_evidence import CONFIRMED_FOR_S, RETRY_INTERVAL_S
+
+SHORT_S = 0.2  # of the objective of 0.6 s the guess takes half
+NOW = 100.0
+
+
+def short(made, now=NOW, key=5, patience=SHORT_S, **more):
+    return take(made, key=key, size=0.0, patience=patience, now=now, **more)
+
+
+def test_one_request_at_a_time_is_tried_against_a_guess():
+    made = router()
+    first, second = short(made, key=1)[1], short(made, key=2)[1]
+    assert len(first.forwards) == 1 and not second.forwards and second.answers
+    end(first, Outcome.SUCCEEDED, NOW + 0.01)
+    assert short(made, NOW + 0.02, key=3)[1].forwards
+
+
+def test_an_object_whose_work_an_answer_told_needs_no_trial():
+    made = router()
+    end(short(made, key=1)[1], Outcome.SUCCEEDED, NOW + 0.01)
+    assert all(short(made, NOW + 0.02, key=1)[1].forwards for _ in range(3))
+
+
+def test_a_trial_that_was_not_answered_is_followed_by_a_pause():
+    made = router()
+    visit, _ = short(made)
+    visit.give_up(NOW + SHORT_S)
+    assert not short(made, NOW + SHORT_S + 0.01)[1].forwards
+    assert short(made, NOW + RETRY_INTERVAL_S + 0.01)[1].forwards
+
+
+def test_what_answers_of_late_took_longer_than_is_not_tried_until_they_are_old():
+    """Slow servers are not asked in vain, and once slow is not slow for ever."""
+    made = router()
+    end(take(made, key=1, size=0.0, now=NOW)[1], Outcome.SUCCEEDED, NOW + 0.9, took=0.9)
+    for key in (1, 2):
+        assert not short(made, NOW + 1.0, key=key)[1].forwards
+    later = NOW + 0.9 + CONFIRMED_FOR_S + 0.1
+    tried = short(made, later, key=1)[1]
+    end(tried, Outcome.SUCCEEDED, later + 0.01)
+    assert short(made, later + 0.02, key=1)[1].forwards and short(made, later + 0.02, key=2)[1].forwards
+
+
+@pytest.mark.parametrize("effect", [Idempotency.NOT_IDEMPOTENT, Idempotency.IDEMPOTENCY_KEY])
+def test_what_may_not_simply_be_repeated_is_not_put_on_trial(effect):
+    assert not short(router(), kind=request_class(effect))[1].forwards
+
+
+def test_nothing_is_tried_at_crowded_servers_or_where_the_size_is_told():
+    made = router(boxes=1, direct=False)
+    assert not take(made, size=2000.0, patience=SHORT_S, now=NOW)[1].forwards
+    made.endpoints.edge_caches[0].other_transfers = 20.0
+    made.endpoints.routers = 1
+    made.endpoints.estimate_other_transfers = lambda: None
+    made.endpoints.edge_caches[0].concurrency_limit = 10.0
+    assert not short(made)[1].forwards
+
+
+def test_a_cold_server_is_tried_within_its_calls_alone():
+    made = router(boxes=1, direct=False)
+    cache = made.endpoints.edge_caches[0]
+    cache.started = NOW - 1.0
+    cache.initial_debt, cache.tokens, cache.refilled_at = 0.0, -1.0, NOW
+    assert not short(made)[1].forwards
+
+
+def test_idempotent_requests_that_pass_through_are_tried_likewise():
+    made = router()
+    kind = request_class(pass_through=True)
+    first, second = short(made, kind=kind)[1], short(made, kind=kind)[1]
+    assert first.forwards and not second.forwards
--- a/wickhinge/net/upstream/attempts.py
+++ b/wickhinge/net/upstream/attempts.py
@@ -25,7 +25,19 @@
 class SentAttempt:
     """One forward on its way; for a probe there is no door and no forward, only the cache."""
 
-    __slots__ = ("door", "forward", "cache", "line", "tag", "since", "until", "begin_until", "fields", "offered", "fills")
+    __slots__ = (
+        "door",
+        "forward",
+        "cache",
+        "line",
+        "tag",
+        "since",
+        "until",
+        "begin_until",
+        "fields",
+        "offered",
+        "fills",
+    )
 
     def __init__(self, door: Any, forward: Any, cache: Any, since: float, until: float) -> None:
         """since: decided; until: nobody waits for it any more."""
--- a/wickhinge/routing/routed_request.py
+++ b/wickhinge/routing/routed_request.py
@@ -18,6 +18,7 @@
 from wickhinge.routing.attempt import CACHE_USABLE, NEVER_RAN, TRANSIENT, Attempt
 from wickhinge.routing.hashing import mix
 from wickhinge.routing.server import Server
+from wickhinge.routing.work_evidence import CONFIRMED_FOR_S
 
 if TYPE_CHECKING:
     from wickhinge.routing.router import Router
@@ -41,7 +42,8 @@
         self.object_count = router.object_counts.record_request(request.key, request.part, now)
         self.part, self.group, self.is_retry = request.part, request.group, request.is_retry
         self.part_hash = mix(request.part, mix(self.object_count.key))
-        known_work = request.size_kb / router.flow if request.size_kb else self.object_count.work
+        self.is_size_told = request.size_kb > 0.0
+        known_work = request.size_kb / router.flow if self.is_size_told else self.object_count.work
         self.is_work_known = bool(known_work)  # else it is the mean of its class
         self.work = known_work or router.mean_work(request_class)  # seconds of transfer
         self.deadline = now + request.timeout
@@ -49,6 +51,7 @@
         self.on_time_until = min(now + objective, self.deadline)
         self.attempts: list[Attempt] = []
         self.is_finished = False
+        self.is_trial = False  # its estimated work would make it late, and no answer of late confirms that
         self.is_waiting = False  # for capacity, until wait_until
         self.wait_until = 0.0
         self.missed_at: Server | None = None  # the cache whose miss is to be filled
@@ -110,9 +113,29 @@
         # A retry's objective mostly ran out with its first try: past full load it takes pace from first tries.
         if self.is_retry and utilization > 1.0:
             return True
+        if self.is_trial:
+            return utilization > 1.0 or now > self.on_time_until
         transfer = self.work * (max(utilization, 1.0) + ARRIVALS_WEIGHT * utilization)
         return now + transfer > self.on_time_until
 
+    def _is_untimely(self, utilization: float, now: float) -> bool:
+        """Return whether it would be late there, and is not tried all the same."""
+        if not self.is_late(utilization, now):
+            return False
+        return self.is_trial or utilization > 1.0 or not self._begin_trial(now)
+
+    def _begin_trial(self, now: float) -> bool:
+        """Put it on trial where it is late by a guess alone, or by what was learned long ago."""
+        if self.is_size_told or self.request_class.idempotency is not Idempotency.IDEMPOTENT:
+            return False
+        evidence, time_left = self.router.work_evidence(self.request_class), self.on_time_until - now
+        if self.is_work_known:
+            is_confirmed = now - self.object_count.work_learned <= CONFIRMED_FOR_S
+        else:
+            is_confirmed = evidence.confirms_lateness(time_left, now)
+        self.is_trial = time_left > 0.0 and not is_confirmed and evidence.begin_trial(self, now)
+        return self.is_trial
+
     def _is_usable(self, server: Server, now: float) -> bool:
         return (
             server.is_available(now) and self.may_send(server, now) and self.router.endpoints.admits(server, self, now)
@@ -157,7 +180,8 @@
 
     def try_edge_cache(self, now: float) -> None:
         """Ask the cache on the part's hash, or the next where that one fails or would be late."""
-        if self.is_late(0.0, now) and not self.pending():  # late anywhere: overload is shed without a choice
+        # Late anywhere: overload is shed without a choice.
+        if not self.pending() and self._is_untimely(0.0, now):
             self.give_up(now, RejectionReason.TOO_LATE)
             return
         cache = self._choose_edge_cache(now)
@@ -178,7 +202,7 @@
         endpoints = self.router.endpoints
         for cache in endpoints.in_order(endpoints.edge_caches, self.part_hash, now):
             is_usable = cache not in failed and self._is_usable(cache, now)
-            if is_usable and not self.is_late(cache.utilization(), now):
+            if is_usable and not self._is_untimely(cache.utilization(), now):
                 return cache
         return None
 
@@ -186,8 +210,9 @@
         """Run at the origin: straight there, or through a cache that names it as the source."""
         origin = self.router.endpoints.origin
         server = origin if self.router.capabilities.direct_to_source else cache
-        is_in_time = origin and self._trusts(origin) and now + self.work < self.deadline
-        self._send_or_give_up(server if is_in_time else None, origin, now)
+        is_in_time = now + self.work < self.deadline or self.is_trial or self._begin_trial(now)
+        is_usable = origin is not None and self._trusts(origin) and is_in_time
+        self._send_or_give_up(server if is_usable else None, origin, now)
 
     def _try_source_directly(self, now: float) -> None:
         """No cache of the zone is usable: ask a parent, past the caches' link."""
@@ -216,7 +241,7 @@
             self.try_edge_cache(now)
             return
         utilization = max(cache.utilization(), router.link_utilization())
-        if self.is_late(utilization, now):
+        if self._is_untimely(utilization, now):
             self.give_up(now, RejectionReason.TOO_LATE)
         elif not self._is_usable(cache, now):
             self.give_up(now, RejectionReason.NO_SERVER)
@@ -233,7 +258,7 @@
         delaying = (origin or source) if is_origin_fetch else source
         delay = delaying.fill_delay(self, only_if_cached=only_if_cached)
         delay = max(delay, source.fill_delay(self, only_if_cached=True))
-        if self.is_late(utilization, now + delay) or is_origin_fetch and now < pacing.next_fetch:
+        if self._is_untimely(utilization, now + delay) or is_origin_fetch and now < pacing.next_fetch:
             # Its link is full, or what is behind it is slow or rejects.
             self.give_up(now, RejectionReason.SOURCE_TOO_SLOW)
             return
@@ -319,8 +344,10 @@
         is_fill = attempt.source is not attempt.server
         is_cacheable = attempt.server in router.endpoints.edge_caches and not self.request_class.pass_through
         router.observe_answer(attempt, outcome, now)
+        if outcome is Outcome.SUCCEEDED:
+            self._observe_work(completion.duration, now, is_fill=is_fill)
         if outcome is Outcome.SUCCEEDED and is_cacheable and not is_fill:
-            self._learn_from_hit(attempt.server, completion.duration)
+            self._learn_from_hit(attempt.server, completion.duration, now)
         if outcome is Outcome.SUCCEEDED or completion.is_answered:
             self.finish()  # first: what follows sends for those who wait, and it may be one of them
         if is_fill:
@@ -334,8 +361,15 @@
         elif not self.pending():
             self._retry(attempt, outcome, now, is_cacheable=is_cacheable)
 
-    def _learn_from_hit(self, cache: Server, duration: float) -> None:
-        self.router.learn_work(self, duration)
+    def _observe_work(self, duration: float, now: float, *, is_fill: bool) -> None:
+        evidence = self.router.work_evidence(self.request_class)
+        if not is_fill:  # which takes longer than the work
+            evidence.observe(duration, now)
+        if self.is_trial:
+            evidence.trial_answered()
+
+    def _learn_from_hit(self, cache: Server, duration: float, now: float) -> None:
+        self.router.learn_work(self, duration, now)
         if self.is_work_known:  # a guessed time tells the size of the object, not of the load
             cache.observe_latency(duration / max(self.work, MIN_TRANSFER_S))
         # After a restart the count is zero though the cache has the object; the paper keeps what is there.
--- a/wickhinge/routing/router.py
+++ b/wickhinge/routing/router.py
@@ -24,6 +24,7 @@
 from wickhinge.routing.routed_request import ANSWER_MARGIN_S, RoutedRequest
 from wickhinge.routing.server import Server
 from wickhinge.routing.slow_start import ROUND_INTERVAL_S
+from wickhinge.routing.work_evidence import WorkEvidence
 from wickhinge.routing.zone_link import ZoneLink
 
 INITIAL_WORK_SHARE = 0.5  # of the latency objective: pessimistic, for the sake of slow start
@@ -71,6 +72,7 @@
         self.poll_interval = settings.max_list_age / POLLS_PER_MAX_AGE or DEFAULT_POLL_INTERVAL_S
         self.local_copies: LocalCopies | None = None
         self.mean_works: dict[str, float] = {}  # seconds of transfer, by request class
+        self._work_evidence: dict[str, WorkEvidence] = {}  # by request class
         self.waiting: list[RoutedRequest] = []  # for capacity
         self.gain = SAMPLE_GAIN * min(endpoints.routers, MAX_GAIN_ROUTERS)  # larger where few are seen
         self.zone_link = ZoneLink(self.gain)
@@ -127,13 +129,17 @@
         """Return a class's mean seconds of transfer, as learned."""
         return self.mean_works.get(request_class.name, INITIAL_WORK_SHARE * request_class.latency_objective)
 
-    def learn_work(self, routed: RoutedRequest, duration: float) -> None:
+    def work_evidence(self, request_class: RequestClass) -> WorkEvidence:
+        """Return what answers have told of a class's work."""
+        return self._work_evidence.setdefault(request_class.name, WorkEvidence())
+
+    def learn_work(self, routed: RoutedRequest, duration: float, now: float) -> None:
         """Learn from a transfer out of a cache of the zone."""
         request_class, count = routed.request_class, routed.object_count
         self.mean_works[request_class.name] = self.mean_work(request_class) * (1 - WORK_GAIN) + duration * WORK_GAIN
         # All parts are about as large, and load only adds: the shortest time seen is nearest to the work.
         work = min(count.work or duration, duration)
-        count.work = work + (duration - work) * PART_WORK_GAIN
+        count.work, count.work_learned = work + (duration - work) * PART_WORK_GAIN, now
 
     # Attempts.
 
