A failed server without told weights keeps a share of one request a window until it answers

What callers saw: nobody has reported it. A router started while its caches were down, or whose only caches failed after a long rest, rejected everybody for ever after they were back, where lists tell no weights and there are no health checks.

Cause: what a cold server may get is reckoned by the usual load of warm ones. With none known that is nothing, and a server that has failed counts as cold until it answers, which it cannot without an attempt.

--- a/wickhinge/routing/endpoints.py
+++ b/wickhinge/routing/endpoints.py
@@ -149,7 +149,8 @@
             return self.slow_start_quota(server, is_parent, slow_start, capacity_share, work)
         share = (self.traffic_share if is_parent else 1.0) / self.routers
         if self.has_weights:
-            own_capacity = server.weight * share
-        else:
-            own_capacity = (UNWEIGHTED_PARENT_SHARE if is_parent else UNWEIGHTED_CACHE_SHARE) * slow_start.usual_load
-        return slow_start.admits(server, own_capacity, share, work, now)
+            return slow_start.admits(server, server.weight * share, share, work, now)
+        # No warm server may show what one takes, and one that has failed is cold until it answers: it gets this
+        # router's share of one request a window.
+        own_capacity = (UNWEIGHTED_PARENT_SHARE if is_parent else UNWEIGHTED_CACHE_SHARE) * slow_start.usual_load
+        return slow_start.admits(server, own_capacity, share, work, now, min_requests=share)
--- a/wickhinge/routing/slow_start.py
+++ b/wickhinge/routing/slow_start.py
@@ -51,7 +51,9 @@
             server.sent_work = 0.0
             server.decay()
 
-    def admits(self, server: Server, own_capacity: float, share: float, work: float, now: float) -> bool:
+    def admits(  # noqa: PLR0913
+        self, server: Server, own_capacity: float, share: float, work: float, now: float, *, min_requests: float = 0.0
+    ) -> bool:
         """Return whether a request may go to a warming server now, out of its token bucket.
 
         One request may be more than a share: it is sent on credit, and the debt is waited out. Half a window's worth is
@@ -64,9 +66,13 @@
             share: of this router in all requests of the tier.
             work: seconds of transfer of the request.
             now: the time.
+            min_requests: of the mean work, that it gets in a window whatever is known of its capacity.
         """
         self.mean_work += LOAD_GAIN * (work - self.mean_work) if self.mean_work else work
         capacity = self.overload_factor * self.capacity_share(server, now)  # in what a warm one can do
+        least_rate = min_requests * self.mean_work / self.window
+        if capacity > 0.0:
+            own_capacity = max(own_capacity, least_rate / (CAPACITY_SHARE * capacity))
         rate = CAPACITY_SHARE * capacity * own_capacity
         max_tokens = 0.5 * rate * self.window
         if capacity < 1.0:
