The client connection names what it asks of all others as a protocol; the listener's constants say quantity and unit

client_connection.py imported client_connections.py for its types, which imports it: ConnectionOwner stands there now. listener.py had FAILURES twice, AGAIN and LASTS without a unit. No behaviour changes.

--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
-from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure
 
 from wickhinge.common.failed_calls import has_unread_data, receive
 from wickhinge.net.downstream import msgpack
-from wickhinge.net.downstream.request_table import InvalidRequestError
+from wickhinge.net.downstream.request_table import InvalidRequestError, RequestTable
+from wickhinge.net.runtime.arrivals import Arrivals
 from wickhinge.net.runtime.buffers import Body
-
-if TYPE_CHECKING:
-    from wickhinge.net.downstream.client_connections import ClientConnections
+from wickhinge.net.runtime.deadlines import Deadlines
 
 MAX_OPEN_REQUESTS = 32  # on a connection, as clients are told
 MAX_WRITE_STALL_S = 5.0  # without a byte taken by a client that has answers to read
@@ -36,10 +36,37 @@
         self.method, self.params, self.since, self.size = method, params, since, size
 
 
-class ClientConnection(Protocol):
+class ConnectionOwner(Protocol):
+    """What a connection asks of all of them together, and tells them."""
+
+    visits: RequestTable
+    deadlines: Deadlines
+    arrivals: Arrivals
+    log: Callable[..., None]
+    leaving: bool  # the router ends
+    paused: bool  # nothing new begins
+    kept: int  # bytes of requests that clients keep here in holds
+
+    def came(self, client: ClientConnection) -> None:
+        """Called when it is up."""
+
+    def read(self, client: ClientConnection, whole: bool) -> None:
+        """Called when something has come, and at least one whole message where so said."""
+
+    def settle(self, client: ClientConnection) -> None:
+        """Called when it may rest from now on, or no more."""
+
+    def forget(self, client: ClientConnection) -> None:
+        """Called when it has ended."""
+
+    def bad(self, why: str) -> None:
+        """Called with each fault of the client."""
+
+
+class ClientConnection(TwistedProtocol):
     """Reads, begins and answers; `clients` is told of all that concerns the others."""
 
-    def __init__(self, clients: ClientConnections) -> None:
+    def __init__(self, clients: ConnectionOwner) -> None:
         self.clients = clients
         self.stream = msgpack.MessageDecoder()
         self.open: dict[int, Any] = {}
--- a/wickhinge/net/downstream/listener.py
+++ b/wickhinge/net/downstream/listener.py
@@ -22,10 +22,9 @@
 from wickhinge.net.downstream.client_connections import ClientConnections
 from wickhinge.net.runtime.transport import Incoming
 
-FAILURES = 4  # in a row, after which the loop goes on first
-AGAIN = 0.01  # seconds until the next try, where the system had no memory or no descriptor
-FAILURES = 4  # in a row, after which the loop goes on first
-LASTS = 3  # such tries in a row without a descriptor: others hold more than they were promised
+MAX_FAILED_ACCEPTS = 4  # in a row, after which the loop goes on first
+RETRY_INTERVAL_S = 0.01  # where the system had no memory or no descriptor
+MAX_STARVED_TRIES = 3  # in a row without a descriptor: others hold more than they were promised
 
 
 class Accepted(Incoming):
@@ -80,7 +79,7 @@
             except OSError as problem:
                 failed_calls.count("accept", problem.errno)
                 self.failures += 1
-                if self.failures < FAILURES:
+                if self.failures < MAX_FAILED_ACCEPTS:
                     continue
                 self.wait(problem)
                 return
@@ -114,9 +113,9 @@
         """
         self.leave_waiting()
         self.pause()
-        self.deadlines.after(AGAIN, self.resume)
+        self.deadlines.after(RETRY_INTERVAL_S, self.resume)
         self.starved = self.starved + 1 if problem.errno in NO_DESCRIPTOR_ERRNOS else 0
-        if self.starved >= LASTS:
+        if self.starved >= MAX_STARVED_TRIES:
             self.starved = 0
             self.admission.refused_by_system()
             self.clients.log(
