A trial heeds the crowd and what fills took of late, and begins with its attempt

A request on trial was let past the stretch for crowds, went on to fills from a slow origin, and was retried each second; objects known to be large were tried again each 10 s; and a trial could be used up by a look at lateness that led to no attempt.

Change: the evidence of a class is the mean of its answers of late, hits and fills apart, stretched by the crowd as the estimate is; a trial without an answer doubles the pause up to 8 s; an object's work holds for 60 s; the trial begins with its attempt.

--- a/tests/routing/test_work_evidence.py
+++ b/tests/routing/test_work_evidence.py
@@ -4,7 +4,7 @@
 
 from tests.support.routing import end, request_class, router, take
 from wickhinge.interface import Idempotency, Outcome
-from wickhinge.routing.work_evidence import CONFIRMED_FOR_S, RETRY_INTERVAL_S
+from wickhinge.routing.work_evidence import CLASS_CONFIRMED_FOR_S, FIRST_RETRY_INTERVAL_S, OBJECT_CONFIRMED_FOR_S
 
 SHORT_S = 0.2  # of the objective of 0.6 s the guess takes half
 NOW = 100.0
@@ -33,7 +33,11 @@
     visit, _ = short(made)
     visit.give_up(NOW + SHORT_S)
     assert not short(made, NOW + SHORT_S + 0.01)[1].forwards
-    assert short(made, NOW + RETRY_INTERVAL_S + 0.01)[1].forwards
+    visit, caller = short(made, NOW + FIRST_RETRY_INTERVAL_S + 0.01)
+    assert caller.forwards
+    visit.give_up(NOW + FIRST_RETRY_INTERVAL_S + 0.1)
+    assert not short(made, NOW + 2 * FIRST_RETRY_INTERVAL_S + 0.1)[1].forwards
+    assert short(made, NOW + 3 * FIRST_RETRY_INTERVAL_S + 0.1)[1].forwards
 
 
 def test_what_answers_of_late_took_longer_than_is_not_tried_until_they_are_old():
@@ -42,10 +46,14 @@
     end(take(made, key=1, size=0.0, now=NOW)[1], Outcome.SUCCEEDED, NOW + 0.9, took=0.9)
     for key in (1, 2):
         assert not short(made, NOW + 1.0, key=key)[1].forwards
-    later = NOW + 0.9 + CONFIRMED_FOR_S + 0.1
+    later = NOW + 0.9 + CLASS_CONFIRMED_FOR_S + 0.1
+    tried = short(made, later, key=2)[1]
+    end(tried, Outcome.SUCCEEDED, later + 0.01)
+    assert short(made, later + 0.02, key=2)[1].forwards and not short(made, later + 0.02, key=1)[1].forwards
+    later = NOW + 0.9 + OBJECT_CONFIRMED_FOR_S + 0.1
     tried = short(made, later, key=1)[1]
     end(tried, Outcome.SUCCEEDED, later + 0.01)
-    assert short(made, later + 0.02, key=1)[1].forwards and short(made, later + 0.02, key=2)[1].forwards
+    assert all(short(made, later + 0.02, key=1)[1].forwards for _ in range(2))
 
 
 @pytest.mark.parametrize("effect", [Idempotency.NOT_IDEMPOTENT, Idempotency.IDEMPOTENCY_KEY])
@@ -63,6 +71,27 @@
     assert not short(made)[1].forwards
 
 
+def test_a_fill_is_not_tried_where_fills_of_late_took_longer_than_is_left():
+    made = router()
+    _, filled = take(made, key=1, size=0.0, now=NOW)
+    end(filled, Outcome.MISS, NOW + 0.01)
+    end(filled, Outcome.SUCCEEDED, NOW + 0.9, took=0.9)
+    _, looked = short(made, NOW + 1.0, key=2)
+    end(looked, Outcome.MISS, NOW + 1.01)
+    assert len(looked.forwards) == 1 and looked.answers == [("denied", 0.5)]
+
+
+def test_a_crowd_counts_for_what_is_tried_as_well():
+    made = router(boxes=1, direct=False)
+    end(take(made, key=1, size=0.0, now=NOW)[1], Outcome.SUCCEEDED, NOW + 0.15, took=0.15)
+    cache = made.endpoints.edge_caches[0]
+    made.endpoints.estimate_other_transfers = lambda: None
+    cache.other_transfers, cache.concurrency_limit = 0.8 * cache.concurrency_limit, cache.concurrency_limit
+    assert not short(made, NOW + 1.0, key=2)[1].forwards
+    cache.other_transfers = 0.0
+    assert short(made, NOW + 1.1, key=2)[1].forwards
+
+
 def test_a_cold_server_is_tried_within_its_calls_alone():
     made = router(boxes=1, direct=False)
     cache = made.endpoints.edge_caches[0]
--- a/wickhinge/routing/routed_request.py
+++ b/wickhinge/routing/routed_request.py
@@ -18,7 +18,7 @@
 from wickhinge.routing.attempt import CACHE_USABLE, NEVER_RAN, TRANSIENT, Attempt
 from wickhinge.routing.hashing import mix
 from wickhinge.routing.server import Server
-from wickhinge.routing.work_evidence import CONFIRMED_FOR_S
+from wickhinge.routing.work_evidence import OBJECT_CONFIRMED_FOR_S
 
 if TYPE_CHECKING:
     from wickhinge.routing.router import Router
@@ -32,6 +32,11 @@
 MIN_TRANSFER_S = 0.005
 
 
+def _slowdown(utilization: float) -> float:
+    """Return how many times longer a transfer takes there than alone."""
+    return max(utilization, 1.0) + ARRIVALS_WEIGHT * utilization
+
+
 class RoutedRequest:
     """A request in flight: its attempts so far, and the decision what comes next."""
 
@@ -51,7 +56,8 @@
         self.on_time_until = min(now + objective, self.deadline)
         self.attempts: list[Attempt] = []
         self.is_finished = False
-        self.is_trial = False  # its estimated work would make it late, and no answer of late confirms that
+        self.needs_trial = False  # its estimated work would make it late, and no answer of late confirms that
+        self.is_on_trial = False
         self.is_waiting = False  # for capacity, until wait_until
         self.wait_until = 0.0
         self.missed_at: Server | None = None  # the cache whose miss is to be filled
@@ -113,28 +119,26 @@
         # A retry's objective mostly ran out with its first try: past full load it takes pace from first tries.
         if self.is_retry and utilization > 1.0:
             return True
-        if self.is_trial:
-            return utilization > 1.0 or now > self.on_time_until
-        transfer = self.work * (max(utilization, 1.0) + ARRIVALS_WEIGHT * utilization)
-        return now + transfer > self.on_time_until
+        return now + self.work * _slowdown(utilization) > self.on_time_until
 
-    def _is_untimely(self, utilization: float, now: float) -> bool:
+    def _is_untimely(self, utilization: float, now: float, *, is_fill: bool = False) -> bool:
         """Return whether it would be late there, and is not tried all the same."""
         if not self.is_late(utilization, now):
             return False
-        return self.is_trial or utilization > 1.0 or not self._begin_trial(now)
+        return utilization > 1.0 or now > self.on_time_until or not self._is_tried(utilization, now, is_fill=is_fill)
 
-    def _begin_trial(self, now: float) -> bool:
-        """Put it on trial where it is late by a guess alone, or by what was learned long ago."""
+    def _is_tried(self, utilization: float, now: float, *, is_fill: bool = False) -> bool:
+        """Return whether it is put on trial where it is late by a guess alone, or by what was learned long ago."""
         if self.is_size_told or self.request_class.idempotency is not Idempotency.IDEMPOTENT:
             return False
-        evidence, time_left = self.router.work_evidence(self.request_class), self.on_time_until - now
-        if self.is_work_known:
-            is_confirmed = now - self.object_count.work_learned <= CONFIRMED_FOR_S
-        else:
-            is_confirmed = evidence.confirms_lateness(time_left, now)
-        self.is_trial = time_left > 0.0 and not is_confirmed and evidence.begin_trial(self, now)
-        return self.is_trial
+        if self.is_work_known and now - self.object_count.work_learned <= OBJECT_CONFIRMED_FOR_S:
+            return False
+        evidence = self.router.work_evidence(self.request_class)
+        answer_time = (evidence.fills if is_fill else evidence.hits).mean(now)
+        if answer_time is not None and now + answer_time * _slowdown(utilization) > self.on_time_until:
+            return False
+        self.needs_trial = self.needs_trial or evidence.is_trial_due(now)
+        return self.needs_trial
 
     def _is_usable(self, server: Server, now: float) -> bool:
         return (
@@ -210,7 +214,7 @@
         """Run at the origin: straight there, or through a cache that names it as the source."""
         origin = self.router.endpoints.origin
         server = origin if self.router.capabilities.direct_to_source else cache
-        is_in_time = now + self.work < self.deadline or self.is_trial or self._begin_trial(now)
+        is_in_time = now + self.work < self.deadline or self._is_tried(0.0, now)
         is_usable = origin is not None and self._trusts(origin) and is_in_time
         self._send_or_give_up(server if is_usable else None, origin, now)
 
@@ -241,7 +245,7 @@
             self.try_edge_cache(now)
             return
         utilization = max(cache.utilization(), router.link_utilization())
-        if self._is_untimely(utilization, now):
+        if self._is_untimely(utilization, now, is_fill=True):
             self.give_up(now, RejectionReason.TOO_LATE)
         elif not self._is_usable(cache, now):
             self.give_up(now, RejectionReason.NO_SERVER)
@@ -258,7 +262,7 @@
         delaying = (origin or source) if is_origin_fetch else source
         delay = delaying.fill_delay(self, only_if_cached=only_if_cached)
         delay = max(delay, source.fill_delay(self, only_if_cached=True))
-        if self._is_untimely(utilization, now + delay) or is_origin_fetch and now < pacing.next_fetch:
+        if self._is_untimely(utilization, now + delay, is_fill=True) or is_origin_fetch and now < pacing.next_fetch:
             # Its link is full, or what is behind it is slow or rejects.
             self.give_up(now, RejectionReason.SOURCE_TOO_SLOW)
             return
@@ -289,6 +293,9 @@
         router, self.is_waiting = self.router, False
         if rank is None:
             rank = self._retention_rank(server)
+        if self.needs_trial and not self.is_on_trial:
+            self.is_on_trial = True
+            router.work_evidence(self.request_class).begin_trial(self, now)
         time_to_repeat = self._time_to_repeat(now)
         attempt = Attempt(self, server, source, now, only_if_cached=only_if_cached)
         self.attempts.append(attempt)
@@ -363,9 +370,8 @@
 
     def _observe_work(self, duration: float, now: float, *, is_fill: bool) -> None:
         evidence = self.router.work_evidence(self.request_class)
-        if not is_fill:  # which takes longer than the work
-            evidence.observe(duration, now)
-        if self.is_trial:
+        (evidence.fills if is_fill else evidence.hits).observe(duration, now)
+        if self.is_on_trial:
             evidence.trial_answered()
 
     def _learn_from_hit(self, cache: Server, duration: float, now: float) -> None:
--- a/wickhinge/routing/work_evidence.py
+++ b/wickhinge/routing/work_evidence.py
@@ -11,41 +11,54 @@
 if TYPE_CHECKING:
     from wickhinge.routing.routed_request import RoutedRequest
 
-CONFIRMED_FOR_S = 10.0  # after an answer; later the servers may be quicker
+CLASS_CONFIRMED_FOR_S = 10.0  # after an answer; later the servers may be quicker
+OBJECT_CONFIRMED_FOR_S = (
+    60.0  # after an answer: an object's size stays, and what is known of it was seldom seen in a crowd
+)
 MIN_GAIN = 0.02  # of one answer
-RETRY_INTERVAL_S = 1.0  # between two trials where the first was not answered
+FIRST_RETRY_INTERVAL_S, MAX_RETRY_INTERVAL_S = 1.0, 8.0  # after trials that were not answered, doubled for each
 NEVER = -1e9
 
 
-class WorkEvidence:
-    """The answers of one class, and the request of it that is on trial."""
+class AnswerTimes:
+    """The mean time of answers that came without a long pause between them."""
 
     def __init__(self) -> None:
-        self._answers = 0  # in a row without a pause of CONFIRMED_FOR_S
-        self._mean = 0.0  # seconds, of those
+        self._answers = 0
+        self._mean = 0.0  # seconds
         self._answered_at = NEVER
-        self._trial: RoutedRequest | None = None
-        self._next_trial_at = NEVER
 
     def observe(self, duration: float, now: float) -> None:
         """Take the seconds that an answer took."""
-        if now - self._answered_at > CONFIRMED_FOR_S:
+        if self.mean(now) is None:
             self._answers = 0
         self._answers += 1
         self._mean += max(1.0 / self._answers, MIN_GAIN) * (duration - self._mean)
         self._answered_at = now
 
-    def confirms_lateness(self, time_left: float, now: float) -> bool:
-        """Return whether answers of late took longer than the seconds that are left."""
-        return now - self._answered_at <= CONFIRMED_FOR_S and self._mean > time_left
+    def mean(self, now: float) -> float | None:
+        """Return the seconds that answers of late took; None where there were none."""
+        return self._mean if now - self._answered_at <= CLASS_CONFIRMED_FOR_S else None
+
+
+class WorkEvidence:
+    """The answers of one class, and the request of it that is on trial."""
+
+    def __init__(self) -> None:
+        self.hits, self.fills = AnswerTimes(), AnswerTimes()
+        self._trial: RoutedRequest | None = None
+        self._next_trial_at, self._retry_interval = NEVER, FIRST_RETRY_INTERVAL_S
+
+    def is_trial_due(self, now: float) -> bool:
+        """Return whether a request may be put on trial: not while another is, or soon after one without an answer."""
+        is_busy = self._trial is not None and not self._trial.is_finished
+        return not is_busy and now >= self._next_trial_at
 
-    def begin_trial(self, request: RoutedRequest, now: float) -> bool:
-        """Put a request on trial; False while another is, or too soon after one that was not answered."""
-        if self._trial is not None and not self._trial.is_finished or now < self._next_trial_at:
-            return False
-        self._trial, self._next_trial_at = request, now + RETRY_INTERVAL_S
-        return True
+    def begin_trial(self, request: RoutedRequest, now: float) -> None:
+        """An attempt of the request begins."""
+        self._trial, self._next_trial_at = request, now + self._retry_interval
+        self._retry_interval = min(2 * self._retry_interval, MAX_RETRY_INTERVAL_S)
 
     def trial_answered(self) -> None:
         """The next trial need not wait."""
-        self._trial, self._next_trial_at = None, NEVER
+        self._trial, self._next_trial_at, self._retry_interval = None, NEVER, FIRST_RETRY_INTERVAL_S
