Answers of late stand in for the guess where servers are at rest

One at a time was on trial, and the guess fades by a fiftieth an answer only. Requests with an effect were never tried below half of their objective, whatever the origin answered, since their class never learns.

Change: after eight answers of late, of hits or of fills, their mean decides in place of the guess, also for requests with effects; one at a time is on trial before that. Both act at servers and links with a utilization of 0.5 at most.

--- a/tests/routing/test_work_evidence.py
+++ b/tests/routing/test_work_evidence.py
@@ -4,7 +4,12 @@
 
 from tests.support.routing import end, request_class, router, take
 from wickhinge.interface import Idempotency, Outcome
-from wickhinge.routing.work_evidence import CLASS_CONFIRMED_FOR_S, FIRST_RETRY_INTERVAL_S, OBJECT_CONFIRMED_FOR_S
+from wickhinge.routing.work_evidence import (
+    CLASS_CONFIRMED_FOR_S,
+    ENOUGH_ANSWERS,
+    FIRST_RETRY_INTERVAL_S,
+    OBJECT_CONFIRMED_FOR_S,
+)
 
 SHORT_S = 0.2  # of the objective of 0.6 s the guess takes half
 NOW = 100.0
@@ -56,6 +61,23 @@
     assert all(short(made, later + 0.02, key=1)[1].forwards for _ in range(2))
 
 
+def test_after_enough_answers_the_guess_does_not_count():
+    """Bursts were rejected for seconds after each start, while the guess faded by a fiftieth an answer."""
+    made = router()
+    for number in range(ENOUGH_ANSWERS):
+        end(short(made, NOW + 0.02 * number, key=number)[1], Outcome.SUCCEEDED, NOW + 0.02 * number + 0.01)
+    assert all(short(made, NOW + 1.0, key=100 + number)[1].forwards for number in range(5))
+
+
+def test_what_has_an_effect_is_sent_where_enough_answers_say_that_it_is_in_time():
+    made, kind = router(), request_class(Idempotency.NOT_IDEMPOTENT, pass_through=True)
+    assert not short(made, kind=kind)[1].forwards
+    for number in range(ENOUGH_ANSWERS):
+        _, caller = take(made, kind=kind, key=number, size=0.0, now=NOW)
+        end(caller, Outcome.SUCCEEDED, NOW + 0.01)
+    assert short(made, NOW + 0.1, kind=kind)[1].forwards
+
+
 @pytest.mark.parametrize("effect", [Idempotency.NOT_IDEMPOTENT, Idempotency.IDEMPOTENCY_KEY])
 def test_what_may_not_simply_be_repeated_is_not_put_on_trial(effect):
     assert not short(router(), kind=request_class(effect))[1].forwards
--- a/wickhinge/routing/routed_request.py
+++ b/wickhinge/routing/routed_request.py
@@ -18,7 +18,7 @@
 from wickhinge.routing.attempt import CACHE_USABLE, NEVER_RAN, TRANSIENT, Attempt
 from wickhinge.routing.hashing import mix
 from wickhinge.routing.server import Server
-from wickhinge.routing.work_evidence import OBJECT_CONFIRMED_FOR_S
+from wickhinge.routing.work_evidence import MAX_TRIAL_UTILIZATION, OBJECT_CONFIRMED_FOR_S
 
 if TYPE_CHECKING:
     from wickhinge.routing.router import Router
@@ -125,18 +125,27 @@
         """Return whether it would be late there, and is not tried all the same."""
         if not self.is_late(utilization, now):
             return False
-        return utilization > 1.0 or now > self.on_time_until or not self._is_tried(utilization, now, is_fill=is_fill)
+        is_at_rest = utilization <= MAX_TRIAL_UTILIZATION
+        return not (is_at_rest and now <= self.on_time_until and self._is_tried(utilization, now, is_fill=is_fill))
 
     def _is_tried(self, utilization: float, now: float, *, is_fill: bool = False) -> bool:
-        """Return whether it is put on trial where it is late by a guess alone, or by what was learned long ago."""
-        if self.is_size_told or self.request_class.idempotency is not Idempotency.IDEMPOTENT:
+        """Return whether it is sent where it is late by a guess alone, or by what was learned long ago.
+
+        It is where enough answers of late say that it is in time; where there are too few, one at a time is on trial.
+        """
+        if self.is_size_told:
             return False
         if self.is_work_known and now - self.object_count.work_learned <= OBJECT_CONFIRMED_FOR_S:
             return False
         evidence = self.router.work_evidence(self.request_class)
-        answer_time = (evidence.fills if is_fill else evidence.hits).mean(now)
+        times = evidence.fills if is_fill else evidence.hits
+        answer_time = times.mean(now)
         if answer_time is not None and now + answer_time * _slowdown(utilization) > self.on_time_until:
             return False
+        if times.are_enough(now):
+            return True
+        if self.request_class.idempotency is not Idempotency.IDEMPOTENT:
+            return False
         self.needs_trial = self.needs_trial or evidence.is_trial_due(now)
         return self.needs_trial
 
--- a/wickhinge/routing/work_evidence.py
+++ b/wickhinge/routing/work_evidence.py
@@ -16,7 +16,9 @@
     60.0  # after an answer: an object's size stays, and what is known of it was seldom seen in a crowd
 )
 MIN_GAIN = 0.02  # of one answer
+ENOUGH_ANSWERS = 8  # to go by in place of the guess
 FIRST_RETRY_INTERVAL_S, MAX_RETRY_INTERVAL_S = 1.0, 8.0  # after trials that were not answered, doubled for each
+MAX_TRIAL_UTILIZATION = 0.5  # of a server or a link that is at rest
 NEVER = -1e9
 
 
@@ -40,6 +42,10 @@
         """Return the seconds that answers of late took; None where there were none."""
         return self._mean if now - self._answered_at <= CLASS_CONFIRMED_FOR_S else None
 
+    def are_enough(self, now: float) -> bool:
+        """Return whether there were so many of late that no request need be put on trial."""
+        return self.mean(now) is not None and self._answers >= ENOUGH_ANSWERS
+
 
 class WorkEvidence:
     """The answers of one class, and the request of it that is on trial."""
