The soak sees bad answers, refused connections and untrue pings; its excuses end with their event

Whatever a router had lost at any time of its life was excused where it was killed later; an answer might be later by what the machine had no core for, by a note of its own with no trace of such a case.

The core-wait allowance is gone.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -15,20 +15,23 @@
 
 from bench import told
 from bench.soak.planted import FAULTS
+from bench.soak.served_share import Share, pooled_share_faults, pooled_shares
 
 FOUND = Path("found/soak")
+MAX_PLAYS = 4  # of a seed whose play was itself too late to judge
 MAX_SECONDS = 120.0  # of one seed; a play takes some twelve
 MAX_PRINTED_FAULTS = 5
 
 
 def play_here(seed: int, plant: str, folder: Path) -> dict[str, object]:
     """Plays a seed in this process; its record is written to the folder."""
-    from bench.soak import judge, schedule
+    from bench.soak import judge, schedule, served_share
     from bench.soak.play import Play
 
     plan = schedule.draw(seed)
     record = Play(plan, folder, plant).run()
-    faults = judge.faults(record)
+    is_judged = judge.is_judged(record)
+    faults = judge.faults(record) if is_judged else []
     (folder / "record.json").write_bytes(orjson.dumps(record.as_json(), option=orjson.OPT_NON_STR_KEYS))
     (folder / "schedule.json").write_bytes(orjson.dumps(plan, option=orjson.OPT_SERIALIZE_DATACLASS))
     requests = record.requests.values()
@@ -44,11 +47,21 @@
         "attempts": len(record.attempts),
         "ends": dict(Counter(f"{end.how}: {end.code}" for end in record.ends)),
         "max_lag_s": round(record.max_lag_s, 3),
+        "is_judged": is_judged,
+        "shares": {name: [share.served, share.servable] for name, share in served_share.shares(record).items()},
         "faults": faults,
     }
 
 
 def play_apart(seed: int, plant: str) -> dict[str, object]:
+    """Plays a seed until it can be judged, some times at most; the result tells how often."""
+    plays, result = 1, _play_once(seed, plant)
+    while not result.get("is_judged", True) and plays < MAX_PLAYS:
+        plays, result = plays + 1, _play_once(seed, plant)
+    return result | {"plays": plays}
+
+
+def _play_once(seed: int, plant: str) -> dict[str, object]:
     """Plays a seed in a process of its own; record and logs are kept where it fails."""
     command = [sys.executable, "-m", "bench.soak", "--seed", str(seed), "--json"]
     command += ["--plant", plant] if plant else []
@@ -90,7 +103,8 @@
         results = [result]
     else:
         results = list(play_all(list(range(first, first + seeds)), plant, jobs))
-    failed = [result for result in results if result["faults"]]
+    failed = [result for result in results if result["faults"] or not result.get("is_judged", True)]
+    pooled_faults = list(pooled_share_faults(shares_of(results)))
     if not as_json:
         for result in failed:
             click.echo(
@@ -98,8 +112,21 @@
             )
             for fault in result["faults"][:MAX_PRINTED_FAULTS]:
                 click.echo(f"  {fault}")
+            if not result.get("is_judged", True):
+                click.echo(f"  not judged: the play itself was {result['max_lag_s']} s late")
+        for fault in pooled_faults:
+            click.echo(fault)
     told(results[0] if seed is not None else summary(results))
-    sys.exit(bool(failed))
+    sys.exit(bool(failed or pooled_faults))
+
+
+def shares_of(results: list[dict[str, object]]) -> list[dict[str, Share]]:
+    """The shares in each result of a play that was judged."""
+    return [
+        {name: Share(*counts) for name, counts in result.get("shares", {}).items()}
+        for result in results
+        if result.get("is_judged", True)
+    ]
 
 
 def keep(folder: Path, place: Path) -> None:
@@ -123,7 +150,10 @@
         **{name: sum(result.get(name, 0) for result in results) for name in counts},
         "ends": dict(ends),
         "crowds": dict(Counter(str(result.get("crowd")) for result in results)),
+        "shares": pooled_shares(shares_of(results)),
         "max_lag_s": max(result.get("max_lag_s", 0.0) for result in results),
+        "not_judged": [result["seed"] for result in results if not result.get("is_judged", True)],
+        "played_again": sum(result.get("plays", 1) - 1 for result in results),
     }
 
 
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -12,7 +12,7 @@
 
 from twisted.internet import protocol, reactor
 
-from bench.soak.record import Answer, Record, Request
+from bench.soak.record import Answer, Record, Refusal, Request
 from wickhinge.net.downstream import msgpack
 
 MAX_OPEN = 32  # PROTOCOL
@@ -21,6 +21,7 @@
 PARTS = 4
 ABORT_SHARE, CLOSE_SHARE = 0.1, 0.01
 RECONNECT_DELAY_S = 0.05
+CONNECT_TIMEOUT_S = 2
 MAX_MESSAGE_BYTES = 300_000
 
 
@@ -114,6 +115,7 @@
         self.life = 0  # of the router, as it was when the connection came up
         self.current_life: Callable[[], int] = lambda: 0
         self.is_stopped = self.is_idle = False
+        self.is_tried_once = False  # connects once, and not again
 
     def connect(self) -> None:
         """Tries until it is stopped."""
@@ -122,8 +124,14 @@
         factory = protocol.ClientFactory()
         factory.noisy = False
         factory.protocol = lambda: SoakConnection(self)
-        factory.clientConnectionFailed = lambda *_: reactor.callLater(RECONNECT_DELAY_S, self.connect)
-        reactor.connectTCP(*self.address, factory, timeout=2)
+        factory.clientConnectionFailed = lambda *_: self.failed()
+        reactor.connectTCP(*self.address, factory, timeout=CONNECT_TIMEOUT_S)
+        self.is_stopped = self.is_tried_once
+
+    def failed(self) -> None:
+        """Called where a connection did not come up."""
+        self.record.refusals.append(Refusal(self.router, time.monotonic()))
+        reactor.callLater(RECONNECT_DELAY_S, self.connect)
 
     def connected(self, connection: SoakConnection) -> None:
         """Called by its connection."""
@@ -143,14 +151,15 @@
         for _ in range(self.chance.randint(1, self.pipelining)):
             if len(connection.open) >= MAX_OPEN - 1:
                 return
-            self._ask_one(connection, self.chance.choice(budgets_ms))
+            self.ask_one(self.chance.choice(budgets_ms))
         if self.chance.random() < ABORT_SHARE and connection.open:
             call = self.chance.choice(list(connection.open))
             reactor.callLater(self.chance.uniform(0.0, 0.2), connection.abort, call)
         if self.chance.random() < CLOSE_SHARE:
             reactor.callLater(self.chance.uniform(0.0, 0.1), connection.leave)
 
-    def _ask_one(self, connection: SoakConnection, budget_ms: int) -> None:
+    def ask_one(self, budget_ms: int) -> str:
+        """Writes one request on the open connection; returns its id."""
         method = self.chance.choice(METHODS)
         key, part = self.chance.randrange(KEYS), self.chance.randrange(PARTS)
         rid = os.urandom(8).hex()
@@ -163,7 +172,8 @@
             "block": str(part),
             "family": str(key % 8),
         }
-        connection.ask(request, fields)
+        self.connection.ask(request, fields)
+        return rid
 
     def stop(self) -> None:
         """Connects no more."""
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -1,9 +1,8 @@
 """Says what was broken in one play, by what clients, servers and the discovery service recorded.
 
 Each bound stands beside the sentence that it comes from. Where this process itself was late while it took a time down,
-that span is added: its own lateness is nobody else's. For how late an answer may be, what the machine had no core for a
-router that could run is added as well, by the system's count: a machine that is too busy for its routers breaks no rule
-of theirs. It excuses nothing else: what is passed on, and what begins after an end, counts whatever stalled the router.
+that span is added: its own lateness is nobody else's. A play in which it was late for longer than MAX_LAG_S is not
+judged.
 """
 
 from __future__ import annotations
@@ -13,9 +12,11 @@
 from math import sqrt
 
 from bench.fleet import proof
+from bench.soak.connection_checks import connection_faults
 from bench.soak.play import SLOW_START
 from bench.soak.record import Attempt, Record, Request, Told
 from bench.soak.schedule import SERVERS
+from bench.soak.served_share import given_up_faults, share_faults
 from bench.soak.stand_ins import FRESH_S, NEVER_RAN, WORK_S
 
 SOCKET_SLACK_S = 0.05  # PROTOCOL: each time limit is 50 ms longer on sockets
@@ -29,6 +30,13 @@
 DESCRIPTORS_OF_PROGRAM = 24  # README: 12 for the program, 4 for the service, 8 for connections being closed
 CONNECTIONS_TO_A_SERVER = 4  # README
 SOURCE_PREFIX = "s-"
+MAX_LAG_S = 0.25  # of this process, from which its times are no measure any more
+KILL_SPAN_S = 0.05  # round a kill, in which a connection's end belongs to it
+
+
+def is_judged(record: Record) -> bool:
+    """Whether the play's own process was on time."""
+    return record.max_lag_s <= MAX_LAG_S
 
 
 def faults(record: Record) -> list[str]:
@@ -45,6 +53,7 @@
     found += [f"server {one.place} was sent {one.rid}: no client asked it" for one in _strangers(record)]
     found += [*_drain_faults(record), *_cold_faults(record), *_reload_faults(record)]
     found += [*_end_faults(record), *_usage_faults(record)]
+    found += [*connection_faults(record), *share_faults(record)]
     return found
 
 
@@ -53,6 +62,7 @@
     yield from _body_faults(record, request, attempts)
     yield from _attempt_faults(record, request, attempts)
     yield from _repetition_faults(request, attempts)
+    yield from given_up_faults(record, request, attempts)
 
 
 def _answer_faults(record: Record, request: Request) -> Iterator[str]:
@@ -64,7 +74,6 @@
     if request.answers:
         took_s = request.answers[0].at - request.written_at
         lag_s = record.lag_between(request.written_at, request.answers[0].at)
-        lag_s += record.starved_between(request.router, request.written_at, request.answers[0].at)
         if took_s > request.budget_s + LATE_S + SOCKET_SLACK_S + lag_s:
             yield f"answered after {took_s:.3f} s"
     elif request.lost_at is None:
@@ -78,7 +87,11 @@
     lag_s = record.lag_between(request.written_at, request.lost_at)
     if request.lost_at - request.written_at <= CROSSING_S + lag_s:
         return True
-    return any(end.router == request.router and end.life == request.life and end.how == "killed" for end in record.ends)
+    for end in record.ends:
+        is_its_router = end.router == request.router and end.life == request.life and end.how == "killed"
+        if is_its_router and abs(request.lost_at - end.signalled_at) <= KILL_SPAN_S + lag_s:
+            return True
+    return False
 
 
 def _body_faults(record: Record, request: Request, attempts: list[Attempt]) -> Iterator[str]:
--- a/bench/soak/planted.py
+++ b/bench/soak/planted.py
@@ -168,6 +168,66 @@
     GracefulShutdown.begin = lambda self, *arguments: None
 
 
+def all_rejected() -> None:
+    """Every request after the first hundred is rejected at once."""
+    from wickhinge.interface import RejectionReason
+    from wickhinge.routing.routed_request import RoutedRequest
+
+    numbers, try_edge_cache = itertools.count(1), RoutedRequest.try_edge_cache
+
+    def reject(self, now):
+        if next(numbers) > 100:
+            self.give_up(now, RejectionReason.TOO_LATE)
+        else:
+            try_edge_cache(self, now)
+
+    RoutedRequest.try_edge_cache = reject
+
+
+def class_rejected() -> None:
+    """One class gets nothing."""
+    from wickhinge.interface import RejectionReason
+    from wickhinge.routing.routed_request import RoutedRequest
+
+    try_edge_cache = RoutedRequest.try_edge_cache
+
+    def reject(self, now):
+        if self.request_class.name == "pages":
+            self.give_up(now, RejectionReason.TOO_LATE)
+        else:
+            try_edge_cache(self, now)
+
+    RoutedRequest.try_edge_cache = reject
+
+
+def early_end() -> None:
+    """The shutdown gives up a second before the end of the last requests."""
+    from wickhinge.net.control import graceful_shutdown
+
+    graceful_shutdown.GIVE_UP_AFTER_S = -0.4
+    graceful_shutdown.LAST_ANSWER_S = -0.4
+
+
+def closed_listener() -> None:
+    """From SIGTERM on no connection is accepted."""
+    from wickhinge.net.control.readiness import Readiness
+
+    drain = Readiness.drain
+
+    def closing(self):
+        drain(self)
+        self.close()
+
+    Readiness.drain = closing
+
+
+def deaf_ping() -> None:
+    """`ping` says yes to the very end."""
+    from wickhinge.net.downstream.client_connections import ClientConnections
+
+    ClientConnections.drain = lambda self: None
+
+
 def descriptors_kept() -> None:
     """Each accepted connection leaves a descriptor behind."""
     from wickhinge.net.downstream.client_connection import ClientConnection
@@ -199,6 +259,11 @@
         cold_ignored,
         exit_code,
         no_end,
+        all_rejected,
+        class_rejected,
+        early_end,
+        closed_listener,
+        deaf_ping,
         descriptors_kept,
     )
 }
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -44,6 +44,8 @@
     at: float
     fields: dict[str, str]
     outcome: str = "none"  # the word of the answer, reset or hang
+    is_harmed: bool = False  # the server misbehaved
+    cut_at: float | None = None  # its connection ended while the server had not answered
 
 
 @dataclass(slots=True)
@@ -67,6 +69,7 @@
     how: str  # killed by the schedule, ended by SIGTERM
     code: int
     seconds: float  # from the signal on
+    signalled_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -80,13 +83,42 @@
 
 
 @dataclass(slots=True)
-class CoreWait:
-    """For how long a router waited for a core since it was last looked at."""
+class Span:
+    """A time in which a server or a router was not as usual."""
+
+    number: int  # of the router, or the server's place
+    since: float
+    until: float
+
+
+@dataclass(slots=True)
+class Ping:
+    """A client's question whether the router takes clients."""
+
+    router: int
+    life: int
+    at: float
+    answered_at: float | None = None
+    is_yes: bool = False
+
+
+@dataclass(slots=True)
+class Refusal:
+    """A client's connection that did not come up."""
 
     router: int
     at: float
-    sampled_s: float  # since the look before
-    seconds: float
+
+
+@dataclass(slots=True)
+class LateConnection:
+    """A connection that a client began after SIGTERM."""
+
+    router: int
+    life: int
+    at: float
+    up_at: float | None = None
+    rid: str = ""  # of its one request
 
 
 @dataclass(slots=True)
@@ -109,15 +141,14 @@
     unready: list[str] = field(default_factory=list)  # routers that did not become ready
     max_lag_s: float = 0.0  # by which this process itself was late at most
     lags: list[tuple[float, float]] = field(default_factory=list)  # when, by how much
-    waits: list[CoreWait] = field(default_factory=list)
-
-    def starved_between(self, router: int, since: float, until: float) -> float:
-        """Seconds for which the machine had no core for a router that could run, by the system's own count."""
-        return sum(
-            wait.seconds
-            for wait in self.waits
-            if wait.router == router and wait.at >= since and wait.at - wait.sampled_s <= until
-        )
+    load_began_at: float = 0.0
+    sigterm_at: float = 0.0
+    unwell: list[Span] = field(default_factory=list)  # servers that misbehave
+    stops: list[Span] = field(default_factory=list)  # of routers
+    starts: list[Span] = field(default_factory=list)  # of routers that were killed: the time that a start may take
+    pings: list[Ping] = field(default_factory=list)
+    refusals: list[Refusal] = field(default_factory=list)
+    late_connections: list[LateConnection] = field(default_factory=list)
 
     def lag_between(self, since: float, until: float) -> float:
         """By how much this process itself may have been late in a span.
--- a/bench/soak/routers.py
+++ b/bench/soak/routers.py
@@ -84,7 +84,8 @@
 
     def note_end(self, record: Record, how: str, since: float) -> None:
         """Notes how an ended process ended."""
-        record.ends.append(RouterEnd(self.number, self.life, how, self.child.returncode, time.monotonic() - since))
+        seconds = time.monotonic() - since
+        record.ends.append(RouterEnd(self.number, self.life, how, self.child.returncode, seconds, since))
 
     def kill(self) -> None:
         """By SIGKILL, to its end."""
@@ -108,13 +109,6 @@
         caught = int(status.split("SigCgt:")[1].split()[0], 16)
         return bool(caught >> (signal.SIGTERM - 1) & 1)
 
-    def core_wait_s(self) -> float | None:
-        """Seconds for which it has waited for a core so far: proc(5), schedstat. None where it has ended."""
-        try:
-            return int(Path(f"/proc/{self.child.pid}/schedstat").read_text().split()[1]) / 1e9
-        except (OSError, IndexError, AttributeError):
-            return None
-
     def usage(self, clients: int) -> Usage:
         """What it holds now."""
         process = psutil.Process(self.child.pid)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -12,7 +12,9 @@
 MAX_STOP_S = 0.4  # a request's answer may come half a second late
 STEPS_S = (-3600.0, -3.0, 3.0, 3600.0)
 CROWD_EVERY = 5  # seeds
+SHUTDOWN_SEED = 0x5D0  # of what is drawn for the shutdown, so that all else of a seed stays what it was
 EARLIEST_KILL_S = 3.0 + 0.7  # PROTOCOL: no sooner than the longest deadline and 0.7 s after SIGTERM
+LAST_REQUEST_S = 0.6  # PROTOCOL: requests on open connections come for so long after SIGTERM
 MAX_STANDSTILL_S = 0.5  # of a process that shares its core
 SETTLE_S = 2.6  # after the last reload: its backoff of a second at most, and a connection that is tried again
 EARLY_RELOAD_SHARE = 0.8  # that come so long before the end that what is in force can be judged
@@ -119,9 +121,18 @@
         for _ in range(chance.choice((0, 4, 30)))
     )
     schedule.awaits_reload = chance.random() < 0.5
+    schedule.misbehaviours += _hang_of_the_shutdown(random.Random(seed ^ SHUTDOWN_SEED), schedule.load_s)
     return schedule
 
 
+def _hang_of_the_shutdown(chance: random.Random, load_s: float) -> list[Misbehaviour]:
+    """In half of the seeds the origin hangs on many requests from shortly before SIGTERM on."""
+    if chance.random() < 0.5:
+        return []
+    origin = SERVERS.index("origin")
+    return [Misbehaviour(origin, "hang", load_s - 0.5, load_s + 10.0, chance.choice((0.5, 0.8)))]
+
+
 def _misbehaviour(chance: random.Random, load_s: float) -> Misbehaviour:
     since = chance.uniform(0.0, load_s)
     until = chance.choice((since + chance.uniform(0.3, 2.0), load_s + 10.0))  # also through the whole shutdown
--- a/bench/soak/stand_ins.py
+++ b/bench/soak/stand_ins.py
@@ -177,6 +177,7 @@
         """place: from 0."""
         super().__init__(world, place + 1, kind)
         self.server = place
+        self.unanswered: list[Attempt] = []
 
     def dataReceived(self, data: bytes) -> None:
         """As the base class; one that hangs answers no health check."""
@@ -188,8 +189,10 @@
         attempt = Attempt(tag.decode(), self.server, time.monotonic(), fields)
         world.record.attempts.append(attempt)
         how = world.behaviour(self.server)
+        attempt.is_harmed = how != "well"
         if how == "hang":
             attempt.outcome = "hang"
+            self.unanswered.append(attempt)
         elif how == "reset":
             attempt.outcome = "reset"
             self.transport.abortConnection()
@@ -199,12 +202,14 @@
         else:
             delay_s = world.work_s + (world.chance.uniform(0.1, 0.8) if how == "slow" else 0.0)
             attempt.outcome = "pending"
+            self.unanswered.append(attempt)
             reactor.callLater(delay_s, self.answer, attempt, tag, body_in)
 
     def answer(self, attempt: Attempt, tag: bytes, body_in: bytes) -> None:
         """Gives the copy that is held if it is young enough, else one that the origin makes now."""
         if not self.transport.connected:
             return
+        self.unanswered.remove(attempt)
         fields, world = attempt.fields, self.world
         key, part = int(fields.get("path", "0"), 16), int(fields.get("blk", "0"))
         copy = self.copy(key, part, fields)
@@ -219,6 +224,11 @@
         attempt.outcome = "OK"
         self.transport.write(resp.pack(tag, b"OK", note, data))
 
+    def connectionLost(self, reason: Any = None) -> None:
+        """Called by Twisted."""
+        for attempt in self.unanswered:
+            attempt.cut_at = time.monotonic()
+
     def copy(self, key: int, part: int, fields: dict[str, str]) -> Copy | None:
         """None: nothing here that would do, and nowhere to get it from."""
         world, now = self.world, time.time()
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -9,10 +9,11 @@
 import pytest
 
 from bench.soak import judge
-from bench.soak.__main__ import play_apart, replay_command
+from bench.soak.__main__ import play_apart, replay_command, shares_of
 from bench.soak.planted import FAULTS
 from bench.soak.record import Answer, Attempt, Record, Request, RouterEnd, Told
 from bench.soak.schedule import Crowd, draw
+from bench.soak.served_share import pooled_share_faults
 
 SEEDS = range(1, 13)
 JOBS = 3
@@ -24,6 +25,8 @@
 def results(request):
     """By seed, of those that are to be tested in this run, played some at once."""
     ids = [item.callspec.params["seed"] for item in request.session.items if "soak.py::test_seed[" in item.nodeid]
+    if any("soak.py::test_over_all_seeds" in item.nodeid for item in request.session.items):
+        ids = SEEDS
     with ThreadPoolExecutor(JOBS) as pool:
         yield {seed: pool.submit(play_apart, seed, NO_PLANT) for seed in ids}
 
@@ -31,10 +34,15 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_seed(results, seed):
     result = results[seed].result()
+    assert result["is_judged"], f"played {result['plays']} times, the last {result['max_lag_s']} s late itself"
     assert not result["faults"], f"{replay_command(seed, NO_PLANT)}: {result['faults'][:5]}"
     assert result["requests"] > 100
 
 
+def test_over_all_seeds_half_of_what_could_be_served_is_as_a_whole_and_of_each_class(results):
+    assert not list(pooled_share_faults(shares_of([results[seed].result() for seed in SEEDS])))
+
+
 FOUND_AS = {
     "dropped_answer": "with no answer",
     "second_answer": "an answer to no open request",
@@ -50,6 +58,11 @@
     "cold_ignored": "cold server",
     "exit_code": "ended with 3 after SIGTERM",
     "no_end": "had not ended",
+    "all_rejected": "all: served",
+    "class_rejected": "pages: served",
+    "early_end": "before its end, with an attempt out",
+    "closed_listener": "after SIGTERM",
+    "deaf_ping": "said yes to a ping",
     "descriptors_kept": "descriptors",
 }
 
@@ -125,7 +138,7 @@
 
 @pytest.mark.parametrize("request_", [asked(lost_at=10.04), asked(left_at=10.3), asked(lost_at=10.4)])
 def test_what_crossed_a_close_or_was_given_up_or_killed_is_excused(request_):
-    ends = [RouterEnd(0, 1, "killed", -9, 0.0)] if request_.lost_at == 10.4 else []
+    ends = [RouterEnd(0, 1, "killed", -9, 0.0, signalled_at=10.36)] if request_.lost_at == 10.4 else []
     assert judged(request_, ends=ends) == []
 
 
