Two tests whose measure starved beside load count what they need

test_the_quick_slopes_end_with_their_json: its bound had gone from the clock to processor time, which is more lenient in waits. It is on the clock again, less what the system counts as waiting for a core: on an idle machine that is the clock.

--- a/tests/bench/test_scale.py
+++ b/tests/bench/test_scale.py
@@ -1,9 +1,9 @@
 """Fits and records of bench.scale, and its quick run."""
 
 import json
-import resource
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import msgspec
@@ -134,19 +134,28 @@
     assert spread.words_heard(50, 7) > 4 * spread.words_heard(400, 7)
 
 
-def children_cpu_s():
-    """Seconds of processor time of all children that have ended."""
-    usage = resource.getrusage(resource.RUSAGE_CHILDREN)
-    return usage.ru_utime + usage.ru_stime
+def core_wait_s(pid):
+    """Seconds for which a process could run and had no core: proc(5), schedstat; 0.0 once it has ended."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except (OSError, IndexError):
+        return 0.0
 
 
 def test_the_quick_slopes_end_with_their_json():
-    """Its bound is on its own work: by the clock, loads of 17 to 30 on 8 cores made 25 to 28 s of some 16 s of it."""
-    began = children_cpu_s()
+    """Work or waits that grow show; what the machine has no core for does not."""
+    began, waited_s = time.monotonic(), 0.0
     command = [sys.executable, "-m", "bench.scale", "slopes", "--quick", "--json"]
-    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=True)
-    assert children_cpu_s() - began < 20.0
-    answer = json.loads(done.stdout.splitlines()[-1])
+    with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True) as child:
+        while child.poll() is None:
+            assert time.monotonic() - began < 60.0
+            waited_s = max(waited_s, core_wait_s(child.pid))
+            time.sleep(0.02)
+        took_s = time.monotonic() - began - waited_s
+        output = child.stdout.read()
+    assert child.returncode == 0
+    assert took_s < 20.0
+    answer = json.loads(output.splitlines()[-1])
     assert len(answer["roles"]) >= 3
     told = {f"{one['role']}.{one['mechanism']}.{one['resource']}" for one in answer["rows"]}
     assert told == set(Known().rows) & told and len(told) >= 40
--- a/tests/net/test_failing_calls.py
+++ b/tests/net/test_failing_calls.py
@@ -77,28 +77,33 @@
         assert client.ping()
 
 
+BLOCK = 10  # connections without failures, then with them: what else the machine does meets both alike
+MIN_FAILED_ACCEPTS = 50
+
+
 def test_one_failed_accept_in_five_leaves_half_of_the_requests(faulty, serving):
-    """Each client connects anew for each request; the same number of them without and with the failures."""
+    """An accept that failed held the listener up and had clients at rest hung up on."""
     made, shim = faulty()
     serving(made)
     resting = [made.client() for _ in range(20)]
     for client in resting:
         assert client.ping()
 
-    def served_in(seconds):
-        end, count = time.monotonic() + seconds, 0
-        while time.monotonic() < end:
-            client = Client(made.address)
+    def seconds_of_a_block():
+        began = time.monotonic()
+        for _ in range(BLOCK):
+            client = Client(made.address)  # each request on a connection of its own
             assert client.answer(client.ask("pages"))[2] is None
             client.socket.close()
-            count += 1
-        return count
-
-    undisturbed = served_in(1.5)
-    shim.fail(Call.ACCEPT, ONE_IN_FIVE)
-    assert served_in(1.5) >= undisturbed / 2
-    assert shim.failed(Call.ACCEPT) > 20
-    shim.calm()
+        return time.monotonic() - began
+
+    undisturbed_s = disturbed_s = 0.0
+    while shim.failed(Call.ACCEPT) < MIN_FAILED_ACCEPTS:
+        undisturbed_s += seconds_of_a_block()
+        shim.fail(Call.ACCEPT, ONE_IN_FIVE)
+        disturbed_s += seconds_of_a_block()
+        shim.calm()
+    assert disturbed_s <= 2 * undisturbed_s
     for client in resting:
         assert client.ping()
 
