A request with under 50 ms left is not put on trial

A trial of 20 ms is given up on at once, since the answer's margin is as long, and a trial without an answer makes the next one wait for a second, then two.

Why this works: a trial with under 50 ms left tells nothing of the servers, so it is none. The new test fails before the mend.

--- a/tests/routing/test_work_evidence.py
+++ b/tests/routing/test_work_evidence.py
@@ -45,6 +45,14 @@
     assert short(made, NOW + 3 * FIRST_RETRY_INTERVAL_S + 0.1)[1].forwards
 
 
+def test_a_request_with_hardly_any_time_is_no_trial_and_holds_none_up():
+    """Given up at once, such trials made the others wait for a second and more."""
+    made = router()
+    visit, caller = short(made, patience=0.02)
+    assert not caller.forwards and visit.is_finished
+    assert short(made, NOW + 0.01)[1].forwards
+
+
 def test_what_answers_of_late_took_longer_than_is_not_tried_until_they_are_old():
     """Slow servers are not asked in vain, and once slow is not slow for ever."""
     made = router()
--- a/wickhinge/routing/routed_request.py
+++ b/wickhinge/routing/routed_request.py
@@ -18,7 +18,7 @@
 from wickhinge.routing.attempt import CACHE_USABLE, NEVER_RAN, TRANSIENT, Attempt
 from wickhinge.routing.hashing import mix
 from wickhinge.routing.server import Server
-from wickhinge.routing.work_evidence import MAX_TRIAL_UTILIZATION, OBJECT_CONFIRMED_FOR_S
+from wickhinge.routing.work_evidence import MAX_TRIAL_UTILIZATION, MIN_TRIAL_TIME_S, OBJECT_CONFIRMED_FOR_S
 
 if TYPE_CHECKING:
     from wickhinge.routing.router import Router
@@ -144,7 +144,8 @@
             return False
         if times.are_enough(now):
             return True
-        if self.request_class.idempotency is not Idempotency.IDEMPOTENT:
+        has_time = self.deadline - now >= MIN_TRIAL_TIME_S
+        if self.request_class.idempotency is not Idempotency.IDEMPOTENT or not has_time:
             return False
         self.needs_trial = self.needs_trial or evidence.is_trial_due(now)
         return self.needs_trial
--- a/wickhinge/routing/work_evidence.py
+++ b/wickhinge/routing/work_evidence.py
@@ -19,6 +19,7 @@
 ENOUGH_ANSWERS = 8  # to go by in place of the guess
 FIRST_RETRY_INTERVAL_S, MAX_RETRY_INTERVAL_S = 1.0, 8.0  # after trials that were not answered, doubled for each
 MAX_TRIAL_UTILIZATION = 0.5  # of a server or a link that is at rest
+MIN_TRIAL_TIME_S = 0.05  # left: with less, a trial tells nothing of the servers
 NEVER = -1e9
 
 
