--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -14,13 +14,24 @@
 NEARLY_ALL = 0.05  # seconds of its time that a request may be without
 
 
-@pytest.mark.parametrize("taken_at_s", [0.2, 0.4, 0.55])
-def test_a_request_that_a_cache_hangs_on_is_given_up_at_its_own_end(stand, taken_at_s):
+def ending(stand, heeded_after_s=0.0):
+    """A router that was told to end, one of its clients, and when; it stands still for so long as the signal comes."""
     made = stand()
     client = made.client()
     assert client.ping()
     started = time.monotonic()
-    os.kill(made.router.child.pid, signal.SIGTERM)
+    if not heeded_after_s:
+        os.kill(made.router.child.pid, signal.SIGTERM)
+        return made, client, started
+    with made.stopped():
+        os.kill(made.router.child.pid, signal.SIGTERM)
+        time.sleep(heeded_after_s)
+    return made, client, started
+
+
+@pytest.mark.parametrize("taken_at_s", [0.2, 0.4, 0.55])
+def test_a_request_that_a_cache_hangs_on_is_given_up_at_its_own_end(stand, taken_at_s):
+    made, client, started = ending(stand)
     time.sleep(taken_at_s)
     asked_at = time.monotonic()
     call = client.ask("results")
@@ -91,13 +102,7 @@
 @pytest.mark.parametrize("late_s", [0.12, 0.3, 0.6, 1.0])
 def test_requests_after_a_signal_that_was_heeded_late_are_answered_before_the_kill(stand, late_s):
     """Those of 3 s that came 1.1 s after SIGTERM and later had no answer when the kill came."""
-    made = stand()
-    client = made.client()
-    assert client.ping()
-    started = time.monotonic()
-    with made.stopped():
-        os.kill(made.router.child.pid, signal.SIGTERM)
-        time.sleep(late_s)
+    made, client, started = ending(stand, late_s)
     calls = []
     for asked_at_s in (late_s + 0.01, 1.1, 1.8, 2.5, 3.3, TIMEOUT_S + KILL_AFTER_S - 0.11):
         time.sleep(max(started + asked_at_s - time.monotonic(), 0.0))
@@ -109,13 +114,7 @@
 
 def test_a_request_soon_after_a_signal_that_was_heeded_late_keeps_its_whole_time(stand):
     """An end that counts from before the signal would take it."""
-    made = stand()
-    client = made.client()
-    assert client.ping()
-    started = time.monotonic()
-    with made.stopped():
-        os.kill(made.router.child.pid, signal.SIGTERM)
-        time.sleep(0.3)
+    made, client, started = ending(stand, 0.3)
     time.sleep(started + LAST_REQUEST_S - time.monotonic())
     asked_at = time.monotonic()
     assert client.answer(client.ask("results", budget="3000"))[0] == 1
@@ -126,11 +125,7 @@
 @pytest.mark.parametrize("stopped_at_s", [1.0, 3.0, 3.3])
 def test_a_stop_within_the_shutdown_loses_nothing(stand, stopped_at_s):
     """A process that stands still shortly before its end reads and answers what came meanwhile."""
-    made = stand()
-    client = made.client()
-    assert client.ping()
-    started = time.monotonic()
-    os.kill(made.router.child.pid, signal.SIGTERM)
+    made, client, started = ending(stand)
     time.sleep(LAST_REQUEST_S - 0.1)
     calls = [client.ask("results", budget="3000")]
     time.sleep(started + stopped_at_s - time.monotonic())
