A start's list of imports has the new module; two tests measure the router and not the test beside load

Traced: - test_of_ours_a_start_imports_just_what_it_runs: routing.work_evidence is new and is run by each request. - test_hundreds_of_requests_...: new in this landing; its clients, one after another in one starved process, read 800 answers within the last 0.2 s. It now kills the router at the kill's earliest time and reads what had been written, all of which has to be there. - test_a_router_whose_service_tells_nothing...[False], 4.13 s of 4.0: the span held the program's imports.

--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -147,6 +147,7 @@
     os.kill(made.router.child.pid, signal.SIGTERM)
     time.sleep(LAST_REQUEST_S - 0.1)
     calls = [(client, client.ask("results", budget="3000")) for client in clients for _ in range(32)]
+    time.sleep(started + TIMEOUT_S + KILL_AFTER_S - time.monotonic())
+    made.router.close()  # killed, if it is still there: what was written by now can be read
     for client, call in calls:
-        client.socket.settimeout(max(started + TIMEOUT_S + KILL_AFTER_S - time.monotonic(), 0.01))
         assert client.answer(call)[0] == 1
--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -262,9 +262,10 @@
 def test_a_router_whose_service_tells_nothing_goes_on_with_its_list(restarted, silent):
     if not silent:
         restarted.service.close()
+    restarted.router.wait('"event":"router_started"')  # what an import takes beside load is not the router's wait
     start = time.monotonic()
     assert '"not told"' in restarted.router.wait('"event":"listener_opened"')
-    assert time.monotonic() - start < 4.0
+    assert time.monotonic() - start < 2.5
     client = Client(restarted.address)
     assert client.ping() is True
     assert client.answer(client.ask())[2] is None
--- a/tests/net/test_start.py
+++ b/tests/net/test_start.py
@@ -66,6 +66,7 @@
                 ".router",
                 ".server",
                 ".slow_start",
+                ".work_evidence",
                 ".zone_link",
             ),
             "net.upstream": ("", ".attempt_results", ".attempts", ".connection_pools", ".request_log", ".resp"),
