--- a/wickhinge/routing/object_counts.py
+++ b/wickhinge/routing/object_counts.py
@@ -20,7 +20,7 @@
 class ObjectCount:
     """One object: its count of leading parts to keep and its recent popularity."""
 
-    __slots__ = ("key", "leading_parts", "frequency", "last_request", "work", "work_learned")
+    __slots__ = ("key", "leading_parts", "frequency", "last_request", "work", "work_learned_at")
 
     def __init__(self, key: int, now: float) -> None:
         self.key = key
@@ -28,7 +28,7 @@
         self.frequency = 0.0
         self.last_request = now
         self.work = 0.0  # seconds to transfer one part; 0 before the first
-        self.work_learned = now  # when it was, last
+        self.work_learned_at = now  # when it was, last
 
 
 class ObjectCounts:
--- a/wickhinge/routing/routed_request.py
+++ b/wickhinge/routing/routed_request.py
@@ -135,7 +135,7 @@
         """
         if self.is_size_told:
             return False
-        if self.is_work_known and now - self.object_count.work_learned <= OBJECT_CONFIRMED_FOR_S:
+        if self.is_work_known and now - self.object_count.work_learned_at <= OBJECT_CONFIRMED_FOR_S:
             return False
         evidence = self.router.work_evidence(self.request_class)
         times = evidence.fills if is_fill else evidence.hits
--- a/wickhinge/routing/router.py
+++ b/wickhinge/routing/router.py
@@ -139,7 +139,7 @@
         self.mean_works[request_class.name] = self.mean_work(request_class) * (1 - WORK_GAIN) + duration * WORK_GAIN
         # All parts are about as large, and load only adds: the shortest time seen is nearest to the work.
         work = min(count.work or duration, duration)
-        count.work, count.work_learned = work + (duration - work) * PART_WORK_GAIN, now
+        count.work, count.work_learned_at = work + (duration - work) * PART_WORK_GAIN, now
 
     # Attempts.
 
--- a/wickhinge/routing/work_evidence.py
+++ b/wickhinge/routing/work_evidence.py
@@ -12,9 +12,7 @@
     from wickhinge.routing.routed_request import RoutedRequest
 
 CLASS_CONFIRMED_FOR_S = 10.0  # after an answer; later the servers may be quicker
-OBJECT_CONFIRMED_FOR_S = (
-    60.0  # after an answer: an object's size stays, and what is known of it was seldom seen in a crowd
-)
+OBJECT_CONFIRMED_FOR_S = 60.0  # after a hit: an object's size stays what it is
 MIN_GAIN = 0.02  # of one answer
 ENOUGH_ANSWERS = 8  # to go by in place of the guess
 FIRST_RETRY_INTERVAL_S, MAX_RETRY_INTERVAL_S = 1.0, 8.0  # after trials that were not answered, doubled for each
