--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -387,7 +387,8 @@
             self.child = subprocess.Popen(
                 command, cwd=ROOT, env={**inherited, **environment}, stdout=output, stderr=output
             )
-        record.write("process_started", name=name, command=" ".join(command[-6:]).replace(str(log.parent), "TMP"))
+        shown = " ".join(command[1:]).replace(str(log.parent), "TMP").replace(str(ROOT), ".")
+        record.write("process_started", name=name, command=shown)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -451,7 +452,7 @@
             [sys.executable, "-m", "wickhinge", *arguments], cwd=ROOT, capture_output=True, text=True, timeout=40
         )
         output = (done.stdout + done.stderr).strip()
-        self.record.write("command", arguments=" ".join(arguments[:4]), code=done.returncode, output=output)
+        self.record.write("command", arguments=" ".join(arguments[:3]), code=done.returncode, output=output)
         return done.returncode, output
 
     def close(self) -> None:
