--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -464,6 +464,7 @@
 
 def run_case(folder: Path, play: Callable[[Case], int]) -> int:
     """Play a case and return its exit code; all that it started is ended."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # So that the processes end with the case.
     case = Case(folder)
     code = NOT_RUN
     try:
