The log tells which client keeps the event loop busy, how long, and what waits

Cause: no log line or figure told a router that is busy with one client's data from one that has no processor time: event_loop_stalled has the length of a turn alone.

Change: net/downstream/loop_usage counts the time that the event loop works for each client.

The caches had nothing to do. A wait for processor time is ruled out: the process used 9.6 to 10.5 s of it.

--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -270,6 +270,7 @@
             now=lambda: self.now,
             call_after=lambda delay, call, *arguments: self.scheduled_calls.append(call),
             call_soon=lambda call, *arguments: self.scheduled_calls.append(call),
+            waiting_ms=dict,
             arrivals=Arrivals(self.now),
         )
         self.arrivals = clock.arrivals
@@ -287,6 +288,7 @@
             resumeProducing=lambda: self.calls.append("resume"),
             setTcpNoDelay=lambda on: None,
             getHandle=lambda: self.connection.transport,
+            getPeer=lambda: SimpleNamespace(host="127.0.0.1", port=9),
             sendmsg=self.send,
             recv=self.receive_nothing,
             abortConnection=lambda: self.calls.append("abort"),
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -317,7 +317,7 @@
 )  # An age of -1.0 means that the idle client has sent another request, which is unread.
 def test_client_closed_to_free_a_descriptor_is_not_one_that_just_connected(silent, idle, expected):
     """If new clients were closed first, they would lose the request that a stalled router has not read yet."""
-    clock = SimpleNamespace(now=lambda: 100.0, arrivals=Arrivals(0.0))
+    clock = SimpleNamespace(now=lambda: 100.0, waiting_ms=dict, arrivals=Arrivals(0.0))
     clients, closed_kinds = ClientConnections(None, clock, 2, lambda *_, **more: None), []
 
     class RecordedClient:
--- a/wickhinge/net/control/process_report.py
+++ b/wickhinge/net/control/process_report.py
@@ -89,6 +89,7 @@
             "unlogged": requests.request_log.unlogged_count,
             "closed": clients.close_counts,
             "faults": clients.take_fault_counts(),
+            "clients_usage": clients.loop_usage.take_report(),
         }
 
     def _server_fields(self) -> dict[str, Any]:
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -18,6 +18,7 @@
 
 from wickhinge.common.failed_calls import has_unread_data, receive
 from wickhinge.net.downstream import msgpack
+from wickhinge.net.downstream.loop_usage import ClientUsage, LoopUsage
 from wickhinge.net.downstream.request_table import InvalidRequestError, RequestTable
 from wickhinge.net.runtime.arrivals import Arrivals
 from wickhinge.net.runtime.buffers import Body
@@ -67,6 +68,7 @@
     deadlines: Deadlines
     arrivals: Arrivals
     log: Callable[..., None]
+    loop_usage: LoopUsage
     is_shutting_down: bool  # True once the graceful shutdown has begun; pings are answered with False then.
     is_paused: bool  # True while the buffers are exhausted, so that no request may begin.
     queued_bytes: int  # Bytes of requests queued during holds, of all clients.
@@ -111,6 +113,7 @@
         self.earliest_arrival_at = 0.0
         self.invalid_request_count = 0
         self.socket: Any = None
+        self.usage = ClientUsage()
 
     def connectionMade(self) -> None:
         """Register the connection; called by Twisted when it is established."""
@@ -118,6 +121,8 @@
         self.clients.client_connected(self)
         self.transport.setTcpNoDelay(True)
         self.socket = self.transport.getHandle()
+        peer = self.transport.getPeer()
+        self.usage.address = f"{peer.host}:{peer.port}"
         self.update_hold()
 
     def read_on_accept(self, pending_since: float) -> None:
@@ -131,6 +136,14 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Handle data and begin the requests in it; called by Twisted with what it read."""
+        began_at = self.clients.loop_usage.begin(self.usage)
+        try:
+            self.handle_read(data)
+        finally:
+            self.clients.loop_usage.end(self.usage, began_at)
+
+    def handle_read(self, data: bytes) -> None:
+        """Handle the data of one read, and begin the requests in it."""
         arrival, poll_ended_at = self.earliest_unread_arrival(), self.clients.arrivals.poll_ended_at
         self.is_socket_drained = len(data) < MAX_READ_BYTES
         if self.is_socket_drained:
@@ -166,6 +179,8 @@
         self.earliest_arrival_at = arrival
         try:
             messages = self.decoder.feed(data)
+            self.usage.read_bytes += len(data)
+            self.usage.message_count += len(messages)
             if len(messages) > 1:
                 self.check_open_limit(messages)
             for message in messages:
@@ -193,6 +208,14 @@
         Args:
             arrival: Earliest time at which the unread data may have arrived.
         """
+        began_at = self.clients.loop_usage.begin(self.usage)
+        try:
+            self.read_until_empty(arrival)
+        finally:
+            self.clients.loop_usage.end(self.usage, began_at)
+
+    def read_until_empty(self, arrival: float) -> None:
+        """Read the socket as `read_all_pending` does."""
         self.last_drained_at = self.clients.deadlines.now()
         # A read that returns nothing may have failed transiently, so after a stall of the process two of them in a row
         # are needed to prove that the socket is empty.
--- a/wickhinge/net/downstream/client_connections.py
+++ b/wickhinge/net/downstream/client_connections.py
@@ -10,6 +10,7 @@
 
 from wickhinge.net.downstream.client_connection import ClientConnection
 from wickhinge.net.downstream.descriptors import Admission
+from wickhinge.net.downstream.loop_usage import LoopUsage
 from wickhinge.net.downstream.request_table import RequestTable
 from wickhinge.net.runtime.deadlines import Deadlines
 
@@ -51,6 +52,7 @@
     ) -> None:
         self.request_table, self.deadlines, self.log = request_table, deadlines, log
         self.arrivals = deadlines.arrivals
+        self.loop_usage = LoopUsage(deadlines.now, deadlines.waiting_ms, log)
         self.admission = Admission(max_connections)
         self.listener: Any = None
         self.is_resume_scheduled = False  # Whether the listener resumes on the next turn of the event loop.
--- a/wickhinge/net/runtime/deadlines.py
+++ b/wickhinge/net/runtime/deadlines.py
@@ -46,6 +46,7 @@
         self._timer: Any = None
         self._timer_due_at = inf  # Time at which the timer fires; infinity if it is not set.
         self.max_lateness_s = 0.0
+        self.last_fired_at = 0.0  # Time at which due deadlines were last called.
         self.arrivals = reactor.arrivals
 
     def take_max_lateness(self) -> float:
@@ -53,6 +54,15 @@
         lateness_s, self.max_lateness_s = self.max_lateness_s, 0.0
         return lateness_s
 
+    def waiting_ms(self) -> dict[str, int]:
+        """Return how long the first due deadline has waited, and how long data may have been unread when polled."""
+        first_at = max(self.heap[0][0], self.last_fired_at) if self.heap else inf
+        unread_s = self.arrivals.poll_ended_at - self.arrivals.earliest_arrival_at
+        return {
+            "deadline_waits_ms": round(max(self.now() - first_at, 0.0) * 1000),
+            "data_waits_ms": round(max(unread_s, 0.0) * 1000),
+        }
+
     @staticmethod
     def now() -> float:
         """Return the time of the steady clock in seconds."""
@@ -91,6 +101,7 @@
         if self.arrivals.is_behind or self.now() - self.arrivals.poll_ended_at > STALL_THRESHOLD_S:
             self.reactor.catch_up()
         heap, now, last_serial = self.heap, self.now(), self._last_serial
+        self.last_fired_at = now
         # Until the end of this method, newly scheduled calls do not set the timer; it is set once, below.
         self._timer_due_at = -1.0
         while heap and heap[0][0] <= now and heap[0][1] <= last_serial:
