Clients that keep the event loop busy are read in turns; the others are served

Change: net/downstream/fair_reading. While the loop has no pause, a client that used over 2 ms of the last second is taken off epoll and read in turns, the least used first, all together for half of the time in the long run. One read is as large as can be handled in 1 ms; reading to the end before an attempt stops after 2 ms, and where an end was not reached the request does not begin, or is given up. Queued requests are refused at half their time, holds included. Pings are answered in one write; a client with 64 KB of unread answers is read no more; the write queue goes out in as few calls as the socket takes. Catching up ends after 0.1 s. A client of unreadable data is hung up on 0.25 s later while the loop is busy. At the end of a shutdown throttled clients are not waited for.

--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -314,7 +314,7 @@
         return call
 
     def ask(self, *calls, method="pages", body=b""):
-        self.arrivals.earliest_arrival_at = self.now
+        self.arrivals.earliest_arrival_at = self.arrivals.idle_at = self.now
         self.connection.dataReceived(b"".join(msgpack.pack([0, call, method, [{"rid": "a"}, body]]) for call in calls))
 
     def abort(self, call):
--- /dev/null
+++ b/tests/net/test_fair_reading.py
@@ -0,0 +1,154 @@
+"""Which clients are throttled, and in which order and for how long they are read; without sockets."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from wickhinge.net.downstream.fair_reading import (
+    BUSY_AFTER_S,
+    MAX_TURN_BURST_S,
+    MAX_TURN_SHARE,
+    PAUSE_S,
+    THROTTLE_ABOVE_S,
+    FairReading,
+)
+from wickhinge.net.downstream.loop_usage import ClientUsage
+
+
+POLL_S = 0.0001  # Seconds that the other events of a turn of the event loop take.
+
+
+class World:
+    """A clock and timers that the test moves on."""
+
+    def __init__(self):
+        self.time, self.timers = 1000.0, []
+        self.arrivals = SimpleNamespace(idle_at=self.time, earliest_arrival_at=self.time)
+        self.fair_reading = FairReading(self, lambda *_, **more: None)
+
+    def now(self):
+        return self.time
+
+    def call_after(self, delay, call):
+        self.timers.append((self.time + delay, call))
+
+    def call_soon(self, call):
+        self.timers.append((self.time + POLL_S, call))
+
+    def run(self, seconds):
+        """Call the timers for some seconds."""
+        ends_at = self.time + seconds
+        while self.timers and self.timers[0][0] <= ends_at:
+            due_at, call = self.timers.pop(0)
+            self.time = max(self.time, due_at)
+            self.arrivals.earliest_arrival_at = self.time
+            call()
+        self.time = ends_at
+
+
+class BusyClient:
+    """A client whose socket always holds data; handling one read takes `cost_s`."""
+
+    def __init__(self, world, cost_s=0.001):
+        self.world, self.cost_s, self.usage, self.reads, self.calls = world, cost_s, ClientUsage(), 0, []
+        self.has_ended = self.is_throttled = self.is_socket_drained = self.is_blocked = False
+        self.transport = SimpleNamespace(
+            pauseProducing=lambda: self.calls.append("pause"), resumeProducing=lambda: self.calls.append("resume")
+        )
+
+    def work(self, seconds):
+        self.usage.add(self.world.time, self.world.time + seconds)
+        self.world.time += seconds
+        self.world.fair_reading.throttle_if_heavy(self)
+
+    def read_turn(self):
+        self.reads += 1
+        self.work(self.cost_s)
+
+    def has_unread_answers(self):
+        return self.is_blocked
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_client_is_throttled_only_while_the_loop_is_busy(world):
+    client = BusyClient(world)
+    client.work(2 * THROTTLE_ABOVE_S)
+    assert not client.is_throttled
+    world.time += BUSY_AFTER_S
+    client.work(0.0001)
+    assert client.is_throttled and client.calls == ["pause"]
+
+
+def test_client_that_has_used_little_is_not_throttled_while_the_loop_is_busy(world):
+    client = BusyClient(world)
+    world.time += BUSY_AFTER_S
+    client.work(0.5 * THROTTLE_ABOVE_S)
+    assert not client.is_throttled
+
+
+def test_throttled_client_is_released_once_it_is_drained_and_light(world):
+    client = BusyClient(world, cost_s=0.0)
+    world.fair_reading.throttle(client)
+    world.run(0.1)
+    assert client.is_throttled  # Its socket still holds data.
+    client.is_socket_drained = True
+    world.run(0.1)
+    assert not client.is_throttled and client.calls == ["pause", "resume"] and not world.fair_reading.throttled
+
+
+def test_ended_client_is_watched_again_so_that_its_end_is_noticed(world):
+    client = BusyClient(world)
+    world.fair_reading.throttle(client)
+    client.has_ended = True
+    world.run(0.1)
+    assert client.calls == ["pause", "resume"]
+
+
+@pytest.mark.parametrize("count", [1, 8, 300])
+def test_throttled_clients_together_get_their_share_and_each_an_equal_part(world, count):
+    """A share for each client would not bound what hundreds of them use together."""
+    clients = [BusyClient(world) for _ in range(count)]
+    for client in clients:
+        world.fair_reading.throttle(client)
+    seconds = 10.0
+    world.run(seconds)
+    used_s = sum(client.reads * client.cost_s for client in clients)
+    assert used_s <= MAX_TURN_SHARE * seconds + 2 * MAX_TURN_BURST_S
+    assert used_s >= 0.3 * seconds
+    reads = [client.reads for client in clients]
+    assert min(reads) > 0 and max(reads) <= 2 * min(reads) + 2
+
+
+def test_client_that_has_used_least_is_read_first(world):
+    heavy, light = BusyClient(world, cost_s=0.002), BusyClient(world, cost_s=0.002)  # One read lasts a turn.
+    heavy.usage.add(world.time - 0.1, world.time)
+    world.fair_reading.throttle(heavy)
+    world.fair_reading.throttle(light)
+    world.run(0.05)
+    assert light.reads > 0 and heavy.reads == 0
+
+
+def test_client_with_unread_answers_is_throttled_and_not_read_until_it_reads_them(world):
+    """Answers to pings were queued without a bound: a process of 33 MB grew to 240 MB in 40 s."""
+    client = BusyClient(world)
+    client.is_blocked = True
+    client.work(0.0)
+    world.run(1.0)
+    assert client.is_throttled and client.reads == 0
+    client.is_blocked = False
+    world.run(1.0)
+    assert client.reads > 0
+
+
+def test_turns_pause_when_the_loop_has_long_not_waited_for_events(world):
+    """Without a wait, the earliest arrival of new data is not known, and its request would be taken for old."""
+    client = BusyClient(world, cost_s=0.0)
+    world.fair_reading.throttle(client)
+    world.timers.pop()
+    world.time += 1.0
+    world.fair_reading._take_turn()
+    assert [round(due_at - world.time, 6) for due_at, _ in world.timers] == [PAUSE_S]
--- a/wickhinge/net/control/process_report.py
+++ b/wickhinge/net/control/process_report.py
@@ -90,6 +90,7 @@
             "closed": clients.close_counts,
             "faults": clients.take_fault_counts(),
             "clients_usage": clients.loop_usage.take_report(),
+            "throttled": {"now": len(clients.fair_reading.throttled), "count": clients.fair_reading.throttled_count},
         }
 
     def _server_fields(self) -> dict[str, Any]:
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -18,6 +18,7 @@
 
 from wickhinge.common.failed_calls import has_unread_data, receive
 from wickhinge.net.downstream import msgpack
+from wickhinge.net.downstream.fair_reading import FairReading
 from wickhinge.net.downstream.loop_usage import ClientUsage, LoopUsage
 from wickhinge.net.downstream.request_table import InvalidRequestError, RequestTable
 from wickhinge.net.runtime.arrivals import Arrivals
@@ -41,10 +42,21 @@
 # A short read proves that the socket is empty only if its data arrived at most this many seconds ago. Older data is
 # followed by another read, since a read may return less than there is.
 MAX_SHORT_READ_AGE_S = 0.02
-# Bytes that one read returns at most; the Twisted transport has the same limit.
-MAX_READ_BYTES = 65536
-# Reads in a row of one socket: enough for as many requests as a client may have open.
-MAX_READS_PER_CALL = 32
+# Bytes that one read returns at most. The limit of a connection is halved where handling a full read takes longer than
+# MAX_HANDLING_S, and doubled again where it takes much less.
+INITIAL_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES = 8192, 1024, 65536
+MAX_HANDLING_S = 0.001
+# Reads in a row of one socket: enough for as many requests as a client may have open. Past MAX_DRAIN_S they end after
+# MIN_READS_PER_CALL, with data left unread.
+MIN_READS_PER_CALL, MAX_READS_PER_CALL = 4, 32
+MAX_DRAIN_S = 0.002
+# Bytes of errors and answers to pings that may wait to be written before nothing more is read from their client.
+MAX_UNREAD_ANSWER_BYTES = 65536
+# Pieces of data that one system call writes.
+MAX_PIECES_PER_WRITE = 64
+# Share of its time that a request may wait in the queue, and the time of one that does not say it validly.
+MAX_QUEUED_SHARE = 0.5
+DEFAULT_TIMEOUT_S = 1.0
 
 
 class QueuedRequest:
@@ -60,6 +72,13 @@
     def __init__(self, method: str, params: list[Any], arrived_at: float, size: int) -> None:
         self.method, self.params, self.arrived_at, self.size = method, params, arrived_at, size
 
+    def timeout_s(self) -> float:
+        """Return the seconds that the client waits for the answer."""
+        budget_ms = self.params[0].get("budget")
+        if type(budget_ms) is str and budget_ms.isascii() and budget_ms.isdigit() and len(budget_ms) <= 12:
+            return int(budget_ms) / 1000
+        return DEFAULT_TIMEOUT_S
+
 
 class ConnectionOwner(Protocol):
     """The set of all client connections, as one connection uses it and reports to it."""
@@ -69,6 +88,7 @@
     arrivals: Arrivals
     log: Callable[..., None]
     loop_usage: LoopUsage
+    fair_reading: FairReading
     is_shutting_down: bool  # True once the graceful shutdown has begun; pings are answered with False then.
     is_paused: bool  # True while the buffers are exhausted, so that no request may begin.
     queued_bytes: int  # Bytes of requests queued during holds, of all clients.
@@ -88,6 +108,12 @@
     def count_fault(self, reason: str) -> None:
         """Count a protocol violation or stall of a client by its reason."""
 
+    def close_faulty(self, client: ClientConnection) -> None:
+        """Close the connection of a client that has violated the protocol."""
+
+    def requests_wait(self, client: ClientConnection) -> None:
+        """Reject the queued requests of a client in time if they cannot begin; called while it has any."""
+
 
 class ClientConnection(TwistedProtocol):
     """The protocol instance of one client connection; reports to `clients`, the set of all connections."""
@@ -114,6 +140,10 @@
         self.invalid_request_count = 0
         self.socket: Any = None
         self.usage = ClientUsage()
+        self.read_bytes_limit = INITIAL_READ_BYTES
+        self.is_throttled = False  # Whether the socket is read in turns, by FairReading.
+        self.unread_answer_bytes = 0  # Bytes in the write queue, except bodies.
+        self.is_socket_polled = False  # Whether the transport was asked to report when the socket takes more bytes.
 
     def connectionMade(self) -> None:
         """Register the connection; called by Twisted when it is established."""
@@ -121,6 +151,7 @@
         self.clients.client_connected(self)
         self.transport.setTcpNoDelay(True)
         self.socket = self.transport.getHandle()
+        self.transport.bufferSize = self.read_bytes_limit
         peer = self.transport.getPeer()
         self.usage.address = f"{peer.host}:{peer.port}"
         self.update_hold()
@@ -140,12 +171,51 @@
         try:
             self.handle_read(data)
         finally:
-            self.clients.loop_usage.end(self.usage, began_at)
+            self.work_ended(began_at, len(data))
+
+    def read_turn(self) -> None:
+        """Read the socket once and handle the data; called in turns while the client is throttled."""
+        if self.has_ended:
+            return
+        began_at = self.clients.loop_usage.begin(self.usage)
+        size = 0
+        try:
+            data = self.read_once()
+            if data:
+                size = len(data)
+                self.handle_read(data)
+            elif not self.has_ended:
+                self.is_socket_drained, self.drained_until = True, self.clients.arrivals.poll_ended_at
+                self.update_hold()
+        finally:
+            self.work_ended(began_at, size)
+
+    def read_once(self) -> bytes | None:
+        """Return unread data, or None if there is none; end the connection if the client has ended it."""
+        try:
+            data = receive(self.socket, self.read_bytes_limit)
+        except OSError as error:
+            self.connection_ended(str(error))
+            return None
+        if data == b"":
+            self.connection_ended("closed by the client")
+        return data or None
+
+    def work_ended(self, began_at: float, read_bytes: int = 0) -> None:
+        """Record the time that handling data has taken, and adapt to it how much is read at once."""
+        took_s = self.clients.loop_usage.end(self.usage, began_at)
+        if read_bytes >= self.read_bytes_limit:
+            if took_s > MAX_HANDLING_S:
+                self.read_bytes_limit = max(self.read_bytes_limit // 2, MIN_READ_BYTES)
+            elif took_s < 0.25 * MAX_HANDLING_S:
+                self.read_bytes_limit = min(self.read_bytes_limit * 2, MAX_READ_BYTES)
+            self.transport.bufferSize = self.read_bytes_limit
+        self.clients.fair_reading.throttle_if_heavy(self)
 
     def handle_read(self, data: bytes) -> None:
         """Handle the data of one read, and begin the requests in it."""
         arrival, poll_ended_at = self.earliest_unread_arrival(), self.clients.arrivals.poll_ended_at
-        self.is_socket_drained = len(data) < MAX_READ_BYTES
+        self.is_socket_drained = len(data) < self.read_bytes_limit
         if self.is_socket_drained:
             self.drained_until = max(self.drained_until, poll_ended_at)
         self.handle_data(data, arrival)
@@ -154,7 +224,7 @@
             # the data that was read.
             self.read_all_pending(arrival)
         # All requests of one read begin, also those that follow an invalid request: its hold applies to later reads.
-        self.begin_queued()
+        self.begin_queued(is_hold_immediate=False)
         self.update_hold()
 
     def read_failed(self) -> None:
@@ -205,6 +275,8 @@
     def read_all_pending(self, arrival: float) -> None:
         """Read the socket to its end; the requests that were read begin on the next turn of the event loop.
 
+        The end is not reached if the client sends faster than its data can be handled; `is_socket_drained` tells.
+
         Args:
             arrival: Earliest time at which the unread data may have arrived.
         """
@@ -212,19 +284,23 @@
         try:
             self.read_until_empty(arrival)
         finally:
-            self.clients.loop_usage.end(self.usage, began_at)
+            self.work_ended(began_at)
 
     def read_until_empty(self, arrival: float) -> None:
         """Read the socket as `read_all_pending` does."""
+        if self.has_unread_answers():
+            self.is_socket_drained = False
+            return
         self.last_drained_at = self.clients.deadlines.now()
         # A read that returns nothing may have failed transiently, so after a stall of the process two of them in a row
         # are needed to prove that the socket is empty.
         empty_reads_needed = 2 if self.last_drained_at - arrival > MAX_SHORT_READ_AGE_S else 1
-        for _ in range(MAX_READS_PER_CALL):
-            try:
-                data = receive(self.socket, MAX_READ_BYTES)
-            except OSError as error:
-                self.connection_ended(str(error))
+        for read_count in range(MAX_READS_PER_CALL):
+            if read_count >= MIN_READS_PER_CALL and self.clients.deadlines.now() - self.last_drained_at > MAX_DRAIN_S:
+                self.is_socket_drained = False
+                break
+            data = self.read_once()
+            if self.has_ended:
                 return
             if data is None:
                 empty_reads_needed -= 1
@@ -232,20 +308,20 @@
                     continue
                 self.is_socket_drained, self.drained_until = True, self.last_drained_at
                 break
-            if not data:
-                self.connection_ended("closed by the client")
-                return
             self.handle_data(data, arrival)
             if self.has_ended:
                 return
         else:
             # The read limit is reached, so data with the same earliest arrival time may still be unread.
             self.is_socket_drained = False
-        if self.queued_requests or self.queued_pings:
+        if (self.queued_requests or self.queued_pings) and not self.is_throttled:
             self.clients.deadlines.call_soon(self.update_hold)
 
     def is_request_open(self, call_id: int) -> bool:
-        """Return whether the client is still connected and has not cancelled this request."""
+        """Return whether the client is still connected and has not cancelled this request, as far as was read.
+
+        If `is_socket_drained` is false afterwards, a cancellation may still be unread.
+        """
         self.read_if_stale()
         return call_id in self.open_requests
 
@@ -330,12 +406,40 @@
         self.clients.queued_bytes -= request.size
         return request
 
-    def begin_queued(self) -> None:
-        """Begin the queued requests in order until a hold starts."""
-        if self.queued_requests and not self.is_on_hold:
+    def begin_queued(self, *, is_hold_immediate: bool) -> None:
+        """Begin the queued requests in order, unless a hold is on or their cancellations may be unread.
+
+        Args:
+            is_hold_immediate: Whether a hold that one of them starts applies to the next of them.
+        """
+        if not self.queued_requests:
+            return
+        if not self.is_on_hold and not self.is_throttled:
             self.read_if_stale()
-        while self.queued_requests and not self.is_on_hold:
+        while self.queued_requests and not self.is_on_hold and self.is_socket_drained:
             self.begin_oldest()
+            if is_hold_immediate:
+                self.is_on_hold = self.clients.is_paused or self.hold_until > self.clients.deadlines.now()
+        if self.queued_requests:
+            self.clients.requests_wait(self)
+
+    def reject_overdue(self) -> None:
+        """Reject the queued requests that have waited for MAX_QUEUED_SHARE of their time."""
+        now = self.clients.deadlines.now()
+        for call_id, request in list(self.queued_requests.items()):
+            if now - request.arrived_at >= MAX_QUEUED_SHARE * request.timeout_s():
+                self.reject_queued_request(call_id, "waited too long to begin")
+
+    def reject_queued(self) -> None:
+        """Reject all queued requests."""
+        for call_id in list(self.queued_requests):
+            self.reject_queued_request(call_id, "connection ended before it began")
+
+    def reject_queued_request(self, call_id: int, reason: str) -> None:
+        """Reject a request that has not begun; reason: as the report counts it."""
+        self.dequeue_request(call_id)
+        self.clients.request_table.request_log.count_unserved(reason)
+        self.send_error(call_id, "Overloaded", {})
 
     def begin_oldest(self) -> None:
         """Begin the request that has been queued for longest."""
@@ -376,7 +480,9 @@
         """Write the answer of a request that was served; body None means that the client's own copy is still valid."""
         self.open_requests.pop(call_id, None)
         size = body.length if body is not None else 0
-        self.write_queue.append(b"\x94\x01" + msgpack.pack(call_id) + b"\xc0\x92" + msgpack.bytes_header(size))
+        header = b"\x94\x01" + msgpack.pack(call_id) + b"\xc0\x92" + msgpack.bytes_header(size)
+        self.write_queue.append(header)
+        self.unread_answer_bytes += len(header)
         if size:
             self.write_queue.append(body)
         self.write(msgpack.pack(fields))
@@ -390,63 +496,89 @@
 
     def answer_pings(self) -> None:
         """Answer all queued pings: True while the router accepts new clients, False during shutdown."""
+        if not self.queued_pings:
+            return
         pings, self.queued_pings = self.queued_pings, []
-        for call_id in pings:
-            self.write(msgpack.pack([1, call_id, None, [not self.clients.is_shutting_down, {}]]))
+        result = b"\xc0\x92" + (b"\xc2" if self.clients.is_shutting_down else b"\xc3") + b"\x80"
+        self.write(b"".join([b"\x94\x01" + msgpack.pack(call_id) + result for call_id in pings]))
 
     def write(self, data: bytes) -> None:
         """Append bytes to the write queue and write them if the client reads."""
         self.write_queue.append(data)
+        self.unread_answer_bytes += len(data)
         if not self.is_write_blocked and not self.has_ended:
             self.write_to_socket()
 
+    def has_unread_answers(self) -> bool:
+        """Return whether the client has to read answers before more is read from it."""
+        return self.is_write_blocked and self.unread_answer_bytes > MAX_UNREAD_ANSWER_BYTES
+
     def write_to_socket(self) -> None:
-        """Write as much of the queue as the socket takes, and have the transport ask for the rest, buffer by buffer."""
+        """Write as much of the queue as the socket takes, and have the transport report when it takes more."""
+        while self.write_queue:
+            views = self.next_views()
+            try:
+                size = self.socket.sendmsg(views)
+            except OSError:
+                # The socket is full or broken. The transport handles both: it waits, or it reports the lost connection.
+                size = 0
+            if size:
+                self.last_write_at = self.clients.deadlines.now()
+            self.drop_written(size)
+            if size < sum(map(len, views)):
+                self.wait_until_writable()
+                return
+        if self.is_write_blocked:
+            self.is_write_blocked = False
+            self.transport.unregisterProducer()
+            self.clients.update_idle(self)
+
+    def next_views(self) -> list[Any]:
+        """Return the first pieces of the write queue, as many as one system call takes."""
         views: list[Any] = []
         for item in self.write_queue:
             views += [item] if isinstance(item, bytes) else item.views()
-        try:
-            size = self.socket.sendmsg(views)
-        except OSError:
-            # The socket is full or broken. The transport handles both: it waits, or it reports the lost connection.
-            size = 0
+            if len(views) >= MAX_PIECES_PER_WRITE:
+                break
+        return views
+
+    def drop_written(self, size: int) -> None:
+        """Remove what was written from the front of the write queue."""
         while self.write_queue:
             item = self.write_queue[0]
-            remaining = len(item) if isinstance(item, bytes) else item.length
+            is_bytes = isinstance(item, bytes)
+            remaining = len(item) if is_bytes else item.length
+            if is_bytes:
+                self.unread_answer_bytes -= min(remaining, size)
             if remaining > size:
-                break
+                if is_bytes:
+                    self.write_queue[0] = item[size:]
+                else:
+                    item.drop_written(size)
+                return
             size -= remaining
-            self.drop_written_item(item)
-        if self.write_queue:
-            if isinstance(item, bytes):
-                self.write_queue[0] = item[size:]
-            else:
-                item.drop_written(size)
+            self.write_queue.popleft()
+            if not is_bytes:
+                item.release()
+
+    def wait_until_writable(self) -> None:
+        """Have the transport call resumeProducing() when the socket takes more bytes."""
+        if not self.is_write_blocked:
             self.is_write_blocked, self.last_write_at = True, self.clients.deadlines.now()
             self.clients.deadlines.call_after(MAX_WRITE_STALL_S, self.check_write_stall)
+            self.is_socket_polled = False
             self.transport.registerProducer(self, False)
 
-    def drop_written_item(self, item: bytes | Body) -> None:
-        """Remove the first item of the write queue, which has been written."""
-        self.write_queue.popleft()
-        if not isinstance(item, bytes):
-            item.release()
-
     def resumeProducing(self) -> None:
-        """Write the next buffer; called by the transport when it can take more."""
-        self.last_write_at = self.clients.deadlines.now()
-        if not self.write_queue:
-            self.is_write_blocked = False
-            self.transport.unregisterProducer()
-            self.clients.update_idle(self)
-            return
-        item = self.write_queue[0]
-        piece = item if isinstance(item, bytes) else bytes(item.views()[0])
-        self.transport.write(piece)
-        if isinstance(item, bytes) or item.length == len(piece):
-            self.drop_written_item(item)
-        else:
-            item.drop_written(len(piece))
+        """Go on writing; called by the transport when the socket takes more bytes.
+
+        Twisted also calls this once from within registerProducer, when the socket may still be full.
+        """
+        if self.is_socket_polled and not self.has_ended:
+            self.write_to_socket()
+        self.is_socket_polled = self.is_write_blocked
+        if self.is_write_blocked and not self.has_ended:
+            self.transport.startWriting()
 
     def stopProducing(self) -> None:
         """Do nothing; called by the transport when the connection ends."""
@@ -472,11 +604,7 @@
             return
         now = self.clients.deadlines.now()
         self.is_on_hold = self.clients.is_paused or self.hold_until > now
-        if self.queued_requests and not self.is_on_hold:
-            self.read_if_stale()
-        while self.queued_requests and not self.is_on_hold:
-            self.begin_oldest()
-            self.is_on_hold = self.clients.is_paused or self.hold_until > now
+        self.begin_queued(is_hold_immediate=True)
         self.answer_pings()
 
     # End of the connection.
@@ -519,14 +647,11 @@
         if unwritten:
             transport.abortConnection()
         else:
-            transport.loseConnection()
+            self.clients.close_faulty(self)
 
     def reject_all(self) -> None:
         """Answer all open and queued requests with an error."""
-        for call_id in list(self.queued_requests):
-            self.dequeue_request(call_id)
-            self.clients.request_table.request_log.count_unserved("connection ended before it began")
-            self.send_error(call_id, "Overloaded", {})
+        self.reject_queued()
         for open_request in list(self.open_requests.values()):
             if open_request is not None:
                 self.clients.request_table.reject_for_client_error(open_request)
--- a/wickhinge/net/downstream/client_connections.py
+++ b/wickhinge/net/downstream/client_connections.py
@@ -10,6 +10,7 @@
 
 from wickhinge.net.downstream.client_connection import ClientConnection
 from wickhinge.net.downstream.descriptors import Admission
+from wickhinge.net.downstream.fair_reading import FairReading
 from wickhinge.net.downstream.loop_usage import LoopUsage
 from wickhinge.net.downstream.request_table import RequestTable
 from wickhinge.net.runtime.deadlines import Deadlines
@@ -24,6 +25,11 @@
 MIN_AGE_TO_CLOSE_S = 0.25
 # Kinds of client faults that are counted separately between two reports; all others are counted together.
 MAX_FAULT_KINDS = 32
+# Seconds by which the close of a client that has sent what cannot be read is delayed while the event loop is busy. It
+# slows down a client that connects again as soon as its connection is closed.
+CLOSE_DELAY_S = 0.25
+# Seconds between two checks for queued requests that have waited for too long.
+WAITING_CHECK_INTERVAL_S = 0.05
 # Connections that are checked in each table in search of one to close.
 MAX_CANDIDATES = 8
 
@@ -52,7 +58,13 @@
     ) -> None:
         self.request_table, self.deadlines, self.log = request_table, deadlines, log
         self.arrivals = deadlines.arrivals
-        self.loop_usage = LoopUsage(deadlines.now, deadlines.waiting_ms, log)
+        self.loop_usage = LoopUsage(deadlines.now, lambda: deadlines.waiting_ms(), log)
+        self.fair_reading = FairReading(deadlines, log)
+        # Connections with requests that have not begun, since a hold or unread data keeps them from it.
+        self.waiting: dict[ClientConnection, None] = {}
+        # Connections that have ended and whose transports are closed a little later, the oldest first.
+        self.delayed_closes: dict[ClientConnection, None] = {}
+        self._is_waiting_check_set = False
         self.admission = Admission(max_connections)
         self.listener: Any = None
         self.is_resume_scheduled = False  # Whether the listener resumes on the next turn of the event loop.
@@ -77,15 +89,34 @@
             closed += 1
         return closed
 
+    def close_faulty(self, client: ClientConnection) -> None:
+        """Close a connection that has ended because of its client, after CLOSE_DELAY_S if the event loop is busy."""
+        if not self.fair_reading.is_loop_busy():
+            client.transport.loseConnection()
+            return
+        client.transport.pauseProducing()
+        self.delayed_closes[client] = None
+        self.deadlines.call_after(CLOSE_DELAY_S, self.close_delayed, client)
+
+    def close_delayed(self, client: ClientConnection) -> None:
+        """Close a connection whose close was delayed, unless that was done to free its descriptor."""
+        if client in self.delayed_closes:
+            del self.delayed_closes[client]
+            client.transport.loseConnection()
+
     def close_longest_idle(self) -> bool:
         """Close one connection to free its descriptor.
 
-        Connections that have sent no request go first, then idle ones, then those with an incomplete request; within a
-        group the oldest goes first. A connection that is just established is kept, since its request may be on the way.
+        Connections whose close was delayed go first, then those that have sent no request, then idle ones, then those
+        with an incomplete request; within a group the oldest goes first. A connection that is just established is kept,
+        since its request may be on the way.
 
         Returns:
             Whether a connection was closed.
         """
+        if self.delayed_closes:
+            self.close_delayed(next(iter(self.delayed_closes)))
+            return True
         now = self.deadlines.now()
         for table, min_age_s in (
             (self.no_request_since, MIN_AGE_TO_CLOSE_S),
@@ -186,6 +217,8 @@
 
     def client_disconnected(self, client: ClientConnection) -> None:
         """Remove a connection; called when it has ended."""
+        self.fair_reading.release(client)
+        self.waiting.pop(client, None)
         self.connections.discard(client)
         for table in (self.no_request_since, self.partial_message_since, self.idle_since):
             table.pop(client, None)
@@ -225,6 +258,22 @@
         self.is_paused = False
         self.update_holds()
 
+    def requests_wait(self, client: ClientConnection) -> None:
+        """Reject the queued requests of a client in time if they cannot begin; called while it has any."""
+        self.waiting[client] = None
+        if not self._is_waiting_check_set:
+            self._is_waiting_check_set = True
+            self.deadlines.call_after(WAITING_CHECK_INTERVAL_S, self.check_waiting)
+
+    def check_waiting(self) -> None:
+        """Reject the queued requests that have waited for too long; runs while any request is queued."""
+        self._is_waiting_check_set = False
+        waiting, self.waiting = self.waiting, {}
+        for client in waiting:
+            client.reject_overdue()
+            if client.queued_requests:
+                self.requests_wait(client)
+
     def update_holds(self) -> None:
         """Begin the queued requests of all connections that are not on hold."""
         for client in list(self.connections):
@@ -236,23 +285,30 @@
         for client in list(self.connections):
             client.hold_until = 0.0
             client.update_hold()
+            client.reject_queued()  # Those that unread data keeps from beginning.
 
     def read_all_pending(self) -> None:
-        """Read the socket of each connection to its end."""
-        for client in list(self.connections):
+        """Read the socket of each connection to its end, except those of throttled clients, which are read in turns."""
+        for client in [client for client in self.connections if not client.is_throttled]:
             client.read_all_pending(client.earliest_unread_arrival())
 
     def close_all_idle(self) -> bool:
-        """Close the idle connections, each right after reading its socket; return whether no connection is left."""
+        """Close the idle connections, each right after reading its socket.
+
+        Returns:
+            Whether no connection is left but those of throttled clients, which never stop sending.
+        """
         for client in list(self.connections):
             client.read_all_pending(client.earliest_unread_arrival())
             if not client.has_ended and client.is_idle():
                 client.close_unless_unread("the router ends")
-        return not self.connections
+        return all(client.is_throttled for client in self.connections)
 
-    def has_unread_requests(self) -> bool:
-        """Return whether a request of any client is queued or unread."""
-        return any(client.has_unread_requests() for client in self.connections)
+    def has_unread_requests(self, *, of_throttled: bool) -> bool:
+        """Return whether a request of any client is queued or unread; of_throttled: also of throttled clients."""
+        return any(
+            client.has_unread_requests() for client in self.connections if of_throttled or not client.is_throttled
+        )
 
     def has_unwritten_answers(self) -> bool:
         """Return whether any answer is not completely written."""
--- /dev/null
+++ b/wickhinge/net/downstream/fair_reading.py
@@ -0,0 +1,135 @@
+"""Fair reading: a client that keeps the event loop busy is read in turns, and not whenever it has sent something.
+
+The event loop handles what the sockets hold in the order in which it arrived. A client that sends faster than its
+messages can be handled would thus get all of the time, and the answers of servers, the deadlines and all other clients
+would wait for it. Such a client is throttled: the event loop no longer watches its socket, and a timer reads a little
+from each throttled client in turn, at first from the one that has used the least time. Between two turns the event loop
+handles other events. After some time the turns also pause, so that throttled clients together get half of the time at
+most, however many there are.
+
+A client is throttled only while the event loop has no pause, and released as soon as it has been read to its end and
+has used little time. So a client that sends much is slowed down only where others would have to wait for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import nsmallest
+from typing import Any, Protocol
+
+from wickhinge.net.downstream.loop_usage import ClientUsage
+from wickhinge.net.runtime.deadlines import Deadlines
+
+# Seconds without a pause from which on the event loop counts as busy.
+BUSY_AFTER_S = 0.02
+# Seconds of the event loop in the last second from which on a client may be throttled, and below which it is released.
+# A few hundred clients that keep the event loop busy together use more than that each.
+THROTTLE_ABOVE_S = 0.002
+# Seconds that a turn lasts at most, apart from the last read in it.
+MAX_TURN_S = 0.002
+# Seconds between two turns, when they pause.
+PAUSE_S = 0.002
+# Share of the time that turns may take in the long run, and seconds that they may take beyond it without a pause.
+MAX_TURN_SHARE = 0.5
+MAX_TURN_BURST_S = 0.5
+# Seconds after which turns pause, since only a wait for events tells that none arrived earlier.
+MAX_ARRIVAL_AGE_S = 0.02
+# Clients that are read in one turn at most.
+MAX_READS_PER_TURN = 32
+
+
+class ThrottledClient(Protocol):
+    """A client connection, as fair reading needs it."""
+
+    usage: ClientUsage
+    has_ended: bool
+    is_throttled: bool  # Set here.
+    is_socket_drained: bool
+    transport: Any
+
+    def read_turn(self) -> None:
+        """Read the socket once and handle the data."""
+
+    def has_unread_answers(self) -> bool:
+        """Return whether the client has to read answers before more is read from it."""
+
+
+class FairReading:
+    """The throttled clients, and the timer that reads from them in turn."""
+
+    def __init__(self, deadlines: Deadlines, log: Callable[..., None]) -> None:
+        self._deadlines, self._log = deadlines, log
+        self.throttled: set[ThrottledClient] = set()
+        self.throttled_count = 0  # Clients that were throttled since the start.
+        self._is_turn_set = False
+        # Seconds that turns have taken beyond their share, at the time of the last turn.
+        self._excess_s = self._excess_at = 0.0
+
+    def throttle_if_heavy(self, client: ThrottledClient) -> None:
+        """Throttle a client that uses much time while the event loop is busy; called after each work for it."""
+        if client.is_throttled or client.has_ended:
+            return
+        is_heavy = client.usage.recent_s >= THROTTLE_ABOVE_S
+        if is_heavy and self.is_loop_busy() or client.has_unread_answers():
+            self.throttle(client)
+
+    def is_loop_busy(self) -> bool:
+        """Return whether the event loop has had no pause for BUSY_AFTER_S."""
+        return self._deadlines.now() - self._deadlines.arrivals.idle_at >= BUSY_AFTER_S
+
+    def throttle(self, client: ThrottledClient) -> None:
+        """Read from a client in turns from now on."""
+        client.is_throttled = True
+        self.throttled.add(client)
+        self.throttled_count += 1
+        client.transport.pauseProducing()
+        self._set_turn(0.0)
+
+    def release(self, client: ThrottledClient) -> None:
+        """Let the event loop watch the socket of a client again, also to learn that a connection has ended."""
+        if client.is_throttled:
+            client.is_throttled = False
+            self.throttled.discard(client)
+            client.transport.resumeProducing()
+
+    def _set_turn(self, pause_s: float) -> None:
+        if not self._is_turn_set:
+            self._is_turn_set = True
+            if pause_s:
+                self._deadlines.call_after(pause_s, self._take_turn)
+            else:
+                self._deadlines.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Read once from some throttled clients, and set the next turn."""
+        self._is_turn_set = False
+        began_at = self._deadlines.now()
+        order = nsmallest(
+            MAX_READS_PER_TURN, self.throttled, key=lambda client: (client.usage.recent_at(began_at), id(client))
+        )
+        try:
+            for client in order:
+                self._read(client)
+                if self._deadlines.now() - began_at >= MAX_TURN_S:
+                    break
+        finally:
+            pause_s = self._pause_after(began_at, self._deadlines.now())
+            if self.throttled:
+                self._set_turn(pause_s)
+
+    def _pause_after(self, began_at: float, ended_at: float) -> float:
+        """Return the seconds until the next turn, and count the turn that has ended."""
+        leaked_s = MAX_TURN_SHARE * (ended_at - self._excess_at)
+        self._excess_s = max(self._excess_s - leaked_s, 0.0) + ended_at - began_at
+        self._excess_at = ended_at
+        if self._excess_s > MAX_TURN_BURST_S:
+            return max(ended_at - began_at, PAUSE_S)
+        return PAUSE_S if ended_at - self._deadlines.arrivals.earliest_arrival_at > MAX_ARRIVAL_AGE_S else 0.0
+
+    def _read(self, client: ThrottledClient) -> None:
+        if client.has_unread_answers():
+            return
+        client.read_turn()
+        now = self._deadlines.now()
+        if client.has_ended or client.is_socket_drained and client.usage.recent_at(now) < THROTTLE_ABOVE_S:
+            self.release(client)
--- a/wickhinge/net/downstream/loop_usage.py
+++ b/wickhinge/net/downstream/loop_usage.py
@@ -85,10 +85,14 @@
         self._current = usage
         return self._now()
 
-    def end(self, usage: ClientUsage, began_at: float) -> None:
-        """Record that the event loop has worked for a client since the time that `begin` returned."""
+    def end(self, usage: ClientUsage, began_at: float) -> float:
+        """Record that the event loop has worked for a client since the time that `begin` returned.
+
+        Returns:
+            The seconds that it has worked; 0.0 if they are recorded elsewhere.
+        """
         if not began_at:
-            return
+            return 0.0
         self._current = None
         ended_at = self._now()
         usage.add(began_at, ended_at)
@@ -99,6 +103,7 @@
             self._next_log_at = ended_at + LOG_INTERVAL_S
             busy_ms = round(usage.recent_s * 1000)
             self._log("client_busy", busy_ms=busy_ms, **usage.log_fields(), **self._waiting())
+        return ended_at - began_at
 
     def take_report(self) -> dict[str, object]:
         """Return the time used by all clients since the last report, and the clients that used most of it."""
--- a/wickhinge/net/downstream/request_table.py
+++ b/wickhinge/net/downstream/request_table.py
@@ -169,10 +169,15 @@
         self.release_if_settled()
 
     def check_ended(self) -> bool:
-        """Return whether the request has ended, after reading a cancellation or close that may be in the socket."""
+        """Return whether the request has ended, after reading a cancellation or close that may be in the socket.
+
+        A request whose client sends faster than its data can be read is given up: its cancellation may be unread.
+        """
         client = self.client
         if client is not None and not client.is_request_open(self.call_id):
             self.request_table.client_left(self, "found gone before an attempt")
+        elif client is not None and not client.is_socket_drained:
+            self.request_table.reject_for_client_error(self)
         return self.has_ended
 
     def recall_attempts(self) -> None:
--- a/wickhinge/net/runtime/arrivals.py
+++ b/wickhinge/net/runtime/arrivals.py
@@ -28,6 +28,8 @@
 PUNCTUAL_OVERRUN_S = 0.002
 # Seconds after the last poll that returned all pending events, within which a wait may begin without another poll.
 FRESH_POLL_S = 0.005
+# Seconds from which on a wait that ended with events shows that none were pending when it began.
+MIN_IDLE_S = 0.0001
 
 
 class Arrivals:
@@ -38,6 +40,7 @@
         handled_until: All data that arrived before this time has certainly been read and handled.
         poll_ended_at: Time at which the latest poll or wait ended.
         is_behind: Whether the process was stalled and data that arrived meanwhile may be unread.
+        idle_at: Time at which the event loop last had no events to handle.
     """
 
     def __init__(self, started_at: float, max_events: int = MAX_EVENTS_PER_POLL) -> None:
@@ -52,6 +55,7 @@
         self.handled_until = started_at
         self.poll_ended_at = started_at
         self.is_behind = False
+        self.idle_at = started_at
         # Value of earliest_arrival_at for the events of the next poll.
         self._next_earliest_arrival_at = started_at
         # Value of handled_until once the events of the latest poll are handled.
@@ -75,6 +79,8 @@
             # A poll without events proves nothing: a signal may have interrupted it before the kernel looked for
             # events.
             self._next_earliest_arrival_at = self._next_handled_until = began_at
+        if not count:
+            self.idle_at = ended_at
         self.poll_ended_at = ended_at
 
     def record_wait(self, began_at: float, limit_s: float, ended_at: float, count: int, *, was_polled: bool) -> None:
@@ -100,6 +106,8 @@
         # way.
         if 0 < count < self._max_events or not count and duration_s <= limit_s + PUNCTUAL_OVERRUN_S:
             self._next_handled_until = began_at
+        if was_polled or not count or duration_s > MIN_IDLE_S:
+            self.idle_at = ended_at
         self.poll_ended_at = ended_at
 
     def mark_handled(self) -> None:
--- a/wickhinge/net/runtime/loop.py
+++ b/wickhinge/net/runtime/loop.py
@@ -19,8 +19,9 @@
 
 # Seconds for which data may have been unread, after which the callback of read_first_after_stall() precedes all events.
 READ_FIRST_AFTER_S = 0.1
-# Polls in a row after a stall of the process, before the deadlines are served.
+# Polls in a row after a stall of the process, and seconds that they last, before the deadlines are served.
 MAX_CATCH_UP_POLLS = 64
+MAX_CATCH_UP_S = 0.1
 # Seconds until a descriptor that the system refused to register is registered again.
 REGISTER_RETRY_S = 0.01
 
@@ -109,10 +110,11 @@
             return []
 
     def catch_up(self) -> None:
-        """Handle the events of a stall before the deadlines that expired during it."""
+        """Handle the events of a stall before the deadlines that expired in it, but for MAX_CATCH_UP_S at most."""
+        ends_at = self.now() + MAX_CATCH_UP_S
         for _ in range(MAX_CATCH_UP_POLLS):
             self.doPoll(0.0)
-            if not self.arrivals.is_behind or not self._reads:
+            if not self.arrivals.is_behind or not self._reads or self.now() >= ends_at:
                 return
 
     # Registration of descriptors, retried when the system refuses it.
