A message in pieces is decoded once, and has 1,024 values at most

Cause: MessageDecoder.feed decoded an incomplete message from its start with each read, 64 KB of values of one byte in 25 to 44 ms.

Change: MessageScanner looks at each byte of an incomplete message once and tells when it is whole; a message has 1,024 values at most (a request has some 135), so that decoding one is short.

--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -270,6 +270,53 @@
         return SimpleNamespace(active=lambda: True, reset=lambda delay: self.timers.append((delay, call)))
 
 
+def nested_arrays(size):
+    """Return the beginning of a message of small values that does not end within `size` bytes."""
+    return (b"\xdc\x00\x40" + (b"\xdc\x00\x28" + b"\x90" * 40) * 64)[:size]
+
+
+@pytest.mark.parametrize("cut", range(1, 60))
+def test_message_in_two_pieces_is_decoded_like_the_whole(cut):
+    fields = {"rid": "9b1f03aa5c7e2d41", "note": "x" * 40, "empty": ""}
+    message = [0, 70_000, "pages", [fields, b"y" * 300, None, True, -5, [1, [2]]]]
+    data = msgpack.pack(message) + msgpack.pack([2, "abort", [7]])
+    decoder = msgpack.MessageDecoder()
+    assert decoder.feed(data[:cut]) + decoder.feed(data[cut:-cut]) + decoder.feed(data[-cut:]) == [
+        message,
+        [2, "abort", [7]],
+    ]
+    assert decoder.incomplete == b""
+
+
+def test_incomplete_message_is_not_decoded_anew_with_each_further_byte(monkeypatch):
+    """A message that never ends, and grows by a byte at a time, used to be decoded from its start at each byte."""
+    read = []
+    monkeypatch.setattr(msgpack.ValueReader, "__init__", lambda self, data, limit: read.append(len(data)))
+    monkeypatch.setattr(msgpack.ValueReader, "read_message", lambda self: (_ for _ in ()).throw(RuntimeError))
+    decoder = msgpack.MessageDecoder()
+    decoder.incomplete = nested_arrays(500)
+    for byte in nested_arrays(600)[500:]:
+        assert decoder.feed(bytes([byte])) == []
+    assert read == []
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 7, 100_000])
+def test_message_of_many_small_values_is_malformed(piece_bytes):
+    """Decoding a message of 64 KB that consists of values of one byte would keep the event loop busy for 25 ms."""
+    decoder, data = msgpack.MessageDecoder(), nested_arrays(10_000)
+    with pytest.raises(msgpack.MalformedMessageError, match="values"):
+        for start in range(0, len(data), piece_bytes):
+            decoder.feed(data[start : start + piece_bytes])
+
+
+@pytest.mark.parametrize("data", [b"\x91" * 9, b"\x94\x00\xc1", b"\x94\x00\xdc\x00\x41", b"\x92\xc6\xff\x00\x00\x00"])
+def test_invalid_message_that_arrives_byte_by_byte_is_malformed_before_its_end(data):
+    decoder = msgpack.MessageDecoder()
+    with pytest.raises(msgpack.MalformedMessageError):
+        for byte in data:
+            decoder.feed(bytes([byte]))
+
+
 def test_deadlines_share_one_timer_run_in_order_and_survive_an_exception():
     reactor, called, faults = RecordingReactor(), [], []
     deadlines = Deadlines(reactor, faults.append)
@@ -323,6 +370,8 @@
     class RecordedClient:
         """A client connection that records when it is closed."""
 
+        is_throttled = False
+
         earliest_unread_arrival = is_idle = lambda self: True
 
     for name, table, since in (("silent", clients.no_request_since, silent), ("idle", clients.idle_since, idle)):
--- a/wickhinge/net/downstream/msgpack.py
+++ b/wickhinge/net/downstream/msgpack.py
@@ -4,7 +4,7 @@
 
 from functools import lru_cache
 from struct import Struct
-from typing import Any
+from typing import Any, NamedTuple
 
 # Bytes of one message: enough for a body of 48,000 bytes and its fields.
 MAX_MESSAGE_BYTES = 65536
@@ -12,6 +12,8 @@
 MAX_DEPTH = 6
 # Items of one array, or pairs of one map.
 MAX_ITEMS = 64
+# Items of all arrays, and keys and values of all maps, of one message. It bounds the time that decoding one takes.
+MAX_VALUES = 1024
 
 # Type codes of numbers that follow their code in a fixed format.
 NUMBER_FORMATS = {
@@ -60,6 +62,27 @@
 
     def __init__(self, data: bytes, limit: int = MAX_MESSAGE_BYTES) -> None:
         self.data, self.position, self.end, self.limit = data, 0, len(data), limit
+        self.value_count = 0  # Items, keys and values of the message that is being read.
+
+    def count_values(self, count: int) -> None:
+        """Count the items of an array, or the keys and values of a map.
+
+        Raises:
+            MalformedMessageError: The message has more than MAX_VALUES.
+        """
+        self.value_count += count
+        if self.value_count > MAX_VALUES:
+            raise MalformedMessageError(f"a message of over {MAX_VALUES} values")
+
+    def read_message(self) -> Any:
+        """Read the next message."""
+        self.value_count = 0
+        return self.read_value()
+
+    def read_array(self, size: int, depth: int) -> list[Any]:
+        """Read an array of `size` items."""
+        self.count_values(size)
+        return [self.read_value(depth + 1) for _ in range(size)]
 
     def skip(self, size: int) -> int:
         """Advance by `size` bytes and return the position of the first one."""
@@ -91,7 +114,7 @@
         if code < 0x90:
             return self.read_map(code & 15, depth)
         if code < 0xA0:
-            return [self.read_value(depth + 1) for _ in range(code & 15)]
+            return self.read_array(code & 15, depth)
         if code >= 0xE0:
             return code - 256
         if code in CONSTANTS:
@@ -109,7 +132,7 @@
             return self.read_string(size)
         if size > MAX_ITEMS:
             raise MalformedMessageError(f"{type_name} of {size} items exceeds the limit")
-        return self.read_map(size, depth) if type_name == "map" else [self.read_value(depth + 1) for _ in range(size)]
+        return self.read_map(size, depth) if type_name == "map" else self.read_array(size, depth)
 
     def read_string(self, size: int) -> str:
         """Read a string of `size` bytes."""
@@ -124,6 +147,7 @@
 
         Nearly all keys and values are short strings, so these are read here without a call for each.
         """
+        self.count_values(2 * size)
         data, end, result, key = self.data, self.end, {}, None
         for turn in range(2 * size):
             start = self.position
@@ -146,6 +170,90 @@
         return result
 
 
+class MessageScanner:
+    """Finds the end of a message that arrives in pieces, and looks at each of its bytes once.
+
+    Attributes:
+        position: Index after the last value that was found; it may be past the end of what has arrived.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self.position = 0
+        self._missing = [1]  # Values that are still missing, of the message and of each array and map within it.
+        self._value_count = 0
+
+    def is_complete(self, data: bytes) -> bool:
+        """Go on to the end of the message; return whether `data`, all that has arrived of it, holds the whole.
+
+        Raises:
+            MalformedMessageError: The message is invalid or exceeds a limit.
+        """
+        while self._missing:
+            if self.position >= len(data):
+                return False
+            header = value_header(data, self.position)
+            if header is None:
+                return False
+            if header.payload_bytes > self._limit:
+                raise MalformedMessageError(f"a value of {header.payload_bytes} bytes exceeds the limit")
+            self.position += header.header_bytes + header.payload_bytes
+            self._enter(header.value_count)
+        return self.position <= len(data)
+
+    def _enter(self, value_count: int) -> None:
+        """Count one value that was found, and the values within it as missing."""
+        self._missing[-1] -= 1
+        self._value_count += value_count
+        if self._value_count > MAX_VALUES:
+            raise MalformedMessageError(f"a message of over {MAX_VALUES} values")
+        if value_count:
+            self._missing.append(value_count)
+        while self._missing and not self._missing[-1]:
+            self._missing.pop()
+        if len(self._missing) > MAX_DEPTH + 2:
+            raise MalformedMessageError("arrays and maps are nested too deeply")
+
+
+class ValueHeader(NamedTuple):
+    """The first bytes of a value; `value_count` values follow if it is an array or a map."""
+
+    header_bytes: int
+    payload_bytes: int
+    value_count: int
+
+
+def value_header(data: bytes, start: int) -> ValueHeader | None:
+    """Return the header of the value that begins at `start`; None if it has not arrived completely.
+
+    Raises:
+        MalformedMessageError: The value is of an unknown kind.
+    """
+    code = data[start]
+    if code < 0x80 or code >= 0xE0 or code in CONSTANTS:
+        return ValueHeader(1, 0, 0)
+    if code < 0x90:
+        return ValueHeader(1, 0, 2 * (code & 15))
+    if code < 0xA0:
+        return ValueHeader(1, 0, code & 15)
+    if code < 0xC0:
+        return ValueHeader(1, code & 31, 0)
+    if code in NUMBER_FORMATS:
+        return ValueHeader(1, NUMBER_FORMATS[code].size, 0)
+    if code not in SIZED_TYPES:
+        raise MalformedMessageError(f"a value is of unknown kind {code:#x}")
+    type_name, number_format = SIZED_TYPES[code]
+    header_bytes = 1 + number_format.size
+    if start + header_bytes > len(data):
+        return None
+    size = number_format.unpack_from(data, start + 1)[0]
+    if type_name in ("bin", "str"):
+        return ValueHeader(header_bytes, size, 0)
+    if size > MAX_ITEMS:
+        raise MalformedMessageError(f"{type_name} of {size} items exceeds the limit")
+    return ValueHeader(header_bytes, 0, 2 * size if type_name == "map" else size)
+
+
 class MessageDecoder:
     """Splits a stream of bytes into messages.
 
@@ -155,29 +263,45 @@
 
     def __init__(self, limit: int = MAX_MESSAGE_BYTES) -> None:
         self.incomplete, self.limit = b"", limit
+        self._scanner: MessageScanner | None = None  # Of the incomplete message, once a second piece has arrived.
 
     def feed(self, data: bytes) -> list[Any]:
         """Return the messages that `data` completes.
 
-        An incomplete message is decoded again from its start with the next data, which is cheap since messages are
-        small.
+        An incomplete message is decoded when it is complete, and not each time a piece of it arrives.
 
         Raises:
             MalformedMessageError: The data is not MessagePack, or a message is too long.
         """
+        if self.incomplete:
+            data = self.incomplete + data
+            if self._scanner is None:
+                self._scanner = MessageScanner(self.limit)
+            if not self._scanner.is_complete(data):
+                self.keep_incomplete(data)
+                return []
         messages: list[Any] = []
-        data = self.incomplete + data
         reader, complete_until = ValueReader(data, self.limit), 0
         try:
             while complete_until < len(data):
-                messages.append(reader.read_value())
+                messages.append(reader.read_message())
                 complete_until = reader.position
         except IncompleteMessageError:
-            if len(data) - complete_until > self.limit:
-                raise MalformedMessageError(f"a message of over {self.limit} bytes") from None
-        self.incomplete = data[complete_until:]
+            pass
+        self._scanner = None
+        self.keep_incomplete(data[complete_until:])
         return messages
 
+    def keep_incomplete(self, data: bytes) -> None:
+        """Keep the bytes of the message that is not complete yet.
+
+        Raises:
+            MalformedMessageError: The message is too long.
+        """
+        if len(data) > self.limit:
+            raise MalformedMessageError(f"a message of over {self.limit} bytes")
+        self.incomplete = data
+
 
 def size_header(short_code: int, max_short_size: int, codes: tuple[int, ...], size: int) -> bytes:
     """Return the shortest header of a value with this size.
