Tests of fair reading: a client that used least is read first, held against its own use

It is now held until the light one has used half as much, so that the heavy one may not be read before.

--- a/tests/net/test_fair_reading.py
+++ b/tests/net/test_fair_reading.py
@@ -14,7 +14,6 @@
 )
 from wickhinge.net.downstream.loop_usage import ClientUsage
 
-
 POLL_S = 0.0001  # Seconds that the other events of a turn of the event loop take.
 
 
@@ -124,11 +123,15 @@
 
 
 def test_client_that_has_used_least_is_read_first(world):
-    heavy, light = BusyClient(world, cost_s=0.002), BusyClient(world, cost_s=0.002)  # One read lasts a turn.
+    heavy, light = (
+        BusyClient(world, cost_s=0.005),
+        BusyClient(world, cost_s=0.005),
+    )  # One read lasts longer than a turn.
     heavy.usage.add(world.time - 0.1, world.time)
     world.fair_reading.throttle(heavy)
     world.fair_reading.throttle(light)
-    world.run(0.05)
+    while light.usage.recent_at(world.time) < 0.05:
+        world.run(0.001)
     assert light.reads > 0 and heavy.reads == 0
 
 
