A throttled client's socket is read again before an attempt; its data is as old as its last turn

Cause (found by reading the change): the event loop's polls were taken as proof that nothing older was unread, also for throttled clients, which it does not watch. With many of them over 0.1 s pass between two turns of one, so an attempt could begin after its cancellation had lain unread for longer, and a request could pass on more time than its client had left.

Change: for a throttled client only its own last read counts, in both places.

--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -390,6 +390,45 @@
     assert len(client.started) == MAX_OPEN_REQUESTS and "abort" not in client.calls
 
 
+def test_throttled_client_when_its_cancellation_is_unread_gets_no_further_attempt():
+    """The event loop does not watch a throttled client, so that its polls say nothing of what lies in the socket."""
+    client = ClientHarness()
+    client.ask(1, 2)
+    client.clients.fair_reading.throttle(client.connection)
+    unread = [msgpack.pack([2, "abort", [1]])]
+    client.connection.socket.recv = lambda size: unread.pop() if unread else client.receive_nothing(size)
+    client.now += 0.2
+    client.arrivals.handled_until = client.arrivals.earliest_arrival_at = client.now  # Of the sockets it watches.
+    assert not client.connection.is_request_open(1) and client.abandoned == [1]
+    assert client.connection.is_request_open(2)
+
+
+def test_request_of_a_throttled_client_is_as_old_as_its_last_turn():
+    """Its deadline counts from when it may have arrived, which is any time since the socket was read."""
+    client = ClientHarness()
+    client.ask(1)
+    client.clients.fair_reading.throttle(client.connection)
+    read_at = client.connection.drained_until
+    client.now += 0.2
+    client.arrivals.earliest_arrival_at = client.arrivals.poll_ended_at = client.now
+    unread = [msgpack.pack([0, 2, "pages", [{"rid": "b"}]])]
+    client.connection.socket.recv = lambda size: unread.pop() if unread else client.receive_nothing(size)
+    client.connection.read_turn()
+    assert client.started[-1] == (2, round(client.now - read_at, 3)) and client.started[-1][1] >= 0.2
+
+
+def test_queued_request_that_cannot_begin_is_rejected_at_half_of_its_time():
+    """A request that waited in a hold had no deadline, and got no answer while others filled the buffers (review/2)."""
+    client = ClientHarness()
+    client.clients.pause()
+    client.ask(1)
+    client.connection.queued_requests[1].params[0]["budget"] = "1500"
+    client.advance(0.7)
+    assert list(client.connection.queued_requests) == [1] and b"Overloaded" not in client.written
+    client.advance(0.1)
+    assert not client.connection.queued_requests and client.written.count(b"Overloaded") == 1
+
+
 @pytest.mark.parametrize("stall_s, is_closed", [(3.0, False), (5.0, False), (60.0, False), (3.0, True)])
 def test_client_when_it_asked_during_a_stall_is_not_closed_as_silent(stall_s, is_closed):
     """Unread requests are read before a client counts as silent, however long the router stalled."""
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -233,11 +233,11 @@
 
     def earliest_unread_arrival(self) -> float:
         """Return the earliest time at which the data now unread in the socket may have arrived."""
-        return (
-            max(self.clients.arrivals.earliest_arrival_at, self.drained_until)
-            if self.is_socket_drained
-            else self.earliest_arrival_at
-        )
+        if not self.is_socket_drained:
+            return self.earliest_arrival_at
+        if self.is_throttled:  # The event loop does not watch the socket, so its polls tell nothing of it.
+            return self.drained_until
+        return max(self.clients.arrivals.earliest_arrival_at, self.drained_until)
 
     def handle_data(self, data: bytes, arrival: float) -> None:
         """Decode data and handle its messages, but begin no request: its cancellation may be in the same data.
@@ -266,7 +266,8 @@
         before each attempt, so it begins no request itself.
         """
         handled_until = self.clients.arrivals.handled_until
-        known_at = max(self.last_drained_at, handled_until if handled_until > self.connected_at else 0.0)
+        is_watched = handled_until > self.connected_at and not self.is_throttled
+        known_at = max(self.last_drained_at, handled_until if is_watched else 0.0)
         if not self.has_ended and not (
             self.is_socket_drained and self.clients.deadlines.now() - known_at <= MAX_UNREAD_S
         ):
