--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -456,6 +456,8 @@
 class FakeClient:
     """Client connection that records the answers, as (request number, body or error, fields)."""
 
+    is_socket_drained = True
+
     def __init__(self):
         self.answers = []
 
