A failed read of a throttled client is not taken for an empty socket

Cause (found by reading): read_turn took one read that returned nothing as proof that all data was read. recv(2) may fail for a moment without the socket being empty; a request behind it then counted as younger than it was. Change: such a read is followed by the reading to the end that other connections use, which needs two empty reads where data may be old. Test: in test_crossings; it failed before (age 0.0 for 0.2 s).

--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -417,6 +417,26 @@
     assert client.started[-1] == (2, round(client.now - read_at, 3)) and client.started[-1][1] >= 0.2
 
 
+def test_request_of_a_throttled_client_is_not_younger_for_a_read_that_failed():
+    """A read that fails for a moment returns nothing, as one of an empty socket does."""
+    client = ClientHarness()
+    client.ask(1)
+    client.clients.fair_reading.throttle(client.connection)
+    read_at = client.connection.drained_until
+    client.now += 0.2
+    client.arrivals.earliest_arrival_at = client.arrivals.poll_ended_at = client.now
+    unread = [msgpack.pack([0, 2, "pages", [{"rid": "b"}]]), None]
+
+    def receive(size):
+        data = unread.pop() if unread else None
+        return client.receive_nothing(size) if data is None else data
+
+    client.connection.socket.recv = receive
+    client.connection.read_turn()
+    client.connection.read_turn()
+    assert client.started[-1] == (2, round(client.now - read_at, 3)) and client.started[-1][1] >= 0.2
+
+
 def test_queued_request_that_cannot_begin_is_rejected_at_half_of_its_time():
     """A request that waited in a hold had no deadline, and got no answer while others filled the buffers (review/2)."""
     client = ClientHarness()
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -185,7 +185,7 @@
                 size = len(data)
                 self.handle_read(data)
             elif not self.has_ended:
-                self.is_socket_drained, self.drained_until = True, self.clients.arrivals.poll_ended_at
+                self.read_until_empty(self.earliest_unread_arrival())  # One empty read may be a failed one.
                 self.update_hold()
         finally:
             self.work_ended(began_at, size)
