--- a/bench/soak/stand_ins.py
+++ b/bench/soak/stand_ins.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -26,6 +27,8 @@
 NEVER_RAN = ("MISS", "BUSY", "VOID")  # Status words which prove that the attempt never ran.
 # SETTINGS: maxAgeMs by class, where 0 means without limit.
 FRESHNESS_LIFETIME_S = {"clips": float("inf"), "pages": 2.0}
+# SETTINGS: seconds after which no server has a copy from before a purge.
+GONE_EVERYWHERE_S = SETTINGS["familyInfo"]["goneEverywhereMs"] / 1000
 READY, DRAINING = 0, 1  # States of a server on the wire of the discovery service.
 
 
@@ -49,6 +52,7 @@
         self.started_at_ms = [0] * len(SERVERS)
         # The servers' copies, by index of the server, object key and part.
         self.copies: dict[tuple[int, int, int], Copy] = {}
+        self.purged_at: dict[int, float] = {}  # Monotonic time of the latest purge of each object, by key.
         self.began_at = 0.0  # When the load began; 0 before.
         self.port_numbers: dict[str, int] = {}  # Port number of each discovery service, also while it is closed.
         self.open_ports: dict[str, Any] = {}  # Listening port of each open discovery service.
@@ -143,11 +147,17 @@
         self.announce("cold", 2, self.endpoint_record(place), place=place)
 
     def purge_object(self, key: int) -> None:
-        """Raise the version of an object and announce the purge; the servers keep their older copies."""
+        """Raise the version of an object and announce the purge; servers keep older copies for GONE_EVERYWHERE_S."""
         self.versions[key] = self.version(key) + 1
+        self.purged_at[key] = time.monotonic()
         stamp = int(time.time() * 1000)
         self.announce("purge", 3, OBJECT_PURGE.pack(key, stamp), key=key, version=self.version(key))
 
+    def is_gone_everywhere(self, key: int, copy: Copy) -> bool:
+        """Return whether a copy is older than a purge that has reached every server by now."""
+        has_reached_all = time.monotonic() - self.purged_at.get(key, math.inf) >= GONE_EVERYWHERE_S
+        return has_reached_all and copy.version < self.version(key)
+
     def draw_behaviour(self, place: int) -> str:
         """Draw how a server treats a request that arrives now: "well", or the kind of misbehaviour."""
         if not self.began_at:
@@ -246,6 +256,8 @@
         max_age_ms = float(fields.get("maxage", "0"))
         max_age_s = max_age_ms / 1000 if max_age_ms else FRESHNESS_LIFETIME_S.get(fields.get("queue", ""), 0.0)
         held_copy = world.copies.get(copy_key)
+        if held_copy is not None and world.is_gone_everywhere(key, held_copy):
+            held_copy = None
         if held_copy is not None and now - held_copy.made_at <= max_age_s:
             return held_copy
         if self.kind != "origin" and "src" not in fields:
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bench.soak import judge
+from bench.soak import judge, stand_ins
 from bench.soak.__main__ import judged_shares, play_until_judged, replay_command
 from bench.soak.planted import FAULTS
 from bench.soak.record import Announcement, Answer, Attempt, Record, Request, RouterEnd
@@ -102,6 +102,18 @@
     assert all(20 <= schedule.routers <= 30 for schedule in schedules if schedule.crowd is Crowd.MANY_ROUTERS)
 
 
+def test_a_purged_copy_is_gone_from_a_server_once_the_purge_has_reached_all_of_them(monkeypatch):
+    """The stand-in kept such copies for good, and served one 8.7 s after its purge."""
+    now = [100.0]
+    monkeypatch.setattr(stand_ins.time, "monotonic", lambda: now[0])
+    world = stand_ins.SoakWorld(draw_schedule(9), Record(9, 1, 64), None)
+    old, new = stand_ins.Copy(world.version(7), 0.0), stand_ins.Copy(world.version(7) + 1, 0.0)
+    world.purge_object(7)
+    assert not world.is_gone_everywhere(7, old)
+    now[0] += stand_ins.GONE_EVERYWHERE_S
+    assert world.is_gone_everywhere(7, old) and not world.is_gone_everywhere(7, new)
+
+
 # Tests of the judge on hand-written records, without router processes.
 
 
