--- a/bench/soak/bad_clients.py
+++ b/bench/soak/bad_clients.py
@@ -22,6 +22,7 @@
 HOST = "127.0.0.1"
 REQUEST_CLASS = "question-items"
 MESSAGES_PER_BATCH = 300
+REQUESTS_PER_CONNECTION = 8
 TIMEOUT_S = 1.0
 # Bytes of a message that never ends: this many at once, and then one byte each ENDLESS_INTERVAL_S.
 ENDLESS_BYTES = 64_000
@@ -92,8 +93,20 @@
         yield b"".join(request(call_id, request_class) for call_id in range(1, MESSAGES_PER_BATCH + 1))
 
 
+def few_requests(request_class: str) -> Iterator[bytes]:
+    """Yield a few requests, half of them of unknown classes, and no more, so that the client connects again."""
+    yield b"".join(
+        request(call_id, request_class if call_id % 2 else f"unknown-{os.urandom(4).hex()}")
+        for call_id in range(1, REQUESTS_PER_CONNECTION + 1)
+    )
+
+
+# Kinds whose clients leave with a batch half sent, and connect again, where the router reads nothing for TIMEOUT_S.
+IMPATIENT_KINDS = frozenset(("requests_taken_back_impatiently",))
+
 KINDS: dict[str, Callable[[str], Iterator[bytes]]] = {
     "requests_taken_back": requests_taken_back,
+    "requests_taken_back_impatiently": requests_taken_back,
     "aborts": aborts,
     "pings": pings,
     "endless_messages": endless_messages,
@@ -101,6 +114,7 @@
     "invalid_requests": invalid_requests,
     "unreadable_bytes": unreadable_bytes,
     "too_many_requests": too_many_requests,
+    "few_requests": few_requests,
 }
 
 
@@ -118,6 +132,7 @@
         """
         self._port, self._until, self._request_class = port, until, request_class
         self._batches = KINDS[kind]
+        self._is_impatient = kind in IMPATIENT_KINDS
         self._lock = threading.Lock()
         self.connections = self.sent_bytes = 0
 
@@ -158,7 +173,8 @@
             try:
                 rest = rest[connection.send(rest) :]
             except TimeoutError:
-                continue
+                if self._is_impatient:
+                    break
         return not rest
 
 
