--- a/tests/net/test_arrivals.py
+++ b/tests/net/test_arrivals.py
@@ -150,3 +150,39 @@
     # The turn before this poll lasted 0.18 s, which counts as a stall.
     arrivals.record_poll(10.9, 10.9, MAX_EVENTS)
     assert arrivals.is_behind
+
+
+BUSY_DESCRIPTORS = 40
+TURN_S = 0.003
+
+
+def play_beside_busy_descriptors(delays, turns):
+    """Poll a kernel that goes round its ready descriptors, BUSY_DESCRIPTORS of which are ready at all times.
+
+    Returns:
+        The arrival of data on each other descriptor, one for each delay, the bound on it, and the time of the read.
+    """
+    arrivals, now, reads = Arrivals(100.0, MAX_EVENTS), 100.0, []
+    ready = [(number, 0.0) for number in range(BUSY_DESCRIPTORS)]
+    coming = sorted(100.0 + delay for delay in delays)
+    for _ in range(turns):
+        while coming and coming[0] <= now:
+            ready.append((None, coming.pop(0)))
+        events, ready = ready[:MAX_EVENTS], ready[MAX_EVENTS:]
+        arrivals.record_poll(now, now, len(events), BUSY_DESCRIPTORS + len(delays))
+        now += TURN_S
+        reads += [(arrival, arrivals.earliest_arrival_at, now) for number, arrival in events if number is None]
+        ready += [event for event in events if event[0] is not None]
+        arrivals.mark_handled()
+        assert all(arrival >= arrivals.handled_until for number, arrival in ready if number is None)
+    return reads
+
+
+@given(st.lists(st.floats(0.0, 2.0), min_size=1, max_size=20))
+def test_arrival_bound_while_other_descriptors_are_always_ready_precedes_the_arrival_by_two_rounds_at_most(delays):
+    """The bound stood still for as long as each poll was full, so that new requests were refused as too old."""
+    round_s = (BUSY_DESCRIPTORS + len(delays)) / MAX_EVENTS * TURN_S
+    reads = play_beside_busy_descriptors(delays, turns=900)
+    assert len(reads) == len(delays)
+    for arrival, bound, _ in reads:
+        assert arrival - 3 * round_s - 2 * TURN_S <= bound <= arrival
--- a/wickhinge/net/runtime/arrivals.py
+++ b/wickhinge/net/runtime/arrivals.py
@@ -7,6 +7,10 @@
 following ones as long as each returns as many events as it can. So data that is read now arrived after the start of the
 last poll that returned all pending events.
 
+While each poll returns as many events as it can, the kernel goes round the ready descriptors (epoll_wait(2), NOTES). So
+polls that together return as many events as there are descriptors have returned all that were pending at their start.
+Such polls are a round.
+
 Waits for events are short (MAX_WAIT_S). A wait that ended in time was ended by the arrival itself, so the data arrived
 at its end. Of a wait that ended late, only the start is known to precede the arrival.
 
@@ -60,18 +64,22 @@
         self._next_earliest_arrival_at = started_at
         # Value of handled_until once the events of the latest poll are handled.
         self._next_handled_until = started_at
+        # The start of the current round of full polls, and the events that are missing until it is complete.
+        self._round_began_at = started_at
+        self._round_missing = 0
 
     def needs_poll_before_wait(self, now: float) -> bool:
         """Return whether a poll is needed to tell pending events from those that arrive during the next wait."""
         return now - self._next_earliest_arrival_at > FRESH_POLL_S
 
-    def record_poll(self, began_at: float, ended_at: float, count: int) -> None:
+    def record_poll(self, began_at: float, ended_at: float, count: int, watched: int | None = None) -> None:
         """Record a poll that did not wait.
 
         Args:
             began_at: Time at which it began.
             ended_at: Time at which it ended.
             count: Number of events that it returned.
+            watched: Number of descriptors that it asked for; None if that is not known.
         """
         self.is_behind |= began_at - self.poll_ended_at > STALL_THRESHOLD_S
         self.earliest_arrival_at = self._next_earliest_arrival_at
@@ -79,11 +87,32 @@
             # A poll without events proves nothing: a signal may have interrupted it before the kernel looked for
             # events.
             self._next_earliest_arrival_at = self._next_handled_until = began_at
+        self._continue_round(began_at, count, watched)
         if not count:
             self.idle_at = ended_at
         self.poll_ended_at = ended_at
 
-    def record_wait(self, began_at: float, limit_s: float, ended_at: float, count: int, *, was_polled: bool) -> None:
+    def _continue_round(self, began_at: float, count: int, watched: int | None) -> None:
+        """Count the events of a poll for the current round; a full poll begins one if there is none."""
+        if count < self._max_events or watched is None:
+            self._round_missing = 0
+            return
+        if self._round_missing <= 0:
+            self._round_began_at, self._round_missing = began_at, watched
+        self._round_missing -= count
+        if self._round_missing <= 0:
+            self._next_earliest_arrival_at = self._next_handled_until = self._round_began_at
+
+    def record_wait(  # noqa: PLR0913  All of it is known of each wait.
+        self,
+        began_at: float,
+        limit_s: float,
+        ended_at: float,
+        count: int,
+        *,
+        was_polled: bool,
+        watched: int | None = None,
+    ) -> None:
         """Record a wait for events.
 
         Args:
@@ -93,9 +122,10 @@
             count: Number of events that it returned.
             was_polled: Whether a poll just before found no events. Otherwise, data may have arrived up to FRESH_POLL_S
                 before the wait began.
+            watched: Number of descriptors that it asked for; None if that is not known.
         """
         if count == self._max_events and not was_polled:
-            self.record_poll(began_at, ended_at, count)
+            self.record_poll(began_at, ended_at, count, watched)
             return
         duration_s = ended_at - began_at
         self.is_behind |= duration_s > limit_s + LATE_OVERRUN_S or began_at - self.poll_ended_at > STALL_THRESHOLD_S
--- a/wickhinge/net/runtime/loop.py
+++ b/wickhinge/net/runtime/loop.py
@@ -87,17 +87,20 @@
             is_poll_needed = limit_s <= 0.0 or arrivals.needs_poll_before_wait(began_at)
             if not is_poll_needed:
                 break
+            watched = len(self._selectables)
             events = self.poll_once(0.0) or self.poll_once(0.0)  # A signal may interrupt one of them.
             ended_at = self.now()
             if events or limit_s <= 0.0:
-                arrivals.record_poll(began_at, ended_at, len(events))
+                arrivals.record_poll(began_at, ended_at, len(events), watched)
                 self.stalls.record_wait(began_at, 0.0, ended_at)
                 return events
             if ended_at - began_at <= FRESH_POLL_S:
                 break  # Otherwise events may have arrived since the poll began, and another one is needed.
         events = self.poll_once(limit_s)
         ended_at = self.now()
-        arrivals.record_wait(began_at, limit_s, ended_at, len(events), was_polled=is_poll_needed)
+        arrivals.record_wait(
+            began_at, limit_s, ended_at, len(events), was_polled=is_poll_needed, watched=len(self._selectables)
+        )
         self.stalls.record_wait(began_at, limit_s, ended_at)
         return events
 
