--- a/wickhinge/net/control/readiness.py
+++ b/wickhinge/net/control/readiness.py
@@ -16,10 +16,9 @@
 from wickhinge.net.control.endpoint_watch import SILENCE_LIMIT_S
 from wickhinge.net.control.start_steps import StartSteps
 from wickhinge.net.downstream.client_connections import ClientConnections
-from wickhinge.net.downstream.listener import Listener
+from wickhinge.net.downstream.listener import BACKLOG_CONNECTIONS, Listener
 from wickhinge.net.runtime.deadlines import Deadlines
 
-BACKLOG_CONNECTIONS = 1024
 ADDRESS_STEP_NAME = "config: field listen"
 # The discovery service writes a frame each second. A service that is silent for this long is taken for unavailable, by
 # the same limit at which EndpointWatch drops its connection; the router then serves with the list of its configuration.
--- a/wickhinge/net/downstream/listener.py
+++ b/wickhinge/net/downstream/listener.py
@@ -21,9 +21,12 @@
 from twisted.python.failure import Failure
 
 from wickhinge.common.failed_calls import NO_DESCRIPTOR_ERRNOS, failed_calls, has_unread_data
+from wickhinge.net.downstream.backlog_age import BacklogAge
 from wickhinge.net.downstream.client_connections import ClientConnections
 from wickhinge.net.runtime.transport import Incoming
 
+# Connections that the kernel is asked to keep in the backlog; it keeps one more than that at most.
+BACKLOG_CONNECTIONS = 1024
 # Accepts that may fail in a row before the event loop serves other sockets.
 MAX_FAILED_ACCEPTS = 4
 # Seconds until the next accept after the system had no memory or no descriptor.
@@ -57,7 +60,7 @@
         is_paused: Whether the event loop does not watch the listening socket.
         failed_accepts: Accepts that have failed in a row, with any error.
         retries_without_descriptor: Scheduled retries in a row because the system had no descriptor.
-        backlog_since: Earliest time since which connections are waiting in the backlog; None if none is.
+        backlog: How long the connections that are waiting may have waited.
     """
 
     transport = AcceptedConnection
@@ -71,7 +74,7 @@
         self.is_paused = False
         self.failed_accepts = 0
         self.retries_without_descriptor = 0
-        self.backlog_since: float | None = None
+        self.backlog = BacklogAge(BACKLOG_CONNECTIONS + 1)
         clients.listener = self
 
     def doRead(self) -> None:
@@ -87,7 +90,8 @@
                 connection, address = self.socket.accept()
             except BlockingIOError:
                 self.admission.backlog_emptied()
-                self.backlog_since, self.failed_accepts = None, 0
+                self.backlog.emptied()
+                self.failed_accepts = 0
                 return
             except OSError as error:
                 failed_calls.count("accept", error.errno)
@@ -108,9 +112,10 @@
         transport = self.transport(connection, protocol, address, self, self.sessionno, self.reactor)
         self.admission.connection_accepted()
         arrival = self.arrivals.earliest_arrival_at
+        waiting_since = self.backlog.connection_accepted()
         try:
             protocol.makeConnection(transport)
-            protocol.read_on_accept(arrival if self.backlog_since is None else min(arrival, self.backlog_since))
+            protocol.read_on_accept(arrival if waiting_since is None else min(arrival, waiting_since))
         except Exception:
             # Raised further, the exception would make the event loop close the listener.
             self.clients.request_table.report_fault("accept")
@@ -118,8 +123,7 @@
 
     def note_backlog(self) -> None:
         """Record the time since which connections are waiting, because their data may be as old when it is read."""
-        if self.backlog_since is None:
-            self.backlog_since = self.arrivals.earliest_arrival_at
+        self.backlog.left_waiting(self.arrivals.earliest_arrival_at, self.deadlines.now())
 
     def retry_accept_later(self, error: OSError) -> None:
         """Pause after several failed accepts; the next one follows soon, or when a descriptor is freed.
@@ -167,7 +171,7 @@
         """
         if self.connected:
             self.doRead()
-            if self.backlog_since is not None:
+            if self.backlog.since is not None:
                 return False
             self.connectionLost(Failure(ConnectionDone()))
         return True
