--- a/wickhinge/net/downstream/listener.py
+++ b/wickhinge/net/downstream/listener.py
@@ -21,7 +21,7 @@
 from twisted.python.failure import Failure
 
 from wickhinge.common.failed_calls import NO_DESCRIPTOR_ERRNOS, failed_calls, has_unread_data
-from wickhinge.net.downstream.backlog_age import BacklogAge
+from wickhinge.net.downstream.backlog_age import BacklogAge, waiting_connections
 from wickhinge.net.downstream.client_connections import ClientConnections
 from wickhinge.net.runtime.transport import Incoming
 
@@ -74,7 +74,7 @@
         self.is_paused = False
         self.failed_accepts = 0
         self.retries_without_descriptor = 0
-        self.backlog = BacklogAge(BACKLOG_CONNECTIONS + 1)
+        self.backlog = BacklogAge()
         clients.listener = self
 
     def doRead(self) -> None:
@@ -123,7 +123,9 @@
 
     def note_backlog(self) -> None:
         """Record the time since which connections are waiting, because their data may be as old when it is read."""
-        self.backlog.left_waiting(self.arrivals.earliest_arrival_at, self.deadlines.now())
+        now = self.deadlines.now()
+        waiting = waiting_connections(self.socket, BACKLOG_CONNECTIONS + 1)
+        self.backlog.left_waiting(self.arrivals.earliest_arrival_at, now, waiting)
 
     def retry_accept_later(self, error: OSError) -> None:
         """Pause after several failed accepts; the next one follows soon, or when a descriptor is freed.
