--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -283,7 +283,9 @@
         )
         self.clients = ClientConnections(request_table, clock, 9, lambda *_, **more: None)
         self.connection = ClientConnection(self.clients)
+        self.pair = socket.socketpair()  # Only its descriptor is used.
         self.connection.transport = self.connection.socket = SimpleNamespace(
+            fileno=self.pair[0].fileno,
             pauseProducing=lambda: self.calls.append("pause"),
             resumeProducing=lambda: self.calls.append("resume"),
             setTcpNoDelay=lambda on: None,
--- a/tests/net/test_descriptors.py
+++ b/tests/net/test_descriptors.py
@@ -408,7 +408,9 @@
     def accept():
         raise OSError(number, "no")
 
-    listener.socket = SimpleNamespace(accept=accept, fileno=listener.socket.fileno)
+    listener.socket = SimpleNamespace(
+        accept=accept, fileno=listener.socket.fileno, getsockopt=listener.socket.getsockopt
+    )
     listener.doRead()
     assert listener not in listener.reactor.reading
     listener.clients.schedule_listener_resume()
--- a/tests/net/test_fair_reading.py
+++ b/tests/net/test_fair_reading.py
@@ -1,5 +1,6 @@
 """Which clients are throttled, and in which order and for how long they are read; without sockets."""
 
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -8,6 +9,7 @@
     BUSY_AFTER_S,
     MAX_TURN_BURST_S,
     MAX_TURN_SHARE,
+    MAX_UNDRAINED_S,
     PAUSE_S,
     THROTTLE_ABOVE_S,
     FairReading,
@@ -54,6 +56,13 @@
         self.transport = SimpleNamespace(
             pauseProducing=lambda: self.calls.append("pause"), resumeProducing=lambda: self.calls.append("resume")
         )
+        self.socket, self.peer = socket.socketpair()
+        self.drained_until, self.open_requests = world.time, {}
+
+    def hung_up(self):
+        self.calls.append("hung up")
+        self.has_ended = True
+        self.world.fair_reading.release(self)
 
     def work(self, seconds):
         self.usage.add(self.world.time, self.world.time + seconds)
@@ -107,6 +116,35 @@
     assert client.calls == ["pause", "resume"]
 
 
+def test_throttled_client_that_has_left_is_ended_without_reading_what_it_sent_before(world):
+    """Connections that their clients had closed held all descriptors, so that no other client was accepted."""
+    client = BusyClient(world, cost_s=0.005)
+    client.peer.send(b"unread")
+    world.fair_reading.throttle(client)
+    world.run(0.1)
+    assert "hung up" not in client.calls
+    client.peer.close()
+    world.run(0.1)
+    assert client.calls == ["pause", "hung up", "resume"] and not world.fair_reading.throttled
+
+
+def test_client_that_long_sent_faster_than_it_was_read_may_be_closed_unless_a_request_of_it_is_open(world):
+    """Such clients held all descriptors, so that no other client was accepted."""
+    heavy, heaviest = BusyClient(world), BusyClient(world)
+    for client in (heavy, heaviest):
+        client.usage.add(world.time - (0.1 if client is heaviest else 0.05), world.time)
+        world.fair_reading.throttle(client)
+    assert world.fair_reading.heaviest_undrained() is None
+    world.time += MAX_UNDRAINED_S
+    assert world.fair_reading.heaviest_undrained() in (heavy, heaviest)
+    heaviest.usage.add(world.time - 0.1, world.time)
+    assert world.fair_reading.heaviest_undrained() is heaviest
+    heaviest.open_requests[1] = None
+    assert world.fair_reading.heaviest_undrained() is heavy
+    heavy.is_socket_drained = True
+    assert world.fair_reading.heaviest_undrained() is None
+
+
 @pytest.mark.parametrize("count", [1, 8, 300])
 def test_throttled_clients_together_get_their_share_and_each_an_equal_part(world, count):
     """A share for each client would not bound what hundreds of them use together."""
--- a/tests/net/test_start.py
+++ b/tests/net/test_start.py
@@ -34,6 +34,7 @@
             ),
             "net.downstream": (
                 "",
+                ".backlog_age",
                 ".client_connection",
                 ".client_connections",
                 ".descriptors",
@@ -50,6 +51,7 @@
                 ".deadlines",
                 ".deferred_imports",
                 ".event_loop_stalls",
+                ".hang_ups",
                 ".log",
                 ".loop",
                 ".slots",
--- a/wickhinge/net/downstream/backlog_age.py
+++ b/wickhinge/net/downstream/backlog_age.py
@@ -27,7 +27,7 @@
     if len(data) < TCP_INFO_FIELDS.size:
         return max_connections
     state, waiting, capacity = TCP_INFO_FIELDS.unpack(data)
-    is_credible = state == TCP_LISTEN_STATE and 0 < capacity and waiting <= capacity + 1
+    is_credible = state == TCP_LISTEN_STATE and capacity > 0 and waiting <= capacity + 1
     return min(waiting, max_connections) if is_credible else max_connections
 
 
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -614,6 +614,10 @@
         """Return whether a request is queued or data is unread, so that closing now would lose a request."""
         return bool(self.queued_requests) or has_unread_data(self.socket) is True
 
+    def has_more_unread(self) -> bool:
+        """Return whether data is known to be unread that is read in turns, so that the client cannot be called idle."""
+        return self.is_throttled and not self.is_socket_drained
+
     def is_idle(self) -> bool:
         """Return whether no request is open or queued and no answer is waiting to be written."""
         return not (
@@ -650,6 +654,13 @@
         else:
             self.clients.close_faulty(self)
 
+    def close_now(self, reason: str) -> None:
+        """Answer what was read and close the connection at once, although data may be unread; frees the descriptor."""
+        self.clients.count_fault(reason)
+        self.reject_all()
+        self.release(reason)
+        self.transport.abortConnection()
+
     def reject_all(self) -> None:
         """Answer all open and queued requests with an error."""
         self.reject_queued()
@@ -661,6 +672,11 @@
         """Release the connection; called by Twisted when it has ended."""
         self.connection_ended(reason.getErrorMessage())
 
+    def hung_up(self) -> None:
+        """End the connection, which the client has closed, without reading what it sent before."""
+        self.connection_ended("closed by the client")
+        self.transport.abortConnection()
+
     def connection_ended(self, reason: str) -> None:
         """Log the lost requests and release the connection, whichever side ended it."""
         if (self.open_requests or self.queued_requests) and not self.has_ended:
--- a/wickhinge/net/downstream/client_connections.py
+++ b/wickhinge/net/downstream/client_connections.py
@@ -30,6 +30,8 @@
 CLOSE_DELAY_S = 0.25
 # Seconds between two checks for queued requests that have waited for too long.
 WAITING_CHECK_INTERVAL_S = 0.05
+# Why a client is closed that sends faster than it can be read, as the report counts it.
+TOO_FAST_REASON = "sends too fast, for room"
 # Connections that are checked in each table in search of one to close.
 MAX_CANDIDATES = 8
 
@@ -109,7 +111,7 @@
 
         Connections whose close was delayed go first, then those that have sent no request, then idle ones, then those
         with an incomplete request; within a group the oldest goes first. A connection that is just established is kept,
-        since its request may be on the way.
+        since its request may be on the way. Clients that have long sent faster than they can be read go last.
 
         Returns:
             Whether a connection was closed.
@@ -123,10 +125,22 @@
             (self.idle_since, 0.0),
             (self.partial_message_since, MIN_AGE_TO_CLOSE_S),
         ):
-            oldest = [client for client, since in islice(table.items(), MAX_CANDIDATES) if now - since >= min_age_s]
+            oldest = [
+                client
+                for client, since in islice(table.items(), MAX_CANDIDATES)
+                if now - since >= min_age_s and not client.has_more_unread()
+            ]
             if any(self.close_if_idle(client, to_free_descriptor=True) for client in oldest):
                 return True
-        return False
+        return self.close_heaviest()
+
+    def close_heaviest(self) -> bool:
+        """Close the client that keeps the event loop busiest, if there is one; return whether one was closed."""
+        client: Any = self.fair_reading.heaviest_undrained()
+        if client is not None:
+            client.close_now(TOO_FAST_REASON)
+            self.close_counts[TOO_FAST_REASON] = self.close_counts.get(TOO_FAST_REASON, 0) + 1
+        return client is not None
 
     def schedule_listener_resume(self) -> None:
         """Resume a paused listener on the next turn, so that no client is closed within a call of its own methods."""
@@ -171,7 +185,8 @@
             for client, since in list(table.items()):
                 if now - since < max_age_s:
                     break
-                self.close_if_idle(client)
+                if not client.has_more_unread():
+                    self.close_if_idle(client)
         self.admission.raise_limit()
         self.schedule_listener_resume()
         self.deadlines.call_after(SWEEP_INTERVAL_S, self.sweep)
--- a/wickhinge/net/downstream/fair_reading.py
+++ b/wickhinge/net/downstream/fair_reading.py
@@ -7,6 +7,9 @@
 handles other events. After some time the turns also pause, so that throttled clients together get half of the time at
 most, however many there are.
 
+A throttled client that has left is told from one that sends on without reading what it sent before: otherwise its
+connection would hold a descriptor for as long as that takes.
+
 A client is throttled only while the event loop has no pause, and released as soon as it has been read to its end and
 has used little time. So a client that sends much is slowed down only where others would have to wait for it.
 """
@@ -18,6 +21,7 @@
 
 from wickhinge.net.downstream.loop_usage import ClientUsage
 from wickhinge.net.runtime.deadlines import Deadlines
+from wickhinge.net.runtime.hang_ups import HangUpWatch
 
 # Seconds without a pause from which on the event loop counts as busy.
 BUSY_AFTER_S = 0.02
@@ -33,6 +37,10 @@
 MAX_TURN_BURST_S = 0.5
 # Seconds after which turns pause, since only a wait for events tells that none arrived earlier.
 MAX_ARRIVAL_AGE_S = 0.02
+# Seconds between two checks for throttled clients that have left.
+HANG_UP_CHECK_INTERVAL_S = 0.02
+# Seconds after which a throttled client that was not read to its end meanwhile may be closed to free its descriptor.
+MAX_UNDRAINED_S = 1.0
 # Clients that are read in one turn at most.
 MAX_READS_PER_TURN = 32
 
@@ -44,7 +52,13 @@
     has_ended: bool
     is_throttled: bool  # Set here.
     is_socket_drained: bool
+    drained_until: float
+    open_requests: dict[int, Any]
     transport: Any
+    socket: Any
+
+    def hung_up(self) -> None:
+        """End the connection, which the client has closed."""
 
     def read_turn(self) -> None:
         """Read the socket once and handle the data."""
@@ -58,6 +72,8 @@
 
     def __init__(self, deadlines: Deadlines) -> None:
         self._deadlines = deadlines
+        self._hang_ups = HangUpWatch()
+        self._hang_ups_checked_at = 0.0
         self.throttled: set[ThrottledClient] = set()
         self.throttled_count = 0  # Clients that were throttled since the start.
         self._is_turn_set = False
@@ -82,6 +98,7 @@
         self.throttled.add(client)
         self.throttled_count += 1
         client.transport.pauseProducing()
+        self._hang_ups.add(client, client.socket.fileno())
         self._set_turn(0.0)
 
     def release(self, client: ThrottledClient) -> None:
@@ -89,8 +106,25 @@
         if client.is_throttled:
             client.is_throttled = False
             self.throttled.discard(client)
+            self._hang_ups.remove(client.socket.fileno())
             client.transport.resumeProducing()
 
+    def heaviest_undrained(self) -> ThrottledClient | None:
+        """Return the client that may be closed for the good of others, if any.
+
+        It is the one that has used the most time, of those without an open request that have sent faster than they
+        could be read for MAX_UNDRAINED_S.
+        """
+        now = self._deadlines.now()
+        undrained = [
+            client
+            for client in self.throttled
+            if not client.open_requests
+            and not client.is_socket_drained
+            and now - client.drained_until >= MAX_UNDRAINED_S
+        ]
+        return max(undrained, key=lambda client: (client.usage.recent_at(now), id(client)), default=None)
+
     def _set_turn(self, pause_s: float) -> None:
         if not self._is_turn_set:
             self._is_turn_set = True
@@ -103,6 +137,10 @@
         """Read once from some throttled clients, and set the next turn."""
         self._is_turn_set = False
         began_at = self._deadlines.now()
+        if began_at - self._hang_ups_checked_at >= HANG_UP_CHECK_INTERVAL_S:
+            self._hang_ups_checked_at = began_at
+            for client in self._hang_ups.closed_by_peer():
+                client.hung_up()
         order = nsmallest(
             MAX_READS_PER_TURN, self.throttled, key=lambda client: (client.usage.recent_at(began_at), id(client))
         )
