--- a/setup.py
+++ b/setup.py
@@ -40,10 +40,21 @@
 HOT = sorted(COMPILED - COLD)
 
 Options.docstrings = False  # they are for readers of the source, and would take memory in each router
+# Code of small size, since each router holds all of it in memory; no symbols but those that Python needs.
+COMPILER_OPTIONS = ["-Os", "-g0", "-fvisibility=hidden", "-DCYTHON_CLINE_IN_TRACEBACK=0"]
+LINKER_OPTIONS = ["-Wl,-s"]
 
 setup(
     ext_modules=cythonize(
-        [Extension(path[:-3].replace("/", "."), [path], extra_compile_args=["-O2", "-g0"]) for path in HOT],
+        [
+            Extension(
+                path[:-3].replace("/", "."),
+                [path],
+                extra_compile_args=COMPILER_OPTIONS,
+                extra_link_args=LINKER_OPTIONS,
+            )
+            for path in HOT
+        ],
         language_level=3,
         nthreads=8,
         quiet=True,
--- a/tests/net/test_start.py
+++ b/tests/net/test_start.py
@@ -89,7 +89,15 @@
     "typing_extensions",
     "zope",
 }
-UNUSED_MODULES = {"asyncio.base_events", "email", "http.client", "logging.handlers", "ssl", "urllib.request"}
+UNUSED_MODULES = {
+    "asyncio.base_events",
+    "email",
+    "html.entities",
+    "http.client",
+    "logging.handlers",
+    "ssl",
+    "urllib.request",
+}
 
 
 @pytest.fixture(scope="module")
@@ -128,6 +136,16 @@
     )
 
 
+def test_deferred_function_when_it_was_imported_by_its_name_works():
+    assert (
+        run_with_deferred_imports(
+            "from html import escape, unescape\nimport html, html.entities\n"
+            "print(escape('<'), unescape('&lt;'), html.escape('>'), len(html.entities.html5) > 1000)"
+        )
+        == "&lt; < &gt; True\n"
+    )
+
+
 def test_unknown_attribute_of_a_deferred_module_raises_attribute_error():
     assert (
         run_with_deferred_imports(
--- a/wickhinge/net/runtime/deferred_imports.py
+++ b/wickhinge/net/runtime/deferred_imports.py
@@ -1,21 +1,24 @@
 """Deferred imports of modules that Twisted imports and a router never uses, which take a fifth of the CPU of a start.
 
 `twisted.python.compat` imports `http.cookiejar`, and with it `urllib.request`, `http.client`, `email` and `ssl`.
-`twisted.internet.defer` imports all of `asyncio` for three names. Other modules are only needed in case of errors.
+`twisted.internet.defer` imports all of `asyncio` for three names. `html` is imported for one function, and with it a
+table of all named characters. Other modules are only needed in case of errors.
 
-A deferred module is loaded as soon as any of its attributes is used. If a Python version has a different layout of
-asyncio, the package is imported at once as usual.
+A deferred module is loaded as soon as any of its other attributes is used. If a Python version has a different layout
+of asyncio, the package is imported at once as usual.
 """
 
 from __future__ import annotations
 
 import importlib.util
 import sys
+from functools import partial
 from types import ModuleType
 from typing import Any
 
 DEFERRED_MODULES = ("concurrent.futures", "http.cookiejar", "locale", "pickle", "pty", "textwrap")
 ASYNCIO = "asyncio"
+HTML, HTML_FUNCTIONS = "html", ("escape", "unescape")
 
 
 def install() -> None:
@@ -23,6 +26,8 @@
     for name in DEFERRED_MODULES:
         if name not in sys.modules:
             defer_module(name)
+    if HTML not in sys.modules:
+        defer_functions(HTML, HTML_FUNCTIONS)
     if ASYNCIO not in sys.modules:
         try:
             defer_asyncio()
@@ -44,6 +49,25 @@
         setattr(sys.modules[package], attribute, module)
 
 
+def defer_functions(name: str, functions: tuple[str, ...]) -> None:
+    """Register a package with functions that execute it when they are called, or when another name of it is used."""
+    spec = importlib.util.find_spec(name)
+    if spec is None:
+        return
+    package = importlib.util.module_from_spec(spec)
+    sys.modules[name] = package
+    package.__getattr__ = lambda attribute: execute_package(package, attribute)  # type: ignore[method-assign]
+    for function in functions:
+        setattr(package, function, partial(call_deferred, package, function))
+
+
+def call_deferred(package: ModuleType, function: str, *arguments: Any, **options: Any) -> Any:
+    """Execute a deferred package unless that was done, and call its function."""
+    if "__getattr__" in package.__dict__:
+        execute_package(package, function)
+    return getattr(package, function)(*arguments, **options)
+
+
 def defer_asyncio() -> None:
     """Register asyncio with the three names that Twisted imports; the use of any other name executes the package.
 
