--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -31,6 +31,7 @@
 from wickhinge.net.downstream.client_connections import ClientConnections
 from wickhinge.net.downstream.request_table import DownstreamRequest
 from wickhinge.net.runtime.arrivals import Arrivals
+from wickhinge.net.runtime.memory_budget import BYTES_PER_MB, MemoryBudget
 from wickhinge.net.upstream import resp
 from wickhinge.net.upstream.attempt_results import AttemptResult
 from wickhinge.net.upstream.attempts import SentAttempt
@@ -281,7 +282,9 @@
             client_left=lambda request, reason: self.abandoned.append(request),
             request_log=request_log,
         )
-        self.clients = ClientConnections(request_table, clock, 9, lambda *_, **more: None)
+        self.clients = ClientConnections(
+            request_table, clock, 9, lambda *_, **more: None, MemoryBudget(64 * BYTES_PER_MB)
+        )
         self.connection = ClientConnection(self.clients)
         self.pair = socket.socketpair()  # Only its descriptor is used.
         self.connection.transport = self.connection.socket = SimpleNamespace(
--- a/tests/net/test_descriptors.py
+++ b/tests/net/test_descriptors.py
@@ -38,6 +38,7 @@
 from wickhinge.net.runtime.arrivals import Arrivals
 from wickhinge.net.runtime.deadlines import Deadlines
 from wickhinge.net.runtime.loop import Reactor
+from wickhinge.net.runtime.memory_budget import BYTES_PER_MB, MemoryBudget
 from wickhinge.net.upstream import resp
 from wickhinge.net.upstream.connection_pools import ConnectionPools, PoolSettings
 
@@ -294,7 +295,7 @@
 def test_client_with_an_unwritten_answer_is_not_idle():
     """Closing it would not free its descriptor as long as the client reads nothing."""
     clock = SimpleNamespace(now=lambda: 100.0, arrivals=Arrivals(0.0))
-    clients = ClientConnections(None, clock, 9, lambda *_, **more: None)
+    clients = ClientConnections(None, clock, 9, lambda *_, **more: None, MemoryBudget(BYTES_PER_MB))
 
     class HashableNamespace(SimpleNamespace):
         __hash__ = object.__hash__
@@ -328,7 +329,7 @@
         call_soon=lambda call, *arguments: soon.append(call),
         arrivals=Arrivals(0.0),
     )
-    clients = ClientConnections(None, clock, 1, lambda *_, **more: None)
+    clients = ClientConnections(None, clock, 1, lambda *_, **more: None, MemoryBudget(BYTES_PER_MB))
     server_socket = socket.create_server(("127.0.0.1", 0))
     address = server_socket.getsockname()
     server_socket.setblocking(False)
--- a/tests/net/test_fair_reading.py
+++ b/tests/net/test_fair_reading.py
@@ -76,6 +76,8 @@
     def has_unread_answers(self):
         return self.is_blocked
 
+    is_read_blocked = has_unread_answers
+
 
 @pytest.fixture
 def world():
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -25,6 +25,7 @@
 from wickhinge.net.runtime.buffers import BUFFER_BYTES, Body
 from wickhinge.net.runtime.deadlines import Deadlines
 from wickhinge.net.runtime.loop import Reactor
+from wickhinge.net.runtime.memory_budget import BYTES_PER_MB, MemoryBudget
 from wickhinge.net.runtime.slots import Slots
 from wickhinge.net.upstream import resp
 from wickhinge.net.upstream.attempt_results import (
@@ -365,7 +366,7 @@
 def test_client_closed_to_free_a_descriptor_is_not_one_that_just_connected(silent, idle, expected):
     """If new clients were closed first, they would lose the request that a stalled router has not read yet."""
     clock = SimpleNamespace(now=lambda: 100.0, waiting_ms=dict, arrivals=Arrivals(0.0))
-    clients, closed_kinds = ClientConnections(None, clock, 2, lambda *_, **more: None), []
+    clients, closed_kinds = ClientConnections(None, clock, 2, lambda *_, **more: None, MemoryBudget(BYTES_PER_MB)), []
 
     class RecordedClient:
         """A client connection that records when it is closed."""
--- a/tests/net/test_start.py
+++ b/tests/net/test_start.py
@@ -41,8 +41,10 @@
                 ".fair_reading",
                 ".listener",
                 ".loop_usage",
+                ".memory_relief",
                 ".msgpack",
                 ".request_table",
+                ".write_queue",
             ),
             "net.runtime": (
                 "",
@@ -54,6 +56,7 @@
                 ".hang_ups",
                 ".log",
                 ".loop",
+                ".memory_budget",
                 ".slots",
                 ".transport",
             ),
--- a/wickhinge/net/control/process_report.py
+++ b/wickhinge/net/control/process_report.py
@@ -11,6 +11,7 @@
 from wickhinge.common.failed_calls import failed_calls
 from wickhinge.net.downstream.client_connections import ClientConnections
 from wickhinge.net.runtime.deadlines import Deadlines
+from wickhinge.net.runtime.memory_budget import peak_resident_bytes
 
 REPORT_INTERVAL_S = 5.0
 COLLECT_ABOVE_SHARE_OF_LIMIT = 0.7  # Peak memory that triggers the first collection, as a share of the memory limit.
@@ -61,12 +62,14 @@
 
     def _write_report(self) -> None:
         usage = resource.getrusage(resource.RUSAGE_SELF)
-        self._collect_garbage_if_needed(usage.ru_maxrss)
+        peak_kb = peak_resident_bytes() // 1024
+        self._collect_garbage_if_needed(peak_kb)
         self._log(
             "report",
             user=round(usage.ru_utime, 3),
             system=round(usage.ru_stime, 3),
-            peak_kb=usage.ru_maxrss,
+            peak_kb=peak_kb,
+            memory=self._clients.memory.report_fields(),
             late_ms=round(self._deadlines.take_max_lateness() * 1000, 1),
             deadlines=len(self._deadlines.heap),
             failed_calls=failed_calls.counts,
--- a/wickhinge/net/control/router_process.py
+++ b/wickhinge/net/control/router_process.py
@@ -25,10 +25,12 @@
 from wickhinge.net.control.start_steps import StartSteps
 from wickhinge.net.downstream.client_connections import ClientConnections
 from wickhinge.net.downstream.descriptors import descriptor_limits
+from wickhinge.net.downstream.memory_relief import RELIEF_INTERVAL_S
 from wickhinge.net.downstream.request_table import RequestTable
 from wickhinge.net.runtime.buffers import BUFFER_BYTES, BufferPool
 from wickhinge.net.runtime.deadlines import Deadlines
 from wickhinge.net.runtime.log import Log
+from wickhinge.net.runtime.memory_budget import BYTES_PER_MB, MemoryBudget
 from wickhinge.net.upstream.attempts import AttemptPorts, Attempts
 from wickhinge.net.upstream.connection_pools import ConnectionPools, PoolSettings
 
@@ -37,6 +39,8 @@
 # half for data being read and written.
 PROGRAM_MB = 32
 MIN_BUFFERS = 128
+# Share of the memory budget that buffers may use, where that is less.
+BUFFER_SHARE_OF_BUDGET = 0.6
 MAX_STALENESS_S = 0.15  # Longest time that discovery events may have been unread in the socket when an attempt begins.
 CLOCK_CHECK_INTERVAL_S = 0.5  # Interval between checks for a step of the wall clock.
 
@@ -114,6 +118,9 @@
         self.reactor.stalls.log_to(self.log.event)
         self._clock_watch = WallClockWatch(wall_time(), monotonic())
         self._check_clock()
+        self.memory.start()
+        budgeted_buffers = int(BUFFER_SHARE_OF_BUDGET * self.memory.capacity_bytes) // BUFFER_BYTES
+        self.buffers.limit = min(self.buffers.limit, budgeted_buffers)
         self.log.event("router_started", listen=":".join(map(str, self.listen_address)), buffers=self.buffers.limit)
 
     def reload(self, number: int) -> None:
@@ -215,6 +222,7 @@
         self.log.event("buffers_exhausted", buffers=self.buffers.in_use)
         self.pools.pause()
         self.clients.pause()
+        self.deadlines.call_soon(self._free_buffers)
 
     def resume(self) -> None:
         """Read from all connections again, because buffers are available."""
@@ -222,6 +230,14 @@
         self.pools.resume()
         self.clients.resume()
 
+    def _free_buffers(self) -> None:
+        """Give up bodies of no use, at intervals until buffers are available; called after the buffers were used up."""
+        if self.buffers.is_exhausted:
+            self.pools.end_unusable_responses()
+            self.clients.memory_relief.fail_stalled_answers(self.buffers.has_room)
+        if self.buffers.is_exhausted:
+            self.deadlines.call_after(RELIEF_INTERVAL_S, self._free_buffers)
+
     def fault(self, where: str) -> None:
         """Log the exception that is being handled; the event loop continues."""
         self.log.event("router_fault", where=where, cause=traceback.format_exc(limit=-6))
@@ -300,7 +316,8 @@
         descriptors = descriptor_limits(limits.descriptors)
         self.connection_limits = config.connection_limits(configuration)
         buffers = max((limits.memory_mb - PROGRAM_MB) * 500_000 // BUFFER_BYTES, MIN_BUFFERS)
-        self.buffers = BufferPool(buffers, self.pause, self.resume)
+        self.memory = MemoryBudget(limits.memory_mb * BYTES_PER_MB)
+        self.buffers = BufferPool(buffers, self.pause, self.resume, self.memory.bodies)
         self.pools = ConnectionPools(
             self.deadlines,
             self.buffers,
@@ -316,7 +333,7 @@
         self.requests = RequestTable(
             self.attempts, self.deadlines, self.buffers, self._request_classes, self.log.event, self.fault
         )
-        self.clients = ClientConnections(self.requests, self.deadlines, self._max_clients, self.log.event)
+        self.clients = ClientConnections(self.requests, self.deadlines, self._max_clients, self.log.event, self.memory)
 
     def _build_copies_and_membership(self, configuration: dict[str, Any], options: Any) -> None:
         """Build the local copies and the membership if switched on; else they stay None and are not imported."""
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -21,9 +20,11 @@
 from wickhinge.net.downstream.fair_reading import FairReading
 from wickhinge.net.downstream.loop_usage import ClientUsage, LoopUsage
 from wickhinge.net.downstream.request_table import InvalidRequestError, RequestTable
+from wickhinge.net.downstream.write_queue import ServedAnswer, WriteQueue
 from wickhinge.net.runtime.arrivals import Arrivals
 from wickhinge.net.runtime.buffers import Body
 from wickhinge.net.runtime.deadlines import Deadlines
+from wickhinge.net.runtime.memory_budget import MemoryBudget
 
 # Requests that a client may have open on one connection; the protocol states this number to clients.
 MAX_OPEN_REQUESTS = 32
@@ -45,15 +46,23 @@
 # Bytes that one read returns at most. The limit of a connection is halved where handling a full read takes longer than
 # MAX_HANDLING_S, and doubled again where it takes much less.
 INITIAL_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES = 8192, 1024, 65536
+# Bytes that the read of a connection that is just accepted returns at most.
+ACCEPTED_READ_BYTES = 2048
 MAX_HANDLING_S = 0.001
 # Reads in a row of one socket: enough for as many requests as a client may have open. Past MAX_DRAIN_S they end after
 # MIN_READS_PER_CALL, with data left unread.
 MIN_READS_PER_CALL, MAX_READS_PER_CALL = 4, 32
 MAX_DRAIN_S = 0.002
-# Bytes of errors and answers to pings that may wait to be written before nothing more is read from their client.
-MAX_UNREAD_ANSWER_BYTES = 65536
-# Pieces of data that one system call writes.
-MAX_PIECES_PER_WRITE = 64
+# Bytes of errors and answers to pings that may wait to be written before nothing more is read from their client; the
+# second value holds while memory is low.
+MAX_UNREAD_ANSWER_BYTES, MAX_UNREAD_ANSWER_BYTES_IF_LOW = 65536, 1024
+# Bytes that one read returns at most while memory is low.
+LOW_MEMORY_READ_BYTES = 2048
+# Estimates of the memory that a connection takes without what it has sent, that a waiting request takes without its
+# fields and body, and that a field takes beside its characters.
+CONNECTION_BYTES = 3000
+WAITING_REQUEST_BYTES = 700
+FIELD_BYTES = 160
 # Share of its time that a request may wait in the queue, and the time of one that does not say it validly.
 MAX_QUEUED_SHARE = 0.5
 DEFAULT_TIMEOUT_S = 1.0
@@ -80,9 +89,26 @@
         return DEFAULT_TIMEOUT_S
 
 
+def request_bytes(params: list[Any]) -> int:
+    """Return an estimate of the memory that the parameters of a waiting request take."""
+    size = WAITING_REQUEST_BYTES
+    for item in params:
+        if type(item) is bytes:
+            size += len(item)
+        elif type(item) is dict:
+            for name, value in item.items():
+                size += FIELD_BYTES
+                if type(name) is str:
+                    size += len(name)
+                if type(value) is str or type(value) is bytes:
+                    size += len(value)
+    return size
+
+
 class ConnectionOwner(Protocol):
     """The set of all client connections, as one connection uses it and reports to it."""
 
+    memory: MemoryBudget
     request_table: RequestTable
     deadlines: Deadlines
     arrivals: Arrivals
@@ -91,6 +117,7 @@
     fair_reading: FairReading
     is_shutting_down: bool  # True once the graceful shutdown has begun; pings are answered with False then.
     is_paused: bool  # True while the buffers are exhausted, so that no request may begin.
+    write_blocked: dict[ClientConnection, None]  # Connections whose answers wait until the client takes some.
     queued_bytes: int  # Bytes of requests queued during holds, of all clients.
 
     def client_connected(self, client: ClientConnection) -> None:
@@ -111,6 +138,9 @@
     def close_faulty(self, client: ClientConnection) -> None:
         """Close the connection of a client that has violated the protocol."""
 
+    def partial_message_grew(self, client: ClientConnection) -> None:
+        """Stop reading from a client with an incomplete message if there is no memory for it."""
+
     def requests_wait(self, client: ClientConnection) -> None:
         """Reject the queued requests of a client in time if they cannot begin; called while it has any."""
 
@@ -118,13 +148,43 @@
 class ClientConnection(TwistedProtocol):
     """The protocol instance of one client connection; reports to `clients`, the set of all connections."""
 
+    __slots__ = (
+        "clients",
+        "decoder",
+        "open_requests",
+        "write_queue",
+        "partial_bytes",
+        "queued_requests",
+        "queued_bytes",
+        "queued_pings",
+        "is_write_blocked",
+        "is_on_hold",
+        "has_ended",
+        "is_socket_drained",
+        "last_write_at",
+        "hold_until",
+        "connected_at",
+        "last_drained_at",
+        "drained_until",
+        "earliest_arrival_at",
+        "invalid_request_count",
+        "socket",
+        "usage",
+        "read_bytes_limit",
+        "current_read_bytes",
+        "is_throttled",
+        "is_out_of_memory",
+        "is_last_read",
+        "is_socket_polled",
+    )
+
     def __init__(self, clients: ConnectionOwner) -> None:
         self.clients = clients
         self.decoder = msgpack.MessageDecoder()
         # Open requests by their ids. The value is the DownstreamRequest, or None while the request is being started.
         self.open_requests: dict[int, Any] = {}
-        # Parts of answers that are not written yet, in order.
-        self.write_queue: deque[bytes | Body] = deque()
+        self.write_queue = WriteQueue(clients.memory.unread_answers)
+        self.partial_bytes = 0  # Bytes of the incomplete message, as the memory budget knows them.
         # Requests that were read and have not begun, by their ids, in the order in which they were read.
         self.queued_requests: dict[int, QueuedRequest] = {}
         self.queued_bytes = 0  # Bytes of the queued requests that were read during a hold.
@@ -141,8 +201,10 @@
         self.socket: Any = None
         self.usage = ClientUsage()
         self.read_bytes_limit = INITIAL_READ_BYTES
+        self.current_read_bytes = INITIAL_READ_BYTES  # The limit of the read under way, or of the last one.
         self.is_throttled = False  # Whether the socket is read in turns, by FairReading.
-        self.unread_answer_bytes = 0  # Bytes in the write queue, except bodies.
+        self.is_out_of_memory = False  # Whether nothing more is read until there is memory, by MemoryRelief.
+        self.is_last_read = False  # Whether the socket is read to complete a message that is given up otherwise.
         self.is_socket_polled = False  # Whether the transport was asked to report when the socket takes more bytes.
 
     def connectionMade(self) -> None:
@@ -151,7 +213,6 @@
         self.clients.client_connected(self)
         self.transport.setTcpNoDelay(True)
         self.socket = self.transport.getHandle()
-        self.transport.bufferSize = self.read_bytes_limit
         peer = self.transport.getPeer()
         self.usage.address = f"{peer.host}:{peer.port}"
         self.update_hold()
@@ -163,10 +224,14 @@
             pending_since: Earliest time at which the connection may have entered the backlog of the listener.
         """
         self.drained_until = pending_since
+        self.read_bytes_limit = ACCEPTED_READ_BYTES
         self.read_all_pending(pending_since)
+        self.read_bytes_limit = INITIAL_READ_BYTES
 
     def dataReceived(self, data: bytes) -> None:
         """Handle data and begin the requests in it; called by Twisted with what it read."""
+        if self.has_ended:
+            return
         began_at = self.clients.loop_usage.begin(self.usage)
         try:
             self.handle_read(data)
@@ -190,10 +255,18 @@
         finally:
             self.work_ended(began_at, size)
 
+    def next_read_bytes(self) -> int:
+        """Return how many bytes the read that follows may return; also called by the transport before its reads."""
+        limit = self.read_bytes_limit
+        if self.clients.memory.is_low():
+            limit = min(limit, LOW_MEMORY_READ_BYTES)
+        self.current_read_bytes = limit
+        return limit
+
     def read_once(self) -> bytes | None:
         """Return unread data, or None if there is none; end the connection if the client has ended it."""
         try:
-            data = receive(self.socket, self.read_bytes_limit)
+            data = receive(self.socket, self.next_read_bytes())
         except OSError as error:
             self.connection_ended(str(error))
             return None
@@ -209,13 +282,12 @@
                 self.read_bytes_limit = max(self.read_bytes_limit // 2, MIN_READ_BYTES)
             elif took_s < 0.25 * MAX_HANDLING_S:
                 self.read_bytes_limit = min(self.read_bytes_limit * 2, MAX_READ_BYTES)
-            self.transport.bufferSize = self.read_bytes_limit
         self.clients.fair_reading.throttle_if_heavy(self)
 
     def handle_read(self, data: bytes) -> None:
         """Handle the data of one read, and begin the requests in it."""
         arrival, poll_ended_at = self.earliest_unread_arrival(), self.clients.arrivals.poll_ended_at
-        self.is_socket_drained = len(data) < self.read_bytes_limit
+        self.is_socket_drained = len(data) < self.current_read_bytes
         if self.is_socket_drained:
             self.drained_until = max(self.drained_until, poll_ended_at)
         self.handle_data(data, arrival)
@@ -255,10 +327,20 @@
                 self.check_open_limit(messages)
             for message in messages:
                 self.handle_message(message)
+            self.update_partial_bytes()
             self.clients.data_received(self, bool(messages))
         except msgpack.MalformedMessageError as error:
             self.fail(str(error))
 
+    def update_partial_bytes(self) -> None:
+        """Tell the memory budget how large the incomplete message is."""
+        grown_bytes = len(self.decoder.incomplete) - self.partial_bytes
+        if grown_bytes and not self.has_ended:
+            self.partial_bytes += grown_bytes
+            self.clients.memory.partial_messages.add(grown_bytes)
+            if grown_bytes > 0 and not self.is_last_read:
+                self.clients.partial_message_grew(self)
+
     def read_if_stale(self) -> None:
         """Read the socket to its end if a cancellation, a close or a reset may have been unread for too long.
 
@@ -289,7 +371,7 @@
 
     def read_until_empty(self, arrival: float) -> None:
         """Read the socket as `read_all_pending` does."""
-        if self.has_unread_answers():
+        if self.is_read_blocked():
             self.is_socket_drained = False
             return
         self.last_drained_at = self.clients.deadlines.now()
@@ -297,7 +379,7 @@
         # are needed to prove that the socket is empty.
         empty_reads_needed = 2 if self.last_drained_at - arrival > MAX_SHORT_READ_AGE_S else 1
         for read_count in range(MAX_READS_PER_CALL):
-            if read_count >= MIN_READS_PER_CALL and self.clients.deadlines.now() - self.last_drained_at > MAX_DRAIN_S:
+            if read_count and self.has_read_for_long(read_count):
                 self.is_socket_drained = False
                 break
             data = self.read_once()
@@ -312,12 +394,20 @@
             self.handle_data(data, arrival)
             if self.has_ended:
                 return
+            if self.is_out_of_memory:
+                self.is_socket_drained = False
+                break
         else:
             # The read limit is reached, so data with the same earliest arrival time may still be unread.
             self.is_socket_drained = False
         if (self.queued_requests or self.queued_pings) and not self.is_throttled:
             self.clients.deadlines.call_soon(self.update_hold)
 
+    def has_read_for_long(self, read_count: int) -> bool:
+        """Return whether the event loop should go on to other sockets before the next of several reads in a row."""
+        took_s = self.clients.deadlines.now() - self.last_drained_at
+        return took_s > MAX_DRAIN_S and (read_count >= MIN_READS_PER_CALL or self.clients.fair_reading.is_loop_busy())
+
     def is_request_open(self, call_id: int) -> bool:
         """Return whether the client is still connected and has not cancelled this request, as far as was read.
 
@@ -383,28 +473,39 @@
     def queue_request(self, call_id: int, method: str, params: list[Any]) -> None:
         """Queue a request until the other messages of the same read are handled, or until the hold ends.
 
-        During a hold, queued requests count against limits on memory that all clients share. Over these limits a
-        request is rejected; if it were left unread instead, a cancellation behind it would be unread too.
+        Queued requests count against limits on memory that all clients share. Over these limits a request is rejected
+        that has to wait; if it were left unread instead, a cancellation behind it would be unread too.
         """
-        size = 0
-        if self.is_on_hold:
-            size = sum(len(item) if type(item) is bytes else len(repr(item)) for item in params)
-            if (
-                self.queued_bytes + size > MAX_QUEUED_BYTES_PER_CLIENT
-                and self.clients.queued_bytes + size > MAX_TOTAL_QUEUED_BYTES
-            ):
-                self.send_error(call_id, "Overloaded", {})
-                self.clients.request_table.request_log.count_unserved("refused in a hold")
-                return
+        size = request_bytes(params)
+        if (self.is_on_hold or self.is_throttled) and not self.may_wait(size):
+            self.send_error(call_id, "Overloaded", {})
+            self.clients.request_table.request_log.count_unserved("refused in a hold")
+            return
         self.queued_requests[call_id] = QueuedRequest(method, params, self.earliest_arrival_at, size)
         self.queued_bytes += size
         self.clients.queued_bytes += size
+        self.clients.memory.waiting_requests.add(size)
+
+    def may_wait(self, size: int) -> bool:
+        """Return whether a request may be queued that takes so many bytes of memory and cannot begin now.
+
+        While memory is low, those of a client that is on hold for an invalid request may not.
+        """
+        memory = self.clients.memory
+        is_own_hold = self.hold_until > self.clients.deadlines.now()
+        if memory.is_exceeded() or is_own_hold and memory.is_low():
+            return False
+        return (
+            self.queued_bytes + size <= MAX_QUEUED_BYTES_PER_CLIENT
+            or self.clients.queued_bytes + size <= MAX_TOTAL_QUEUED_BYTES
+        )
 
     def dequeue_request(self, call_id: int) -> QueuedRequest:
         """Remove a request that has not begun from the queue and return it."""
         request = self.queued_requests.pop(call_id)
         self.queued_bytes -= request.size
         self.clients.queued_bytes -= request.size
+        self.clients.memory.waiting_requests.add(-request.size)
         return request
 
     def begin_queued(self, *, is_hold_immediate: bool) -> None:
@@ -421,6 +522,8 @@
             self.begin_oldest()
             if is_hold_immediate:
                 self.is_on_hold = self.clients.is_paused or self.hold_until > self.clients.deadlines.now()
+        if self.queued_requests and not self.may_wait(0):
+            self.reject_queued("refused in a hold")
         if self.queued_requests:
             self.clients.requests_wait(self)
 
@@ -431,10 +534,10 @@
             if now - request.arrived_at >= MAX_QUEUED_SHARE * request.timeout_s():
                 self.reject_queued_request(call_id, "waited too long to begin")
 
-    def reject_queued(self) -> None:
-        """Reject all queued requests."""
+    def reject_queued(self, reason: str) -> None:
+        """Reject all queued requests; reason: as the report counts it."""
         for call_id in list(self.queued_requests):
-            self.reject_queued_request(call_id, "connection ended before it began")
+            self.reject_queued_request(call_id, reason)
 
     def reject_queued_request(self, call_id: int, reason: str) -> None:
         """Reject a request that has not begun; reason: as the report counts it."""
@@ -470,7 +573,6 @@
             self.invalid_request_count += 1
             hold_s = min(INITIAL_HOLD_S * 2 ** min(self.invalid_request_count, 9), MAX_HOLD_S)
             self.hold_until = self.clients.deadlines.now() + hold_s
-            self.clients.deadlines.call_after(hold_s + 0.001, self.update_hold)
             return
         if call_id in self.open_requests:
             self.open_requests[call_id] = open_request
@@ -482,11 +584,8 @@
         self.open_requests.pop(call_id, None)
         size = body.length if body is not None else 0
         header = b"\x94\x01" + msgpack.pack(call_id) + b"\xc0\x92" + msgpack.bytes_header(size)
-        self.write_queue.append(header)
-        self.unread_answer_bytes += len(header)
-        if size:
-            self.write_queue.append(body)
-        self.write(msgpack.pack(fields))
+        trailer = msgpack.pack(fields)
+        self.write(ServedAnswer(call_id, header, body, trailer) if body is not None and size else header + trailer)
         self.clients.update_idle(self)
 
     def send_error(self, call_id: int, error: str, fields: dict[str, str]) -> None:
@@ -503,21 +602,39 @@
         result = b"\xc0\x92" + (b"\xc2" if self.clients.is_shutting_down else b"\xc3") + b"\x80"
         self.write(b"".join([b"\x94\x01" + msgpack.pack(call_id) + result for call_id in pings]))
 
-    def write(self, data: bytes) -> None:
-        """Append bytes to the write queue and write them if the client reads."""
-        self.write_queue.append(data)
-        self.unread_answer_bytes += len(data)
+    def write(self, answer: bytes | ServedAnswer) -> None:
+        """Append an answer to the write queue and write it if the client reads."""
+        self.write_queue.append(answer)
         if not self.is_write_blocked and not self.has_ended:
             self.write_to_socket()
 
+    def is_read_blocked(self) -> bool:
+        """Return whether nothing is to be read: the client does not take its answers, or there is no memory."""
+        return self.is_out_of_memory or self.has_unread_answers()
+
     def has_unread_answers(self) -> bool:
         """Return whether the client has to read answers before more is read from it."""
-        return self.is_write_blocked and self.unread_answer_bytes > MAX_UNREAD_ANSWER_BYTES
+        limit = MAX_UNREAD_ANSWER_BYTES_IF_LOW if self.clients.memory.is_low() else MAX_UNREAD_ANSWER_BYTES
+        return self.is_write_blocked and self.write_queue.plain_bytes > limit
+
+    def fail_unbegun_answers(self) -> int:
+        """Answer with an error what waits to be written with a body, and of which nothing was written.
+
+        Called where the client takes no answers and the bodies keep others from being served. The requests were
+        executed, so the answer leaves open whether they were.
+
+        Returns:
+            The number of the answers.
+        """
+        call_ids = self.write_queue.remove_unbegun()
+        for call_id in call_ids:
+            self.send_error(call_id, "Abandoned", {})
+        return len(call_ids)
 
     def write_to_socket(self) -> None:
         """Write as much of the queue as the socket takes, and have the transport report when it takes more."""
         while self.write_queue:
-            views = self.next_views()
+            views = self.write_queue.views()
             try:
                 size = self.socket.sendmsg(views)
             except OSError:
@@ -525,48 +642,21 @@
                 size = 0
             if size:
                 self.last_write_at = self.clients.deadlines.now()
-            self.drop_written(size)
+            self.write_queue.drop_written(size)
             if size < sum(map(len, views)):
                 self.wait_until_writable()
                 return
         if self.is_write_blocked:
             self.is_write_blocked = False
+            self.clients.write_blocked.pop(self, None)
             self.transport.unregisterProducer()
             self.clients.update_idle(self)
 
-    def next_views(self) -> list[Any]:
-        """Return the first pieces of the write queue, as many as one system call takes."""
-        views: list[Any] = []
-        for item in self.write_queue:
-            views += [item] if isinstance(item, bytes) else item.views()
-            if len(views) >= MAX_PIECES_PER_WRITE:
-                break
-        return views
-
-    def drop_written(self, size: int) -> None:
-        """Remove what was written from the front of the write queue."""
-        while self.write_queue:
-            item = self.write_queue[0]
-            is_bytes = isinstance(item, bytes)
-            remaining = len(item) if is_bytes else item.length
-            if is_bytes:
-                self.unread_answer_bytes -= min(remaining, size)
-            if remaining > size:
-                if is_bytes:
-                    self.write_queue[0] = item[size:]
-                else:
-                    item.drop_written(size)
-                return
-            size -= remaining
-            self.write_queue.popleft()
-            if not is_bytes:
-                item.release()
-
     def wait_until_writable(self) -> None:
         """Have the transport call resumeProducing() when the socket takes more bytes."""
         if not self.is_write_blocked:
             self.is_write_blocked, self.last_write_at = True, self.clients.deadlines.now()
-            self.clients.deadlines.call_after(MAX_WRITE_STALL_S, self.check_write_stall)
+            self.clients.write_blocked[self] = None
             self.is_socket_polled = False
             self.transport.registerProducer(self, False)
 
@@ -584,15 +674,14 @@
     def stopProducing(self) -> None:
         """Do nothing; called by the transport when the connection ends."""
 
+    def is_write_stalled(self, now: float, min_stall_s: float) -> bool:
+        """Return whether the client has taken no byte of its answers for so many seconds."""
+        return self.is_write_blocked and not self.has_ended and now - self.last_write_at >= min_stall_s
+
     def check_write_stall(self) -> None:
         """End the connection if the client has taken no byte for MAX_WRITE_STALL_S."""
-        if not self.is_write_blocked or self.has_ended:
-            return
-        stalled_s = self.clients.deadlines.now() - self.last_write_at
-        if stalled_s >= MAX_WRITE_STALL_S - 0.01:
+        if self.is_write_stalled(self.clients.deadlines.now(), MAX_WRITE_STALL_S):
             self.fail("reads nothing")
-        else:
-            self.clients.deadlines.call_after(MAX_WRITE_STALL_S - stalled_s, self.check_write_stall)
 
     def update_hold(self) -> None:
         """Start or end a hold; without one, begin the queued requests. Answer the pings in either case.
@@ -654,6 +743,22 @@
         else:
             self.clients.close_faulty(self)
 
+    def complete_or_close(self, reason: str) -> bool:
+        """Read an incomplete message to its end, and close the connection unless that completes it.
+
+        Called where memory is short. A connection with a request or an answer on it is kept.
+
+        Returns:
+            Whether the connection was closed.
+        """
+        self.is_out_of_memory, self.is_last_read = False, True
+        self.read_all_pending(self.earliest_unread_arrival())
+        self.is_last_read = False
+        if self.has_ended or not self.decoder.incomplete or not self.is_idle():
+            return False
+        self.close_now(reason)
+        return True
+
     def close_now(self, reason: str) -> None:
         """Answer what was read and close the connection at once, although data may be unread; frees the descriptor."""
         self.clients.count_fault(reason)
@@ -663,7 +768,7 @@
 
     def reject_all(self) -> None:
         """Answer all open and queued requests with an error."""
-        self.reject_queued()
+        self.reject_queued("connection ended before it began")
         for open_request in list(self.open_requests.values()):
             if open_request is not None:
                 self.clients.request_table.reject_for_client_error(open_request)
@@ -701,7 +806,6 @@
         for open_request in abandoned.values():
             if open_request is not None:
                 self.clients.request_table.client_left(open_request, f"connection ended: {reason}")
-        for item in self.write_queue:
-            if isinstance(item, Body):
-                item.release()
         self.write_queue.clear()
+        self.clients.memory.partial_messages.add(-self.partial_bytes)
+        self.decoder, self.partial_bytes = msgpack.MessageDecoder(), 0
--- a/wickhinge/net/downstream/client_connections.py
+++ b/wickhinge/net/downstream/client_connections.py
@@ -8,12 +8,14 @@
 
 from twisted.internet.protocol import Factory
 
-from wickhinge.net.downstream.client_connection import ClientConnection
+from wickhinge.net.downstream.client_connection import CONNECTION_BYTES, ClientConnection
 from wickhinge.net.downstream.descriptors import Admission
 from wickhinge.net.downstream.fair_reading import FairReading
 from wickhinge.net.downstream.loop_usage import LoopUsage
+from wickhinge.net.downstream.memory_relief import MemoryRelief
 from wickhinge.net.downstream.request_table import RequestTable
 from wickhinge.net.runtime.deadlines import Deadlines
+from wickhinge.net.runtime.memory_budget import MemoryBudget
 
 # Seconds that a client has from connecting to its first request, and from the first byte of a request to the last.
 MAX_REQUEST_WAIT_S = 2.2
@@ -56,14 +58,21 @@
     noisy = False
 
     def __init__(
-        self, request_table: RequestTable, deadlines: Deadlines, max_connections: int, log: Callable[..., None]
+        self,
+        request_table: RequestTable,
+        deadlines: Deadlines,
+        max_connections: int,
+        log: Callable[..., None],
+        memory: MemoryBudget,
     ) -> None:
-        self.request_table, self.deadlines, self.log = request_table, deadlines, log
+        self.request_table, self.deadlines, self.log, self.memory = request_table, deadlines, log, memory
+        self.memory_relief = MemoryRelief(self, memory, deadlines)
         self.arrivals = deadlines.arrivals
         self.loop_usage = LoopUsage(deadlines.now, lambda: deadlines.waiting_ms(), log)
         self.fair_reading = FairReading(deadlines)
         # Connections with requests that have not begun, since a hold or unread data keeps them from it.
         self.waiting: dict[ClientConnection, None] = {}
+        self.write_blocked: dict[ClientConnection, None] = {}
         # Connections that have ended and whose transports are closed a little later, the oldest first.
         self.delayed_closes: dict[ClientConnection, None] = {}
         self._is_waiting_check_set = False
@@ -82,6 +91,7 @@
     def client_connected(self, client: ClientConnection) -> None:
         """Add a connection; called when it is established."""
         self.connections.add(client)
+        self.memory.client_connections.add(CONNECTION_BYTES)
         self.no_request_since[client] = self.deadlines.now()
 
     def close_idle_clients(self, count: int) -> int:
@@ -177,6 +187,7 @@
     def sweep(self) -> None:
         """Close the connections that have exceeded a time limit; runs every SWEEP_INTERVAL_S."""
         now = self.deadlines.now()
+        self.memory.compare()
         for table, max_age_s in (
             (self.no_request_since, MAX_REQUEST_WAIT_S),
             (self.partial_message_since, MAX_REQUEST_WAIT_S),
@@ -187,6 +198,8 @@
                     break
                 if not client.has_more_unread():
                     self.close_if_idle(client)
+        for client in list(self.write_blocked):
+            client.check_write_stall()
         self.admission.raise_limit()
         self.schedule_listener_resume()
         self.deadlines.call_after(SWEEP_INTERVAL_S, self.sweep)
@@ -232,9 +245,13 @@
 
     def client_disconnected(self, client: ClientConnection) -> None:
         """Remove a connection; called when it has ended."""
+        self.memory_relief.forget(client)
         self.fair_reading.release(client)
         self.waiting.pop(client, None)
-        self.connections.discard(client)
+        self.write_blocked.pop(client, None)
+        if client in self.connections:
+            self.connections.remove(client)
+            self.memory.client_connections.add(-CONNECTION_BYTES)
         for table in (self.no_request_since, self.partial_message_since, self.idle_since):
             table.pop(client, None)
 
@@ -273,6 +290,10 @@
         self.is_paused = False
         self.update_holds()
 
+    def partial_message_grew(self, client: ClientConnection) -> None:
+        """Stop reading from a client with an incomplete message if there is no memory for it."""
+        self.memory_relief.partial_message_grew(client)
+
     def requests_wait(self, client: ClientConnection) -> None:
         """Reject the queued requests of a client in time if they cannot begin; called while it has any."""
         self.waiting[client] = None
@@ -281,10 +302,11 @@
             self.deadlines.call_after(WAITING_CHECK_INTERVAL_S, self.check_waiting)
 
     def check_waiting(self) -> None:
-        """Reject the queued requests that have waited for too long; runs while any request is queued."""
+        """Begin queued requests whose holds are over, and reject those that have waited too long."""
         self._is_waiting_check_set = False
         waiting, self.waiting = self.waiting, {}
         for client in waiting:
+            client.update_hold()
             client.reject_overdue()
             if client.queued_requests:
                 self.requests_wait(client)
@@ -300,7 +322,7 @@
         for client in list(self.connections):
             client.hold_until = 0.0
             client.update_hold()
-            client.reject_queued()  # Those that unread data keeps from beginning.
+            client.reject_queued("connection ended before it began")  # Those that unread data keeps from beginning.
 
     def read_all_pending(self) -> None:
         """Read the socket of each connection to its end, except those of throttled clients, which are read in turns."""
--- a/wickhinge/net/downstream/fair_reading.py
+++ b/wickhinge/net/downstream/fair_reading.py
@@ -66,6 +66,9 @@
     def has_unread_answers(self) -> bool:
         """Return whether the client has to read answers before more is read from it."""
 
+    def is_read_blocked(self) -> bool:
+        """Return whether nothing is to be read: the client does not take its answers, or there is no memory."""
+
 
 class FairReading:
     """The throttled clients, and the timer that reads from them in turn."""
@@ -164,7 +167,7 @@
         return PAUSE_S if ended_at - self._deadlines.arrivals.earliest_arrival_at > MAX_ARRIVAL_AGE_S else 0.0
 
     def _read(self, client: ThrottledClient) -> None:
-        if client.has_unread_answers():
+        if client.is_read_blocked():
             return
         client.read_turn()
         now = self._deadlines.now()
--- a/wickhinge/net/downstream/listener.py
+++ b/wickhinge/net/downstream/listener.py
@@ -38,6 +38,11 @@
 class AcceptedConnection(Incoming):
     """The transport of a client connection; reports freed descriptors to the listener, failed reads to the protocol."""
 
+    def doRead(self) -> Any:
+        """Read as many bytes as the protocol allows; called by the event loop when data is available."""
+        self.bufferSize = self.protocol.next_read_bytes()
+        return super().doRead()
+
     def nothing_read(self) -> None:
         """Tell the protocol that data is still unread after a read that returned nothing."""
         if has_unread_data(self.socket):
--- a/wickhinge/net/downstream/msgpack.py
+++ b/wickhinge/net/downstream/msgpack.py
@@ -12,6 +12,11 @@
 MAX_DEPTH = 6
 # Items of one array, or pairs of one map.
 MAX_ITEMS = 64
+# Values of one message from which on an array, and a map, within its parameters or its fields is only checked and not
+# built: no request has so many, and built ones would take many times the memory of the message.
+MAX_BUILT_VALUES = 128
+MIN_UNBUILT_ARRAY_DEPTH, MIN_UNBUILT_MAP_DEPTH = 2, 3  # Parameters are an array at depth 1, fields a map at depth 2.
+UNBUILT: tuple[()] = ()  # What stands for an array or a map that is not built.
 # Items of all arrays, and keys and values of all maps, of one message. It bounds the time that decoding one takes.
 MAX_VALUES = 1024
 
@@ -41,6 +46,8 @@
     0xDE: ("map", NUMBER_FORMATS[0xCD]),
     0xDF: ("map", NUMBER_FORMATS[0xCE]),
 }
+EMPTY_ARRAY_CODE = 0x90
+UNKNOWN_CODE = 0xC1  # No value begins with it.
 # Type codes of values without further bytes.
 CONSTANTS = {0xC0: None, 0xC2: False, 0xC3: True}
 
@@ -79,11 +86,27 @@
         self.value_count = 0
         return self.read_value()
 
-    def read_array(self, size: int, depth: int) -> list[Any]:
+    def read_array(self, size: int, depth: int) -> list[Any] | tuple[()]:
         """Read an array of `size` items."""
         self.count_values(size)
+        if depth >= MIN_UNBUILT_ARRAY_DEPTH and self.value_count > MAX_BUILT_VALUES:
+            return self.check_values(size, depth)
         return [self.read_value(depth + 1) for _ in range(size)]
 
+    def check_values(self, count: int, depth: int) -> tuple[()]:
+        """Read the values of an array or a map that is not built.
+
+        Nearly all values in a message of many are of one byte, so these are read here without a call for each.
+        """
+        data, end = self.data, self.end
+        for _ in range(count):
+            code = data[self.position] if self.position < end else UNKNOWN_CODE
+            if code < 0x80 or code >= 0xE0 or code == EMPTY_ARRAY_CODE:
+                self.position += 1
+            else:
+                self.read_value(depth + 1)
+        return UNBUILT
+
     def skip(self, size: int) -> int:
         """Advance by `size` bytes and return the position of the first one."""
         start = self.position
@@ -142,12 +165,14 @@
         except UnicodeDecodeError:
             raise MalformedMessageError("a string is not UTF-8") from None
 
-    def read_map(self, size: int, depth: int) -> dict[Any, Any]:
+    def read_map(self, size: int, depth: int) -> dict[Any, Any] | tuple[()]:
         """Read a map of `size` pairs.
 
         Nearly all keys and values are short strings, so these are read here without a call for each.
         """
         self.count_values(2 * size)
+        if depth >= MIN_UNBUILT_MAP_DEPTH and self.value_count > MAX_BUILT_VALUES:
+            return self.check_values(2 * size, depth)
         data, end, result, key = self.data, self.end, {}, None
         for turn in range(2 * size):
             start = self.position
@@ -261,6 +286,8 @@
         incomplete: The bytes of the message that is not complete yet.
     """
 
+    __slots__ = ("incomplete", "limit", "_scanner")
+
     def __init__(self, limit: int = MAX_MESSAGE_BYTES) -> None:
         self.incomplete, self.limit = b"", limit
         self._scanner: MessageScanner | None = None  # Of the incomplete message, once a second piece has arrived.
--- a/wickhinge/net/upstream/connection_pools.py
+++ b/wickhinge/net/upstream/connection_pools.py
@@ -276,6 +276,17 @@
         else:
             self.end(AttemptResult.UNREADABLE, "a response stopped before its end")
 
+    def unusable_response_reason(self) -> str | None:
+        """Return why a body that was received in part is of no use; None if there is none, or it may be completed."""
+        if self.has_ended or self.decoder.body is None:
+            return None
+        if self.decoder.items[0] not in self.pending:
+            return "memory is short, and no request waits for a response"
+        is_silent = self.pools.deadlines.now() - self.last_received_at >= RESPONSE_STALL_S
+        if is_silent and has_unread_data(self.socket) is None:
+            return "a response stopped before its end"
+        return None
+
     def end_if_peer_closed(self) -> bool:
         """Return whether the connection is usable; end it where the server has closed or reset it already.
 
@@ -530,6 +541,14 @@
         for pool in list(self.pools_by_id.values()):
             pool.close_idle()
 
+    def end_unusable_responses(self) -> None:
+        """End the connections whose partly received response nobody waits for or has stopped; it holds memory."""
+        connections = [connection for pool in self.pools_by_id.values() for connection in pool.connections]
+        for connection in connections:
+            reason = connection.unusable_response_reason()
+            if reason is not None:
+                connection.end(AttemptResult.UNREADABLE, reason)
+
     def pause(self) -> None:
         """Stop reading from all connections."""
         self.call_transports("pauseProducing", True)
