--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -277,6 +277,7 @@
         self.arrivals = clock.arrivals
         request_log = RequestLog(lambda *_, **more: None)
         request_table = SimpleNamespace(
+            is_known_class=lambda method: True,
             start_request=self.start_request,
             reject_for_client_error=lambda request: None,
             client_left=lambda request, reason: self.abandoned.append(request),
--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -147,18 +147,28 @@
     assert second.calls == [] and world.scheduled  # Its message is too young to be given up, so it is looked at again.
 
 
-def test_oldest_incomplete_messages_are_given_up_until_memory_is_no_longer_low(world):
+def test_oldest_incomplete_messages_are_given_up_until_there_is_room_for_others(world):
     clients = [
-        world.add(age_s=MIN_PARTIAL_AGE_S + 1.0 - number / 10, partial=world.budget.capacity_bytes // 4)
+        world.add(age_s=MIN_PARTIAL_AGE_S + 1.0 - number / 10, partial=world.budget.capacity_bytes // 15)
         for number in range(5)
     ]
     world.relief.partial_message_grew(clients[-1])
+    assert clients[-1].is_out_of_memory
     world.run_scheduled()
     assert [client.calls for client in clients] == [["closed"]] * 3 + [[]] * 2
-    assert not clients[-1].is_out_of_memory and not world.budget.is_low()
+    assert not clients[-1].is_out_of_memory and world.budget.has_room_for_partial_messages()
     assert world.budget.relief_count == {"partial_messages": 3}
 
 
+def test_oldest_client_that_memory_keeps_from_being_read_is_closed_for_room(world):
+    clients = [world.add(age_s=age_s, partial=world.budget.capacity_bytes // 2) for age_s in (0.3, 0.1)]
+    assert not world.relief.close_oldest_blocked(0.25)
+    for client in clients:
+        world.relief.partial_message_grew(client)
+    assert world.relief.close_oldest_blocked(0.25)
+    assert [client.calls for client in clients] == [["closed"], []]
+
+
 def test_waiting_requests_are_rejected_before_clients_that_take_no_answers_are_closed(world):
     few, many = world.add(waiting=1000), world.add(waiting=world.budget.capacity_bytes)
     stalled = world.add(unread=world.budget.capacity_bytes // 2)
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -578,7 +578,13 @@
     decisions = make_router(caches=0, parents=0, direct_to_source=False)
     attempt_table = SimpleNamespace(decisions=decisions, local_copies=None)
     request_table = RequestTable(
-        attempt_table, clock, make_buffer_pool()[0], {"t": make_request_class()}, lambda *_, **more: None, [].append
+        attempt_table,
+        clock,
+        make_buffer_pool()[0],
+        {"t": make_request_class()},
+        lambda *_, **more: None,
+        [].append,
+        MemoryBudget(BYTES_PER_MB).open_requests,
     )
     references, route = [], decisions.route
     decisions.route = (
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -18,6 +18,7 @@
 from wickhinge.interface import Idempotency, Outcome
 from wickhinge.net.downstream.request_table import RequestTable
 from wickhinge.net.runtime.buffers import Body
+from wickhinge.net.runtime.memory_budget import BYTES_PER_MB, MemoryBudget
 from wickhinge.net.upstream import resp
 from wickhinge.net.upstream.local_copies import LocalCopies
 from wickhinge.store.bandwidth import LinkBandwidth
@@ -495,7 +496,13 @@
         world.store.journal_caught_up(deadlines.clock, False)
     router_attempts = make_attempts(caches, faults, decisions=router, local_copies=copies)
     request_table = RequestTable(
-        router_attempts, deadlines, buffers, {"t": make_request_class()}, lambda *a, **k: None, faults.append
+        router_attempts,
+        deadlines,
+        buffers,
+        {"t": make_request_class()},
+        lambda *a, **k: None,
+        faults.append,
+        MemoryBudget(BYTES_PER_MB).open_requests,
     )
     return SimpleNamespace(
         world=world,
--- a/wickhinge/net/control/router_process.py
+++ b/wickhinge/net/control/router_process.py
@@ -23,6 +23,7 @@
 from wickhinge.net.control.process_report import ProcessReport
 from wickhinge.net.control.readiness import Readiness
 from wickhinge.net.control.start_steps import StartSteps
+from wickhinge.net.downstream.client_connection import CONNECTION_BYTES
 from wickhinge.net.downstream.client_connections import ClientConnections
 from wickhinge.net.downstream.descriptors import descriptor_limits
 from wickhinge.net.downstream.memory_relief import RELIEF_INTERVAL_S
@@ -41,6 +42,10 @@
 MIN_BUFFERS = 128
 # Share of the memory budget that buffers may use, where that is less.
 BUFFER_SHARE_OF_BUDGET = 0.6
+# Share of the memory budget that connections of clients may use, and share of their descriptors that they may use
+# whatever the budget is: a third of all descriptors (PROTOCOL: clients hold no more) and some that are being closed.
+CONNECTION_SHARE_OF_BUDGET = 0.4
+MIN_CLIENT_SHARE = 0.6
 MAX_STALENESS_S = 0.15  # Longest time that discovery events may have been unread in the socket when an attempt begins.
 CLOCK_CHECK_INTERVAL_S = 0.5  # Interval between checks for a step of the wall clock.
 
@@ -121,6 +126,8 @@
         self.memory.start()
         budgeted_buffers = int(BUFFER_SHARE_OF_BUDGET * self.memory.capacity_bytes) // BUFFER_BYTES
         self.buffers.limit = min(self.buffers.limit, budgeted_buffers)
+        budgeted_clients = int(CONNECTION_SHARE_OF_BUDGET * self.memory.capacity_bytes) // CONNECTION_BYTES
+        self.clients.admission.limit_connections(max(budgeted_clients, int(MIN_CLIENT_SHARE * self._max_clients)))
         self.log.event("router_started", listen=":".join(map(str, self.listen_address)), buffers=self.buffers.limit)
 
     def reload(self, number: int) -> None:
@@ -331,7 +338,13 @@
         ports = AttemptPorts(self.decisions, self.remote_clock, self.is_up_to_date, self.local_copies, self.membership)
         self.attempts = Attempts(self.pools, self.deadlines, ports, PROBE_TIMEOUT_S, self.fault)
         self.requests = RequestTable(
-            self.attempts, self.deadlines, self.buffers, self._request_classes, self.log.event, self.fault
+            self.attempts,
+            self.deadlines,
+            self.buffers,
+            self._request_classes,
+            self.log.event,
+            self.fault,
+            self.memory.open_requests,
         )
         self.clients = ClientConnections(self.requests, self.deadlines, self._max_clients, self.log.event, self.memory)
 
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -19,7 +19,7 @@
 from wickhinge.net.downstream import msgpack
 from wickhinge.net.downstream.fair_reading import FairReading
 from wickhinge.net.downstream.loop_usage import ClientUsage, LoopUsage
-from wickhinge.net.downstream.request_table import InvalidRequestError, RequestTable
+from wickhinge.net.downstream.request_table import UNKNOWN_CLASS_REASON, InvalidRequestError, RequestTable
 from wickhinge.net.downstream.write_queue import ServedAnswer, WriteQueue
 from wickhinge.net.runtime.arrivals import Arrivals
 from wickhinge.net.runtime.buffers import Body
@@ -57,7 +57,7 @@
 # second value holds while memory is low.
 MAX_UNREAD_ANSWER_BYTES, MAX_UNREAD_ANSWER_BYTES_IF_LOW = 65536, 1024
 # Bytes that one read returns at most while memory is low.
-LOW_MEMORY_READ_BYTES = 2048
+LOW_MEMORY_READ_BYTES = 1024
 # Estimates of the memory that a connection takes without what it has sent, that a waiting request takes without its
 # fields and body, and that a field takes beside its characters.
 CONNECTION_BYTES = 3000
@@ -258,7 +258,9 @@
     def next_read_bytes(self) -> int:
         """Return how many bytes the read that follows may return; also called by the transport before its reads."""
         limit = self.read_bytes_limit
-        if self.clients.memory.is_low():
+        if self.is_last_read:
+            limit = MAX_READ_BYTES
+        elif not self.clients.memory.has_room_for_partial_messages():
             limit = min(limit, LOW_MEMORY_READ_BYTES)
         self.current_read_bytes = limit
         return limit
@@ -295,8 +297,6 @@
             # A read may return less than there is. After a stall of the process, the remaining data may be as old as
             # the data that was read.
             self.read_all_pending(arrival)
-        # All requests of one read begin, also those that follow an invalid request: its hold applies to later reads.
-        self.begin_queued(is_hold_immediate=False)
         self.update_hold()
 
     def read_failed(self) -> None:
@@ -476,6 +476,10 @@
         Queued requests count against limits on memory that all clients share. Over these limits a request is rejected
         that has to wait; if it were left unread instead, a cancellation behind it would be unread too.
         """
+        if not self.clients.request_table.is_known_class(method):
+            # Known before any request of the same read begins, which those of its client then do not for a while.
+            self.reject_invalid(call_id, UNKNOWN_CLASS_REASON)
+            return
         size = request_bytes(params)
         if (self.is_on_hold or self.is_throttled) and not self.may_wait(size):
             self.send_error(call_id, "Overloaded", {})
@@ -508,20 +512,18 @@
         self.clients.memory.waiting_requests.add(-request.size)
         return request
 
-    def begin_queued(self, *, is_hold_immediate: bool) -> None:
-        """Begin the queued requests in order, unless a hold is on or their cancellations may be unread.
-
-        Args:
-            is_hold_immediate: Whether a hold that one of them starts applies to the next of them.
-        """
+    def begin_queued(self) -> None:
+        """Begin the queued requests in order, unless a hold is on or their cancellations may be unread."""
         if not self.queued_requests:
             return
         if not self.is_on_hold and not self.is_throttled:
             self.read_if_stale()
         while self.queued_requests and not self.is_on_hold and self.is_socket_drained:
+            if self.clients.memory.is_exceeded():
+                self.reject_queued("refused for memory")
+                return
             self.begin_oldest()
-            if is_hold_immediate:
-                self.is_on_hold = self.clients.is_paused or self.hold_until > self.clients.deadlines.now()
+            self.is_on_hold = self.clients.is_paused or self.hold_until > self.clients.deadlines.now()
         if self.queued_requests and not self.may_wait(0):
             self.reject_queued("refused in a hold")
         if self.queued_requests:
@@ -564,19 +566,24 @@
             self.open_requests[call_id] = None
             open_request = self.clients.request_table.start_request(self, call_id, method, fields, body, arrival)
         except InvalidRequestError as error:
-            self.open_requests.pop(call_id, None)
-            self.clients.count_fault(str(error))
-            self.clients.request_table.request_log.count_unserved("unusable")
-            self.send_error(call_id, "BadRequest", {"why": str(error)})
-            # The hold slows down a client that repeats an invalid request as soon as it is answered. Other clients are
-            # not affected.
-            self.invalid_request_count += 1
-            hold_s = min(INITIAL_HOLD_S * 2 ** min(self.invalid_request_count, 9), MAX_HOLD_S)
-            self.hold_until = self.clients.deadlines.now() + hold_s
+            self.reject_invalid(call_id, str(error))
             return
         if call_id in self.open_requests:
             self.open_requests[call_id] = open_request
 
+    def reject_invalid(self, call_id: int, reason: str) -> None:
+        """Answer an invalid request with an error and start a hold.
+
+        The hold slows down a client that repeats an invalid request as soon as it is answered. Other clients are not
+        affected.
+        """
+        self.clients.count_fault(reason)
+        self.clients.request_table.request_log.count_unserved("unusable")
+        self.send_error(call_id, "BadRequest", {"why": reason})
+        self.invalid_request_count += 1
+        hold_s = min(INITIAL_HOLD_S * 2 ** min(self.invalid_request_count, 9), MAX_HOLD_S)
+        self.hold_until = self.clients.deadlines.now() + hold_s
+
     # Answers.
 
     def send_answer(self, call_id: int, body: Body | None, fields: dict[str, str]) -> None:
@@ -694,7 +701,7 @@
             return
         now = self.clients.deadlines.now()
         self.is_on_hold = self.clients.is_paused or self.hold_until > now
-        self.begin_queued(is_hold_immediate=True)
+        self.begin_queued()
         self.answer_pings()
 
     # End of the connection.
--- a/wickhinge/net/downstream/client_connections.py
+++ b/wickhinge/net/downstream/client_connections.py
@@ -142,7 +142,7 @@
             ]
             if any(self.close_if_idle(client, to_free_descriptor=True) for client in oldest):
                 return True
-        return self.close_heaviest()
+        return self.memory_relief.close_oldest_blocked(MIN_AGE_TO_CLOSE_S) or self.close_heaviest()
 
     def close_heaviest(self) -> bool:
         """Close the client that keeps the event loop busiest, if there is one; return whether one was closed."""
--- a/wickhinge/net/downstream/descriptors.py
+++ b/wickhinge/net/downstream/descriptors.py
@@ -60,6 +60,10 @@
         self.open_descriptors = 0
         self.next_close_count = 1
 
+    def limit_connections(self, count: int) -> None:
+        """Let client connections hold no more than `count` descriptors, where that is less."""
+        self.max_connections = self.current_limit = min(self.max_connections, count)
+
     def available_count(self) -> int:
         """Return how many connections may be accepted in this turn of the event loop."""
         return max(0, min(self.current_limit - self.open_descriptors, MAX_ACCEPTS_PER_TURN))
--- a/wickhinge/net/downstream/memory_relief.py
+++ b/wickhinge/net/downstream/memory_relief.py
@@ -1,7 +1,7 @@
 """What is given up when clients, servers and names together hold more memory than there is, and in which order.
 
-1. Nothing more is read of incomplete messages, and reads are short (`MemoryBudget.is_low`). What a client has sent then
-   waits in the kernel.
+1. Reads are short, and nothing more is read of incomplete messages once they use up their share of the budget. What a
+   client has sent then waits in the kernel.
 2. Incomplete messages that began some time ago: each is read to its end once more, and unless that completes it, its
    connection is closed, the oldest first. Usual clients send a message within milliseconds.
 3. Waiting requests, which are rejected, those of the client that has most of them first.
@@ -22,6 +22,8 @@
 RELIEF_INTERVAL_S = 0.05
 # Seconds after its first byte from which on an incomplete message may be given up.
 MIN_PARTIAL_AGE_S = 0.5
+# Seconds that incomplete messages are given up in a row, before the event loop goes on to other work.
+MAX_RELIEF_S = 0.004
 # Seconds without a byte taken from which on a client counts as one that takes no answers.
 MIN_WRITE_STALL_S = 0.25
 
@@ -48,7 +50,7 @@
 
     def partial_message_grew(self, client: Any) -> None:
         """Stop reading from a client with an incomplete message if there is no memory for it."""
-        if self._memory.is_exceeded():
+        if self._memory.are_partial_messages_too_large():
             if not client.open_requests:
                 self._block(client)
             self.set_check()
@@ -76,7 +78,7 @@
             self._reject_waiting_requests()
         if self._memory.is_exceeded():
             self._close_stalled_clients()
-        if not self._memory.is_low():
+        if self._memory.has_room_for_partial_messages():
             self._unblock_all()
         if (self.blocked or self._memory.is_exceeded()) and not self._is_set:
             self._is_set = True
@@ -89,14 +91,26 @@
             client.is_socket_drained = False  # FairReading goes on with it.
 
     def _give_up_old_messages(self) -> None:
-        """Complete or give up the oldest incomplete messages until memory is no longer low."""
+        """Complete or give up the oldest incomplete messages until there is room for others."""
         now = self._deadlines.now()
         for client, since in list(self._clients.partial_message_since.items()):
-            if now - since < MIN_PARTIAL_AGE_S or not self._memory.is_low():
+            if now - since < MIN_PARTIAL_AGE_S or self._memory.has_room_for_partial_messages():
+                return
+            if self._deadlines.now() - now > MAX_RELIEF_S:
                 return
             if not client.has_ended and client.complete_or_close("half a request, for memory"):
                 self._memory.count_relief("partial_messages")
 
+    def close_oldest_blocked(self, min_age_s: float) -> bool:
+        """Free a descriptor: close the oldest client whose message there is no memory for; return whether one was."""
+        now = self._deadlines.now()
+        blocked = (client for client in self._clients.partial_message_since if client in self.blocked)
+        oldest = next(blocked, None)
+        if oldest is None or now - self._clients.partial_message_since[oldest] < min_age_s:
+            return False
+        is_closed: bool = oldest.complete_or_close("half a request, for room")
+        return is_closed
+
     def _reject_waiting_requests(self) -> None:
         """Reject the requests that wait, client by client, until the budget holds."""
         waiting = [client for client in self._clients.connections if client.queued_requests]
--- a/wickhinge/net/downstream/request_table.py
+++ b/wickhinge/net/downstream/request_table.py
@@ -12,6 +12,7 @@
 from wickhinge.interface import AttemptParameters, Idempotency, RejectionReason, Request
 from wickhinge.net.runtime.buffers import Body, BufferPool
 from wickhinge.net.runtime.deadlines import Deadlines
+from wickhinge.net.runtime.memory_budget import MemoryAccount
 from wickhinge.net.runtime.slots import Slots
 from wickhinge.net.upstream.attempts import Attempts
 from wickhinge.net.upstream.request_log import SERVED_RESULT, RequestLog, RequestTrace, Step
@@ -30,10 +31,15 @@
 # Seconds by which the recorded deadline of a request precedes its timeout. An attempt that may last past that deadline
 # gets no timer of its own, since it expires together with its request.
 DEADLINE_SLACK_S = 0.001
+# Estimate of the memory that an open request takes, with its attempts and its timers, without its body.
+OPEN_REQUEST_BYTES = 2500
 # Seconds after the timeout of a request at which a missing answer counts as a fault of the routing decisions.
 OVERDUE_AFTER_S = 0.01
 
 
+UNKNOWN_CLASS_REASON = "method names no tariff"
+
+
 class InvalidRequestError(Exception):
     """A well-formed request has an invalid method, field or body; the message names it."""
 
@@ -213,6 +219,7 @@
         request_classes: dict[str, Any],
         log: Callable[..., None],
         report_fault: Callable[[str], None],
+        memory: MemoryAccount,
     ) -> None:
         """Start with no requests.
 
@@ -223,7 +230,9 @@
             request_classes: The request classes by name.
             log: Writes a log line.
             report_fault: Called with a name while an exception is being handled.
+            memory: Where the open requests are counted as memory that is held.
         """
+        self._memory = memory
         self.attempts, self.deadlines, self.buffer_pool, self.request_classes = (
             attempts,
             deadlines,
@@ -241,6 +250,10 @@
         self.started_count = 0
         self.answer_counts: dict[str, int] = {}
 
+    def is_known_class(self, method: str) -> bool:
+        """Return whether a method names a request class."""
+        return method in self.request_classes
+
     def start_request(
         self, client: Any, call_id: int, method: str, fields: dict[str, str], body: bytes, arrival: float
     ) -> DownstreamRequest:
@@ -261,7 +274,7 @@
         waited_s = max(now - arrival, 0.0)
         request_class = self.request_classes.get(method)
         if request_class is None:
-            raise InvalidRequestError("method names no tariff")
+            raise InvalidRequestError(UNKNOWN_CLASS_REASON)
         rid = hex_field(fields, "rid")
         request = parse_request(fields, request_class, waited_s)
         check_body_and_key(fields, body)
@@ -273,6 +286,7 @@
             downstream_request.client_etag = fields["cached"]
         downstream_request.number = self.slots.put(downstream_request)
         self.started_count += 1
+        self._memory.add(OPEN_REQUEST_BYTES)
         downstream_request.deadline = now + request.timeout - DEADLINE_SLACK_S
         self._route(downstream_request, request, now, waited_s)
         if not downstream_request.has_ended:
@@ -353,6 +367,7 @@
 
     def request_ended(self, downstream_request: DownstreamRequest) -> None:
         """Release a request, count its answer and log it; called when none of its attempts is open."""
+        self._memory.add(-OPEN_REQUEST_BYTES)
         if downstream_request.body is not None:
             downstream_request.body.release()
         routed_request, downstream_request.routed_request = downstream_request.routed_request, None
--- a/wickhinge/net/runtime/memory_budget.py
+++ b/wickhinge/net/runtime/memory_budget.py
@@ -20,6 +20,8 @@
 MIN_CAPACITY_BYTES = 2 * BYTES_PER_MB
 # Share of the budget from which on holders take little at a time.
 LOW_SHARE = 0.6
+# Share of the budget that incomplete messages may take, so that there is memory left for the complete ones.
+PARTIAL_MESSAGE_SHARE = 0.3
 PROCESS_STATUS_FILE = "/proc/self/status"
 
 
@@ -90,6 +92,7 @@
         self.client_connections = self._open_account("client_connections")
         self.partial_messages = self._open_account("partial_messages")
         self.waiting_requests = self._open_account("waiting_requests")
+        self.open_requests = self._open_account("open_requests")
         self.unread_answers = self._open_account("unread_answers")
         self.bodies = self._open_account("bodies")
 
@@ -121,6 +124,17 @@
         """Return whether holders should take little at a time."""
         return self.held_bytes > LOW_SHARE * self.capacity_bytes
 
+    def has_room_for_partial_messages(self) -> bool:
+        """Return whether incomplete messages use at most half of their share, and memory is not low."""
+        return (
+            self.partial_messages.held_bytes <= 0.5 * PARTIAL_MESSAGE_SHARE * self.capacity_bytes and not self.is_low()
+        )
+
+    def are_partial_messages_too_large(self) -> bool:
+        """Return whether incomplete messages use more than their share, or all holders more than there is."""
+        is_over_share = self.partial_messages.held_bytes > PARTIAL_MESSAGE_SHARE * self.capacity_bytes
+        return is_over_share or self.is_exceeded()
+
     def is_exceeded(self) -> bool:
         """Return whether something has to be given back."""
         return self.held_bytes > self.capacity_bytes
