--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -132,6 +132,9 @@
     def client_disconnected(self, client: ClientConnection) -> None:
         """Forget a connection; called when it has ended."""
 
+    def log_lost(self, reason: str, open_requests: int, queued_requests: int) -> None:
+        """Log a connection that ended with requests on it, as far as the rate limit allows."""
+
     def count_fault(self, reason: str) -> None:
         """Count a protocol violation or stall of a client by its reason."""
 
@@ -175,6 +178,7 @@
         "is_throttled",
         "is_out_of_memory",
         "is_last_read",
+        "is_corked",
         "is_socket_polled",
     )
 
@@ -204,6 +208,7 @@
         self.current_read_bytes = INITIAL_READ_BYTES  # The limit of the read under way, or of the last one.
         self.is_throttled = False  # Whether the socket is read in turns, by FairReading.
         self.is_out_of_memory = False  # Whether nothing more is read until there is memory, by MemoryRelief.
+        self.is_corked = False  # Whether answers are kept back, to be written together.
         self.is_last_read = False  # Whether the socket is read to complete a message that is given up otherwise.
         self.is_socket_polled = False  # Whether the transport was asked to report when the socket takes more bytes.
 
@@ -325,13 +330,31 @@
             self.usage.message_count += len(messages)
             if len(messages) > 1:
                 self.check_open_limit(messages)
-            for message in messages:
-                self.handle_message(message)
+            self.handle_messages(messages)
             self.update_partial_bytes()
             self.clients.data_received(self, bool(messages))
         except msgpack.MalformedMessageError as error:
             self.fail(str(error))
 
+    def handle_messages(self, messages: list[Any]) -> None:
+        """Handle the messages of one read; the answers to all of them are written at once.
+
+        Raises:
+            msgpack.MalformedMessageError: A message is invalid; those before it are handled.
+        """
+        self.is_corked = True
+        try:
+            for message in messages:
+                self.handle_message(message)
+        finally:
+            self.uncork()
+
+    def uncork(self) -> None:
+        """Write what has been kept back to be written together."""
+        self.is_corked = False
+        if self.write_queue and not self.is_write_blocked and not self.has_ended:
+            self.write_to_socket()
+
     def update_partial_bytes(self) -> None:
         """Tell the memory budget how large the incomplete message is."""
         grown_bytes = len(self.decoder.incomplete) - self.partial_bytes
@@ -538,8 +561,10 @@
 
     def reject_queued(self, reason: str) -> None:
         """Reject all queued requests; reason: as the report counts it."""
+        self.is_corked = True
         for call_id in list(self.queued_requests):
             self.reject_queued_request(call_id, reason)
+        self.uncork()
 
     def reject_queued_request(self, call_id: int, reason: str) -> None:
         """Reject a request that has not begun; reason: as the report counts it."""
@@ -612,7 +637,7 @@
     def write(self, answer: bytes | ServedAnswer) -> None:
         """Append an answer to the write queue and write it if the client reads."""
         self.write_queue.append(answer)
-        if not self.is_write_blocked and not self.has_ended:
+        if not self.is_write_blocked and not self.has_ended and not self.is_corked:
             self.write_to_socket()
 
     def is_read_blocked(self) -> bool:
@@ -792,12 +817,7 @@
     def connection_ended(self, reason: str) -> None:
         """Log the lost requests and release the connection, whichever side ended it."""
         if (self.open_requests or self.queued_requests) and not self.has_ended:
-            self.clients.log(
-                "client_connection_lost",
-                reason=reason,
-                open_requests=len(self.open_requests),
-                queued_requests=len(self.queued_requests),
-            )
+            self.clients.log_lost(reason, len(self.open_requests), len(self.queued_requests))
         self.release(reason)
 
     def release(self, reason: str) -> None:
--- a/wickhinge/net/downstream/client_connections.py
+++ b/wickhinge/net/downstream/client_connections.py
@@ -16,6 +16,7 @@
 from wickhinge.net.downstream.request_table import RequestTable
 from wickhinge.net.runtime.deadlines import Deadlines
 from wickhinge.net.runtime.memory_budget import MemoryBudget
+from wickhinge.net.upstream.request_log import MAX_BURST_LINES, MAX_LINES_PER_S, RateLimit
 
 # Seconds that a client has from connecting to its first request, and from the first byte of a request to the last.
 MAX_REQUEST_WAIT_S = 2.2
@@ -32,8 +33,8 @@
 CLOSE_DELAY_S = 0.25
 # Seconds between two checks for queued requests that have waited for too long.
 WAITING_CHECK_INTERVAL_S = 0.05
-# Why a client is closed that sends faster than it can be read, as the report counts it.
-TOO_FAST_REASON = "sends too fast, for room"
+# Why a client is closed to make room that sends faster than it can be read, or that has sent invalid requests.
+TOO_FAST_REASON, ON_HOLD_REASON = "sends too fast, for room", "invalid requests, for room"
 # Connections that are checked in each table in search of one to close.
 MAX_CANDIDATES = 8
 
@@ -85,6 +86,8 @@
         self.idle_since: dict[ClientConnection, float] = {}
         self.is_shutting_down = self.is_paused = False
         self.queued_bytes = 0
+        self._lost_log_limit = RateLimit(MAX_LINES_PER_S, MAX_BURST_LINES)
+        self._unlogged_lost_count = 0
         self.fault_counts: dict[str, int] = {}
         self.close_counts: dict[str, int] = {}
 
@@ -119,9 +122,10 @@
     def close_longest_idle(self) -> bool:
         """Close one connection to free its descriptor.
 
-        Connections whose close was delayed go first, then those that have sent no request, then idle ones, then those
-        with an incomplete request; within a group the oldest goes first. A connection that is just established is kept,
-        since its request may be on the way. Clients that have long sent faster than they can be read go last.
+        Connections whose close was delayed go first, then those that wait because of an invalid request (their other
+        requests are rejected), then those that have sent no request, then idle ones, then those with an incomplete
+        request; within a group the oldest goes first. A connection that is just established is kept, since its request
+        may be on the way. Clients that have long sent faster than they can be read go last.
 
         Returns:
             Whether a connection was closed.
@@ -129,6 +133,8 @@
         if self.delayed_closes:
             self.close_delayed(next(iter(self.delayed_closes)))
             return True
+        if self.close_on_hold():
+            return True
         now = self.deadlines.now()
         for table, min_age_s in (
             (self.no_request_since, MIN_AGE_TO_CLOSE_S),
@@ -144,6 +150,16 @@
                 return True
         return self.memory_relief.close_oldest_blocked(MIN_AGE_TO_CLOSE_S) or self.close_heaviest()
 
+    def close_on_hold(self) -> bool:
+        """Close a connection on hold for an invalid request, with none open; return whether there was one."""
+        now = self.deadlines.now()
+        for client in islice(self.waiting, MAX_CANDIDATES):
+            if client.hold_until > now and not client.open_requests and not client.has_ended:
+                client.close_now(ON_HOLD_REASON)
+                self.close_counts[ON_HOLD_REASON] = self.close_counts.get(ON_HOLD_REASON, 0) + 1
+                return True
+        return False
+
     def close_heaviest(self) -> bool:
         """Close the client that keeps the event loop busiest, if there is one; return whether one was closed."""
         client: Any = self.fair_reading.heaviest_undrained()
@@ -255,6 +271,19 @@
         for table in (self.no_request_since, self.partial_message_since, self.idle_since):
             table.pop(client, None)
 
+    def log_lost(self, reason: str, open_requests: int, queued_requests: int) -> None:
+        """Log a connection that ended with requests on it, as far as the rate limit allows."""
+        if self._lost_log_limit.take(self.deadlines.now()):
+            self.log(
+                "client_connection_lost",
+                reason=reason,
+                open_requests=open_requests,
+                queued_requests=queued_requests,
+                unlogged=self._unlogged_lost_count,
+            )
+        else:
+            self._unlogged_lost_count += 1
+
     def count_fault(self, reason: str) -> None:
         """Count a client fault, and log the first one of its kind since the last report.
 
