--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -38,6 +38,7 @@
     return {
         "seed": seed,
         "crowd": plan.crowd,
+        "bad_crowd": plan.bad_crowd_kind,
         "routers": plan.routers,
         "requests": len(requests),
         "served": sum(any(answer.is_served for answer in request.answers) for request in requests),
@@ -150,6 +151,7 @@
         **{name: sum(result.get(name, 0) for result in results) for name in counts},
         "ends": dict(ends),
         "crowds": dict(Counter(str(result.get("crowd")) for result in results)),
+        "bad_crowds": dict(Counter(str(result.get("bad_crowd")) for result in results)),
         "shares": pooled_shares(judged_shares(results)),
         "max_lag_s": max(result.get("max_lag_s", 0.0) for result in results),
         "not_judged": [result["seed"] for result in results if not result.get("is_judged", True)],
--- a/bench/soak/crowds.py
+++ b/bench/soak/crowds.py
@@ -3,8 +3,8 @@
 python -m bench.soak.crowds PORT KIND CLIENTS SECONDS [CLASS]
 
 They run in a process of their own. Unlike those of `bad_clients`, they share one thread, so that there can be hundreds
-of them. Each reads what it is sent, and connects again as soon as its connection has ended. The last line of the output
-is a JSON object with the number of connections and of bytes that were sent.
+of them. Each reads what it is sent, but for the kinds of NOT_READING, and connects again as soon as its connection has
+ended. The last line of the output is a JSON object with the number of connections and of bytes that were sent.
 """
 
 from __future__ import annotations
@@ -29,6 +29,7 @@
 HEADS_INTERVAL_S = 0.1
 HEADS_AT_ONCE = 32  # PROTOCOL: a connection carries up to this many open requests.
 REQUESTS_PER_CONNECTION = 8
+PINGS_AT_ONCE = 500
 HELD_S = 0.05  # Long enough for its requests to begin.
 RECONNECT_AFTER_S = 0.01
 POLL_S = 0.002
@@ -102,11 +103,28 @@
     yield Piece(b"", CLOSE_S)
 
 
+def answers_not_read(request_class: str) -> Iterator[Piece]:
+    """Yield as many requests as a connection may carry, whose answers the client does not read."""
+    yield Piece(
+        b"".join(request(call_id, request_class, budget="3000") for call_id in range(1, HEADS_AT_ONCE + 1)), inf
+    )
+
+
+def pings_not_read(_request_class: str) -> Iterator[Piece]:
+    """Yield pings, whose answers the client does not read."""
+    pings = b"".join(msgpack.pack([0, call_id, "ping", [{}]]) for call_id in range(1, PINGS_AT_ONCE + 1))
+    while True:
+        yield Piece(pings, HEADS_INTERVAL_S)
+
+
 def silence(_request_class: str) -> Iterator[Piece]:
     """Yield nothing to send."""
     yield Piece(b"", inf)
 
 
+# Kinds whose clients read nothing of what they are sent.
+NOT_READING = frozenset(("answers_not_read", "pings_not_read"))
+
 KINDS = {
     kind.__name__: kind
     for kind in (
@@ -117,11 +135,25 @@
         unfinished_heads,
         new_connections,
         new_connections_held,
+        answers_not_read,
+        pings_not_read,
         silence,
     )
 }
 
 
+# Kinds none of whose requests can begin, so that no server may see one.
+KINDS_WITHOUT_ATTEMPTS = (
+    "whole_but_for_a_byte",
+    "half_a_body",
+    "byte_by_byte",
+    "heads_of_many_fields",
+    "unfinished_heads",
+    "pings_not_read",
+    "silence",
+)
+
+
 class CrowdClient:
     """One client of a crowd, which connects again when its connection has ended."""
 
@@ -207,13 +239,15 @@
         assert client.socket is not None
         self.connections += 1
         self._clients[client.socket.fileno()] = client
-        self._poller.register(client.socket.fileno(), select.EPOLLIN)
+        if self.kind.__name__ not in NOT_READING:
+            self._poller.register(client.socket.fileno(), select.EPOLLIN)
 
     def unregister(self, client: CrowdClient) -> None:
         """Read from a client no more."""
         assert client.socket is not None
         del self._clients[client.socket.fileno()]
-        self._poller.unregister(client.socket.fileno())
+        with suppress(FileNotFoundError):
+            self._poller.unregister(client.socket.fileno())
 
     def run(self, count: int, until: float) -> None:
         """Run so many clients until a time of the monotonic clock."""
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+import subprocess
+import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -11,6 +13,7 @@
 from twisted.internet import reactor
 
 from bench.faults.shim import Call, build
+from bench.fleet import ROOT
 from bench.soak.clients import SoakClient
 from bench.soak.disturbances import SERVICE_NAMES, Disturbances
 from bench.soak.lag import LagMonitor
@@ -33,6 +36,7 @@
 LATE_CONNECTION_TIMES_S = (0.0, 0.1, 0.2, 0.3, 0.38)  # PROTOCOL: new connections come for 0.2 to 0.4 s after SIGTERM.
 # The request on a late connection is non-idempotent and has a long budget, as an early exit harms those most.
 LATE_REQUEST_METHOD, LATE_REQUEST_BUDGET_MS = "results", 3000
+MAX_PLAY_END_S = 10.0  # Time by which a play may last longer than its load and its shutdown.
 ROUTER_SOCKET_LIMIT, IDLE_CLIENTS_SOCKET_LIMIT = 256, 128  # The second applies in plays with idle clients.
 
 
@@ -58,6 +62,7 @@
         ]
         self.clients: list[SoakClient] = []
         self.idle_clients: list[SoakClient] = []
+        self._bad_crowd: subprocess.Popen[bytes] | None = None
         self.disturbances = Disturbances(schedule, self.record, self.world, self.routers, self.settings, self.rng)
         self._sigterm_at = 0.0
 
@@ -68,6 +73,9 @@
         reactor.run(installSignalHandlers=False)
         for router in self.routers:
             router.kill()
+        if self._bad_crowd is not None:
+            self._bad_crowd.kill()
+            self._bad_crowd.wait()
         return self.record
 
     # Start of the stand-ins and routers, until all routers are ready.
@@ -167,12 +175,23 @@
                 self.clients.append(client)
         if schedule.crowd is Crowd.IDLE_CLIENTS:
             self._add_idle_clients()
+        if schedule.bad_crowd_kind:
+            self._start_bad_crowd()
         reactor.callLater(0.1, self._send_batches)
         for event in schedule.events:
             reactor.callLater(event.at, self.disturbances.act, event)
         reactor.callLater(schedule.load_s, self._end_load)
         reactor.callLater(PING_INTERVAL_S, self._ping_routers)
 
+    def _start_bad_crowd(self) -> None:
+        """Start the clients that are of no use, until after the end of the first router."""
+        schedule = self.schedule
+        seconds = schedule.load_s + schedule.shutdown_limit_s + MAX_PLAY_END_S
+        arguments = [self.routers[0].port, schedule.bad_crowd_kind, schedule.bad_crowd_clients, seconds, "pages"]
+        self._bad_crowd = subprocess.Popen(
+            [sys.executable, "-m", "bench.soak.crowds", *map(str, arguments)], cwd=ROOT, stdout=subprocess.DEVNULL
+        )
+
     def _add_idle_clients(self) -> None:
         """Connect as many idle clients as PROTOCOL allows connections of clients."""
         router = self.routers[0]
@@ -237,7 +256,8 @@
 
     def _client_count(self, router: SoakRouter) -> int:
         """Return the number of active and idle clients of a router."""
-        return sum(client.router == router.number for client in [*self.clients, *self.idle_clients])
+        bad_clients = self.schedule.bad_crowd_clients if router is self.routers[0] else 0
+        return bad_clients + sum(client.router == router.number for client in [*self.clients, *self.idle_clients])
 
     def _terminate(self) -> None:
         """Send SIGTERM to all routers, and schedule the late connections and the further signals."""
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from bench.soak.crowds import KINDS_WITHOUT_ATTEMPTS
+
 SERVERS = ("box", "box", "box", "box", "parent", "origin")
 LOAD_DURATION_RANGE_S = (4.0, 6.0)  # Bounds of the time from the first client to SIGTERM.
 BUDGETS_MS = (20, 50, 100, 250, 500, 1000, 1500, 3000)  # Budgets that a client draws for its requests.
@@ -14,6 +16,9 @@
 CROWD_SEED_INTERVAL = 5  # Each seed divisible by this plays with idle clients or many routers.
 # The shutdown has a generator of its own, seeded with this mask, so that its draws don't change a seed's other draws.
 SHUTDOWN_SEED_MASK = 0x5D0
+# Clients that hold memory or keep the router busy, beside the others of a play: how often, and how many.
+BAD_CROWD_SEED_MASK, BAD_CROWD_SHARE = 0xBAD, 0.3
+BAD_CROWD_SIZE_RANGE = (20, 60)
 # PROTOCOL: SIGKILL follows SIGTERM no sooner than after the longest deadline, 3 s, plus 0.7 s.
 EARLIEST_KILL_AFTER_SIGTERM_S = 3.0 + 0.7
 LAST_REQUEST_AFTER_SIGTERM_S = 0.6  # PROTOCOL: clients send requests on open connections until 0.6 s after SIGTERM.
@@ -99,6 +104,8 @@
     failing_calls: dict[str, float] = field(default_factory=dict)  # Failure probability by member name of shim.Call.
     end_signals: list[tuple[float, str]] = field(default_factory=list)  # Seconds after SIGTERM, and name of the signal.
     awaits_reload: bool = False  # SIGTERM waits until the newest reload has to be in force.
+    bad_crowd_kind: str = ""  # One of bench.soak.crowds.KINDS_WITHOUT_ATTEMPTS, through load and shutdown; "" for none.
+    bad_crowd_clients: int = 0
     # SIGKILL comes at the earliest allowed time; otherwise clients go on until then, and the router exits by itself.
     is_killed: bool = True
 
@@ -139,9 +146,18 @@
     )
     schedule.awaits_reload = rng.random() < 0.5
     schedule.misbehaviours += _draw_shutdown_hang(random.Random(seed ^ SHUTDOWN_SEED_MASK), schedule.load_s)
+    if crowd is Crowd.NONE:
+        _draw_bad_crowd(random.Random(seed ^ BAD_CROWD_SEED_MASK), schedule)
     return schedule
 
 
+def _draw_bad_crowd(rng: random.Random, schedule: Schedule) -> None:
+    """Draw for some of the seeds a crowd of clients that are of no use."""
+    if rng.random() < BAD_CROWD_SHARE:
+        schedule.bad_crowd_kind = rng.choice(KINDS_WITHOUT_ATTEMPTS)
+        schedule.bad_crowd_clients = rng.randint(*BAD_CROWD_SIZE_RANGE)
+
+
 def _draw_shutdown_hang(rng: random.Random, load_s: float) -> list[Misbehaviour]:
     """Draw for half of the seeds an origin that hangs on many requests from 0.5 s before SIGTERM on."""
     if rng.random() < 0.5:
--- a/tests/routing/test_decide.py
+++ b/tests/routing/test_decide.py
@@ -51,6 +51,14 @@
     assert list(counts.entries) == [1, 3]
 
 
+def test_counts_that_are_given_up_are_those_of_the_least_recently_requested_objects():
+    counts = ObjectCounts()
+    for key in (1, 2, 3, 1):
+        counts.record_request(key, 0, 0.0)
+    counts.forget_all_but(2)
+    assert list(counts.entries) == [3, 1]
+
+
 @pytest.mark.parametrize("part, frequency, rank", [(0, 1.0, 1), (2, 1.0, 1), (3, 50.0, 0), (0, 50.0, 2)])
 def test_retention_rank_when_the_part_is_below_the_count_depends_on_the_frequency(part, frequency, rank):
     counts, entry = ObjectCounts(), ObjectCount(5, 0.0)
--- a/wickhinge/net/control/router_process.py
+++ b/wickhinge/net/control/router_process.py
@@ -48,6 +48,10 @@
 MIN_CLIENT_SHARE = 0.6
 MAX_STALENESS_S = 0.15  # Longest time that discovery events may have been unread in the socket when an attempt begins.
 CLOCK_CHECK_INTERVAL_S = 0.5  # Interval between checks for a step of the wall clock.
+NAMES_CHECK_INTERVAL_S = 0.25  # Interval between checks of the memory for names of objects.
+OBJECT_COUNT_BYTES = 240  # Estimate of the memory that the count of one object takes.
+# Share of the memory budget that counts of objects may use while memory is low.
+NAMES_SHARE_IF_LOW = 0.1
 
 
 class ReloadContext(NamedTuple):
@@ -123,6 +127,7 @@
         self.reactor.stalls.log_to(self.log.event)
         self._clock_watch = WallClockWatch(wall_time(), monotonic())
         self._check_clock()
+        self._check_names()
         self.memory.start()
         budgeted_buffers = int(BUFFER_SHARE_OF_BUDGET * self.memory.capacity_bytes) // BUFFER_BYTES
         self.buffers.limit = min(self.buffers.limit, budgeted_buffers)
@@ -419,6 +424,14 @@
             self.endpoint_watch.resume_purges(number)
             self._purges_resumed = 0 < self.endpoint_watch.last_number <= number
 
+    def _check_names(self) -> None:
+        """Count the memory for names of objects, and forget those requested least recently while memory is low."""
+        counts, names = self.decisions.object_counts, self.memory.names
+        if self.memory.is_low():
+            counts.forget_all_but(int(NAMES_SHARE_IF_LOW * self.memory.capacity_bytes) // OBJECT_COUNT_BYTES)
+        names.add(len(counts.entries) * OBJECT_COUNT_BYTES - names.held_bytes)
+        self.deadlines.call_after(NAMES_CHECK_INTERVAL_S, self._check_names)
+
     def _check_clock(self) -> None:
         """Log a step of the wall clock; no decision depends on such steps."""
         step_s = self._clock_watch.detect_step(wall_time(), monotonic())
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -28,6 +28,8 @@
 
 # Requests that a client may have open on one connection; the protocol states this number to clients.
 MAX_OPEN_REQUESTS = 32
+# Requests that a client may have open while memory is low.
+MAX_OPEN_IF_MEMORY_IS_LOW = 4
 # Seconds for which a client may take no byte of an answer before its connection is given up.
 MAX_WRITE_STALL_S = 5.0
 # Seconds for which no request begins after an invalid request: the initial value is doubled with each further invalid
@@ -45,9 +47,7 @@
 MAX_SHORT_READ_AGE_S = 0.02
 # Bytes that one read returns at most. The limit of a connection is halved where handling a full read takes longer than
 # MAX_HANDLING_S, and doubled again where it takes much less.
-INITIAL_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES = 8192, 1024, 65536
-# Bytes that the read of a connection that is just accepted returns at most.
-ACCEPTED_READ_BYTES = 2048
+INITIAL_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES = 2048, 1024, 65536
 MAX_HANDLING_S = 0.001
 # Reads in a row of one socket: enough for as many requests as a client may have open. Past MAX_DRAIN_S they end after
 # MIN_READS_PER_CALL, with data left unread.
@@ -229,9 +229,7 @@
             pending_since: Earliest time at which the connection may have entered the backlog of the listener.
         """
         self.drained_until = pending_since
-        self.read_bytes_limit = ACCEPTED_READ_BYTES
         self.read_all_pending(pending_since)
-        self.read_bytes_limit = INITIAL_READ_BYTES
 
     def dataReceived(self, data: bytes) -> None:
         """Handle data and begin the requests in it; called by Twisted with what it read."""
@@ -504,7 +502,9 @@
             self.reject_invalid(call_id, UNKNOWN_CLASS_REASON)
             return
         size = request_bytes(params)
-        if (self.is_on_hold or self.is_throttled) and not self.may_wait(size):
+        has_others = bool(self.queued_requests or self.open_requests)
+        must_wait = self.is_on_hold or self.is_throttled
+        if must_wait and not self.may_wait(size) or has_others and self.clients.memory.is_exceeded():
             self.send_error(call_id, "Overloaded", {})
             self.clients.request_table.request_log.count_unserved("refused in a hold")
             return
@@ -542,7 +542,7 @@
         if not self.is_on_hold and not self.is_throttled:
             self.read_if_stale()
         while self.queued_requests and not self.is_on_hold and self.is_socket_drained:
-            if self.clients.memory.is_exceeded():
+            if not self.may_begin():
                 self.reject_queued("refused for memory")
                 return
             self.begin_oldest()
@@ -552,6 +552,13 @@
         if self.queued_requests:
             self.clients.requests_wait(self)
 
+    def may_begin(self) -> bool:
+        """Return whether there is memory for another open request; there is sooner for a client with fewer of them."""
+        memory, open_count = self.clients.memory, len(self.open_requests)
+        if open_count >= MAX_OPEN_IF_MEMORY_IS_LOW:
+            return not memory.is_low()
+        return not (memory.is_exceeded() if open_count else memory.is_exhausted())
+
     def reject_overdue(self) -> None:
         """Reject the queued requests that have waited for MAX_QUEUED_SHARE of their time."""
         now = self.clients.deadlines.now()
--- a/wickhinge/net/downstream/request_table.py
+++ b/wickhinge/net/downstream/request_table.py
@@ -24,15 +24,18 @@
 # Milliseconds of budget that a client may ask for, for each second of the timeout of the request class.
 MAX_BUDGET_MS_PER_S = 2000
 MAX_BODY_BYTES = 48_000
-# Request ids in each of the two sets that detect ids used twice.
-MAX_RIDS_PER_SET = 2048
+# Request ids in each of the two sets that detect ids used twice: at least the first number, and more up to the second
+# while the older ones may still be running.
+MIN_RIDS_PER_SET, MAX_RIDS_PER_SET = 2048, 8192
 MAX_GROUP_NUMBER = 255
 MAX_PART_NUMBER = 1 << 31
 # Seconds by which the recorded deadline of a request precedes its timeout. An attempt that may last past that deadline
 # gets no timer of its own, since it expires together with its request.
 DEADLINE_SLACK_S = 0.001
-# Estimate of the memory that an open request takes, with its attempts and its timers, without its body.
-OPEN_REQUEST_BYTES = 2500
+# Estimates of the memory that an open request takes, with its attempts, without its body, and that the timers of a
+# request take until its timeout, also after it has ended.
+OPEN_REQUEST_BYTES = 4500
+TIMERS_BYTES = 1200
 # Seconds after the timeout of a request at which a missing answer counts as a fault of the routing decisions.
 OVERDUE_AFTER_S = 0.01
 
@@ -243,10 +246,14 @@
         self.request_log = RequestLog(log)
         self.slots = Slots()
         self.decisions, self.local_copies = attempts.decisions, attempts.local_copies
-        # The latest request ids, in two sets that replace each other. A client uses a new id for each request, also
-        # when it repeats one.
-        self.recent_rids: set[str] = set()
-        self.older_rids: set[str] = set()
+        # The latest request ids, as numbers, in two sets that replace each other. A client uses a new id for each
+        # request, also when it repeats one.
+        self.recent_rids: set[int] = set()
+        self.older_rids: set[int] = set()
+        self._rids_replaced_at = deadlines.now()
+        self._longest_budget_s = max(
+            (request_class.timeout for request_class in request_classes.values()), default=0.0
+        ) * (MAX_BUDGET_MS_PER_S / 1000)
         self.started_count = 0
         self.answer_counts: dict[str, int] = {}
 
@@ -290,22 +297,30 @@
         downstream_request.deadline = now + request.timeout - DEADLINE_SLACK_S
         self._route(downstream_request, request, now, waited_s)
         if not downstream_request.has_ended:
+            self._memory.add(TIMERS_BYTES)
             self.deadlines.call_at(
                 now + request.timeout + OVERDUE_AFTER_S, self.expire_request, downstream_request.number
             )
         return downstream_request
 
     def _remember_rid(self, rid: str) -> None:
-        """Record a request id; at least the latest MAX_RIDS_PER_SET ids are known.
+        """Record a request id.
+
+        At least the latest MIN_RIDS_PER_SET ids are known, and of MAX_RIDS_PER_SET those whose requests may still run.
 
         Raises:
             InvalidRequestError: The id was used before.
         """
-        if rid in self.recent_rids or rid in self.older_rids:
+        number = int(rid, 16)
+        if number in self.recent_rids or number in self.older_rids:
             raise InvalidRequestError("field rid was used before")
-        self.recent_rids.add(rid)
-        if len(self.recent_rids) >= MAX_RIDS_PER_SET:
-            self.older_rids, self.recent_rids = self.recent_rids, set()
+        self.recent_rids.add(number)
+        if len(self.recent_rids) < MIN_RIDS_PER_SET:
+            return
+        now = self.deadlines.now()
+        is_old_enough = now - self._rids_replaced_at >= self._longest_budget_s
+        if is_old_enough or len(self.recent_rids) >= MAX_RIDS_PER_SET:
+            self.older_rids, self.recent_rids, self._rids_replaced_at = self.recent_rids, set(), now
 
     def _route(self, downstream_request: DownstreamRequest, request: Request, now: float, waited_s: float) -> None:
         """Route the request; an exception of the routing decisions ends this request and no other."""
@@ -323,6 +338,7 @@
 
     def expire_request(self, number: int) -> None:
         """Expire the open attempts of a request at its timeout, and end it if it has not been answered by then."""
+        self._memory.add(-TIMERS_BYTES)
         downstream_request = self.slots.get(number)
         for attempt_number in list(downstream_request.open_attempts.values()) if downstream_request is not None else ():
             self.attempts.expire(attempt_number)
@@ -372,9 +388,7 @@
             downstream_request.body.release()
         routed_request, downstream_request.routed_request = downstream_request.routed_request, None
         if routed_request is not None:
-            # The attempts refer to the routed request. This breaks the reference cycle, since the garbage collector is
-            # off.
-            routed_request.attempts.clear()
+            routed_request.release()
         self.answer_counts[downstream_request.answer] = self.answer_counts.get(downstream_request.answer, 0) + 1
         self.request_log.log_end(
             self.deadlines.now(),
--- a/wickhinge/net/runtime/memory_budget.py
+++ b/wickhinge/net/runtime/memory_budget.py
@@ -15,11 +15,13 @@
 
 BYTES_PER_MB = 1_000_000
 # Bytes kept free for what is held only within one turn of the event loop, such as the data of a read.
-TRANSIENT_BYTES = 700_000
+TRANSIENT_BYTES = BYTES_PER_MB
 # The budget of a process whose program takes nearly all of its limit; the router could serve nothing without any.
 MIN_CAPACITY_BYTES = 2 * BYTES_PER_MB
 # Share of the budget from which on holders take little at a time.
 LOW_SHARE = 0.6
+# What may be held of the budget once it is exceeded, for clients that hold nothing yet.
+EXHAUSTED_SHARE = 1.1
 # Share of the budget that incomplete messages may take, so that there is memory left for the complete ones.
 PARTIAL_MESSAGE_SHARE = 0.3
 PROCESS_STATUS_FILE = "/proc/self/status"
@@ -94,6 +96,7 @@
         self.waiting_requests = self._open_account("waiting_requests")
         self.open_requests = self._open_account("open_requests")
         self.unread_answers = self._open_account("unread_answers")
+        self.names = self._open_account("names")
         self.bodies = self._open_account("bodies")
 
     def _open_account(self, name: str) -> MemoryAccount:
@@ -139,6 +142,10 @@
         """Return whether something has to be given back."""
         return self.held_bytes > self.capacity_bytes
 
+    def is_exhausted(self) -> bool:
+        """Return whether nothing more may be held, not even for a client that holds nothing yet."""
+        return self.held_bytes > EXHAUSTED_SHARE * self.capacity_bytes
+
     def count_relief(self, what: str) -> None:
         """Count something that was given up because the budget was exceeded."""
         self.relief_count[what] = self.relief_count.get(what, 0) + 1
--- a/wickhinge/routing/object_counts.py
+++ b/wickhinge/routing/object_counts.py
@@ -93,6 +93,11 @@
         if len(self.entries) > self.max_objects or is_forgotten:
             del self.entries[oldest.key]
 
+    def forget_all_but(self, count: int) -> None:
+        """Forget the least recently requested objects until `count` are left."""
+        while len(self.entries) > count:
+            self.entries.popitem(last=False)
+
     def retention_rank(self, entry: ObjectCount, part: int, work: float) -> int:
         """Return the retention rank of a part's copy.
 
--- a/wickhinge/routing/routed_request.py
+++ b/wickhinge/routing/routed_request.py
@@ -497,6 +497,16 @@
         for attempt in self.pending_attempts() if self.router.capabilities.cancellation else ():
             self.transport.cancel(attempt)
 
+    def release(self) -> None:
+        """Drop what only an open request needs; called by the front once it and all its attempts have ended.
+
+        Timers keep an ended request until its timeout. The attempts refer to the request, and the garbage collector may
+        be off.
+        """
+        self.attempts.clear()
+        if self.is_finished:
+            del self.transport
+
     def give_up(self, now: float, reason: RejectionReason = RejectionReason.DEADLINE_EXCEEDED) -> None:
         """Answer at once: with a stale copy if allowed, else with Retry-After if a retry is harmless, else fail."""
         if self.is_finished or self.try_local_copy(now, is_last_resort=True):
