--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -443,6 +443,15 @@
     assert client.started[-1] == (2, round(client.now - read_at, 3)) and client.started[-1][1] >= 0.2
 
 
+def test_connection_whose_queued_requests_were_rejected_is_idle_and_may_be_closed_to_free_its_descriptor():
+    """It was in no table of connections that may be closed, and new clients waited until its client left."""
+    client = ClientHarness()
+    client.ask(9, method="bad")
+    client.ask(1, 2)
+    client.connection.reject_queued("refused in a hold")
+    assert client.written.count(b"Overloaded") == 2 and client.connection in client.clients.idle_since
+
+
 def test_queued_request_that_cannot_begin_is_rejected_at_half_of_its_time():
     """A request that waited in a hold had no deadline, and got no answer while others filled the buffers (review/2)."""
     client = ClientHarness()
--- a/tests/net/test_fair_reading.py
+++ b/tests/net/test_fair_reading.py
@@ -147,6 +147,16 @@
     assert world.fair_reading.heaviest_undrained() is None
 
 
+def test_client_that_has_used_much_is_read_before_its_requests_are_lost(world):
+    """Beside a crowd of light clients it was never their turn, and requests were answered after 0.6 s and more."""
+    usual = BusyClient(world)
+    usual.usage.add(world.time - 0.9, world.time)
+    for client in [usual] + [BusyClient(world) for _ in range(30)]:
+        world.fair_reading.throttle(client)
+    world.run(0.4)
+    assert usual.reads > 0
+
+
 @pytest.mark.parametrize("count", [1, 8, 300])
 def test_throttled_clients_together_get_their_share_and_each_an_equal_part(world, count):
     """A share for each client would not bound what hundreds of them use together."""
--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -7,8 +7,8 @@
 
 from tests.support.connections import make_buffer_pool
 from wickhinge.net.downstream import msgpack
-from wickhinge.net.downstream.client_connection import request_bytes
 from wickhinge.net.downstream.memory_relief import MIN_PARTIAL_AGE_S, MIN_WRITE_STALL_S, MemoryRelief
+from wickhinge.net.downstream.queued_request import request_bytes
 from wickhinge.net.downstream.write_queue import ServedAnswer, WriteQueue
 from wickhinge.net.runtime.buffers import BUFFER_BYTES, MAX_FREE_BUFFERS, Body, BufferPool
 from wickhinge.net.runtime.memory_budget import (
--- a/tests/net/test_start.py
+++ b/tests/net/test_start.py
@@ -43,6 +43,7 @@
                 ".loop_usage",
                 ".memory_relief",
                 ".msgpack",
+                ".queued_request",
                 ".request_table",
                 ".write_queue",
             ),
--- a/wickhinge/net/control/graceful_shutdown.py
+++ b/wickhinge/net/control/graceful_shutdown.py
@@ -142,7 +142,7 @@
         return bool(
             self._requests.open_count()
             or self._clients.has_unwritten_answers()
-            or self._clients.has_unread_requests(of_throttled=elapsed_s < self.give_up_after_s)
+            or self._clients.has_unread_requests(of_all=elapsed_s < self.give_up_after_s)
             or self._readiness.has_pending_connection()
         )
 
--- a/wickhinge/net/downstream/client_connection.py
+++ b/wickhinge/net/downstream/client_connection.py
@@ -19,6 +19,7 @@
 from wickhinge.net.downstream import msgpack
 from wickhinge.net.downstream.fair_reading import FairReading
 from wickhinge.net.downstream.loop_usage import ClientUsage, LoopUsage
+from wickhinge.net.downstream.queued_request import QueuedRequest, request_bytes
 from wickhinge.net.downstream.request_table import UNKNOWN_CLASS_REASON, InvalidRequestError, RequestTable
 from wickhinge.net.downstream.write_queue import ServedAnswer, WriteQueue
 from wickhinge.net.runtime.arrivals import Arrivals
@@ -56,53 +57,10 @@
 # Bytes of errors and answers to pings that may wait to be written before nothing more is read from their client; the
 # second value holds while memory is low.
 MAX_UNREAD_ANSWER_BYTES, MAX_UNREAD_ANSWER_BYTES_IF_LOW = 65536, 1024
+# Estimate of the memory that a connection takes without what it has sent.
+CONNECTION_BYTES = 3000
 # Bytes that one read returns at most while memory is low.
 LOW_MEMORY_READ_BYTES = 1024
-# Estimates of the memory that a connection takes without what it has sent, that a waiting request takes without its
-# fields and body, and that a field takes beside its characters.
-CONNECTION_BYTES = 3000
-WAITING_REQUEST_BYTES = 700
-FIELD_BYTES = 160
-# Share of its time that a request may wait in the queue, and the time of one that does not say it validly.
-MAX_QUEUED_SHARE = 0.5
-DEFAULT_TIMEOUT_S = 1.0
-
-
-class QueuedRequest:
-    """A request that was read and has not begun yet.
-
-    Attributes:
-        arrived_at: Earliest time at which the request may have arrived.
-        size: Bytes that count against the limits on queued requests.
-    """
-
-    __slots__ = ("method", "params", "arrived_at", "size")
-
-    def __init__(self, method: str, params: list[Any], arrived_at: float, size: int) -> None:
-        self.method, self.params, self.arrived_at, self.size = method, params, arrived_at, size
-
-    def timeout_s(self) -> float:
-        """Return the seconds that the client waits for the answer."""
-        budget_ms = self.params[0].get("budget")
-        if type(budget_ms) is str and budget_ms.isascii() and budget_ms.isdigit() and len(budget_ms) <= 12:
-            return int(budget_ms) / 1000
-        return DEFAULT_TIMEOUT_S
-
-
-def request_bytes(params: list[Any]) -> int:
-    """Return an estimate of the memory that the parameters of a waiting request take."""
-    size = WAITING_REQUEST_BYTES
-    for item in params:
-        if type(item) is bytes:
-            size += len(item)
-        elif type(item) is dict:
-            for name, value in item.items():
-                size += FIELD_BYTES
-                if type(name) is str:
-                    size += len(name)
-                if type(value) is str or type(value) is bytes:
-                    size += len(value)
-    return size
 
 
 class ConnectionOwner(Protocol):
@@ -176,6 +134,7 @@
         "read_bytes_limit",
         "current_read_bytes",
         "is_throttled",
+        "last_turn_at",
         "is_out_of_memory",
         "is_last_read",
         "is_corked",
@@ -207,6 +166,7 @@
         self.read_bytes_limit = INITIAL_READ_BYTES
         self.current_read_bytes = INITIAL_READ_BYTES  # The limit of the read under way, or of the last one.
         self.is_throttled = False  # Whether the socket is read in turns, by FairReading.
+        self.last_turn_at = 0.0
         self.is_out_of_memory = False  # Whether nothing more is read until there is memory, by MemoryRelief.
         self.is_corked = False  # Whether answers are kept back, to be written together.
         self.is_last_read = False  # Whether the socket is read to complete a message that is given up otherwise.
@@ -352,6 +312,7 @@
         self.is_corked = False
         if self.write_queue and not self.is_write_blocked and not self.has_ended:
             self.write_to_socket()
+        self.clients.update_idle(self)
 
     def update_partial_bytes(self) -> None:
         """Tell the memory budget how large the incomplete message is."""
@@ -563,7 +524,7 @@
         """Reject the queued requests that have waited for MAX_QUEUED_SHARE of their time."""
         now = self.clients.deadlines.now()
         for call_id, request in list(self.queued_requests.items()):
-            if now - request.arrived_at >= MAX_QUEUED_SHARE * request.timeout_s():
+            if request.is_overdue(now):
                 self.reject_queued_request(call_id, "waited too long to begin")
 
     def reject_queued(self, reason: str) -> None:
--- a/wickhinge/net/downstream/client_connections.py
+++ b/wickhinge/net/downstream/client_connections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import islice
 from typing import Any
 
@@ -35,6 +35,8 @@
 WAITING_CHECK_INTERVAL_S = 0.05
 # Why a client is closed to make room that sends faster than it can be read, or that has sent invalid requests.
 TOO_FAST_REASON, ON_HOLD_REASON = "sends too fast, for room", "invalid requests, for room"
+# Seconds for which throttled clients are read in one pass of the shutdown.
+FINAL_READ_S = 0.02
 # Connections that are checked in each table in search of one to close.
 MAX_CANDIDATES = 8
 
@@ -354,26 +356,39 @@
             client.reject_queued("connection ended before it began")  # Those that unread data keeps from beginning.
 
     def read_all_pending(self) -> None:
-        """Read the socket of each connection to its end, except those of throttled clients, which are read in turns."""
-        for client in [client for client in self.connections if not client.is_throttled]:
+        """Read the socket of each connection to its end, as far as there is time for those of throttled clients."""
+        for client in self._lightest_first():
             client.read_all_pending(client.earliest_unread_arrival())
 
+    def _lightest_first(self) -> Iterator[ClientConnection]:
+        """Yield all clients that are not throttled, then the throttled ones, the lightest first, for FINAL_READ_S."""
+        throttled = [client for client in self.connections if client.is_throttled]
+        yield from [client for client in self.connections if not client.is_throttled]
+        now = self.deadlines.now()
+        for client in sorted(throttled, key=lambda client: client.usage.recent_at(now)):
+            if self.deadlines.now() - now > FINAL_READ_S:
+                return
+            yield client
+
     def close_all_idle(self) -> bool:
         """Close the idle connections, each right after reading its socket.
 
         Returns:
-            Whether no connection is left but those of throttled clients, which never stop sending.
+            Whether no connection is left but those of clients that never stop sending.
         """
-        for client in list(self.connections):
+        for client in self._lightest_first():
             client.read_all_pending(client.earliest_unread_arrival())
+            if client.is_throttled and not client.has_ended:
+                client.update_hold()
+                client.reject_queued("connection ended before it began")
             if not client.has_ended and client.is_idle():
                 client.close_unless_unread("the router ends")
-        return all(client.is_throttled for client in self.connections)
+        return all(client.has_more_unread() for client in self.connections)
 
-    def has_unread_requests(self, *, of_throttled: bool) -> bool:
-        """Return whether a request of any client is queued or unread; of_throttled: also of throttled clients."""
+    def has_unread_requests(self, *, of_all: bool) -> bool:
+        """Return whether a request of any client is queued or unread; of_all: also of those that never stop sending."""
         return any(
-            client.has_unread_requests() for client in self.connections if of_throttled or not client.is_throttled
+            client.has_unread_requests() for client in self.connections if of_all or not client.has_more_unread()
         )
 
     def has_unwritten_answers(self) -> bool:
--- a/wickhinge/net/downstream/fair_reading.py
+++ b/wickhinge/net/downstream/fair_reading.py
@@ -3,9 +3,9 @@
 The event loop handles what the sockets hold in the order in which it arrived. A client that sends faster than its
 messages can be handled would thus get all of the time, and the answers of servers, the deadlines and all other clients
 would wait for it. Such a client is throttled: the event loop no longer watches its socket, and a timer reads a little
-from each throttled client in turn, at first from the one that has used the least time. Between two turns the event loop
-handles other events. After some time the turns also pause, so that throttled clients together get half of the time at
-most, however many there are.
+from each throttled client in turn, at first from the one that has used the least time, but from none too late. Between
+two turns the event loop handles other events. After some time the turns also pause, so that throttled clients together
+get half of the time at most, however many there are.
 
 A throttled client that has left is told from one that sends on without reading what it sent before: otherwise its
 connection would hold a descriptor for as long as that takes.
@@ -41,6 +41,8 @@
 HANG_UP_CHECK_INTERVAL_S = 0.02
 # Seconds after which a throttled client that was not read to its end meanwhile may be closed to free its descriptor.
 MAX_UNDRAINED_S = 1.0
+# Seconds after which a throttled client is read before lighter ones: a request that stays unread is answered too late.
+MAX_WAIT_FOR_TURN_S = 0.15
 # Clients that are read in one turn at most.
 MAX_READS_PER_TURN = 32
 
@@ -51,6 +53,7 @@
     usage: ClientUsage
     has_ended: bool
     is_throttled: bool  # Set here.
+    last_turn_at: float  # Time at which it was throttled, or read in a turn; set here.
     is_socket_drained: bool
     drained_until: float
     open_requests: dict[int, Any]
@@ -98,6 +101,7 @@
     def throttle(self, client: ThrottledClient) -> None:
         """Read from a client in turns from now on."""
         client.is_throttled = True
+        client.last_turn_at = self._deadlines.now()
         self.throttled.add(client)
         self.throttled_count += 1
         client.transport.pauseProducing()
@@ -144,9 +148,7 @@
             self._hang_ups_checked_at = began_at
             for client in self._hang_ups.closed_by_peer():
                 client.hung_up()
-        order = nsmallest(
-            MAX_READS_PER_TURN, self.throttled, key=lambda client: (client.usage.recent_at(began_at), id(client))
-        )
+        order = nsmallest(MAX_READS_PER_TURN, self.throttled, key=lambda client: self._rank(client, began_at))
         try:
             for client in order:
                 self._read(client)
@@ -157,6 +159,12 @@
             if self.throttled:
                 self._set_turn(pause_s)
 
+    @staticmethod
+    def _rank(client: ThrottledClient, now: float) -> tuple[bool, float, int]:
+        """Return where a client stands in the order of a turn; the smallest rank is read first."""
+        has_waited = now - client.last_turn_at > MAX_WAIT_FOR_TURN_S
+        return not has_waited, client.last_turn_at if has_waited else client.usage.recent_at(now), id(client)
+
     def _pause_after(self, began_at: float, ended_at: float) -> float:
         """Return the seconds until the next turn, and count the turn that has ended."""
         leaked_s = MAX_TURN_SHARE * (ended_at - self._excess_at)
@@ -169,6 +177,7 @@
     def _read(self, client: ThrottledClient) -> None:
         if client.is_read_blocked():
             return
+        client.last_turn_at = self._deadlines.now()
         client.read_turn()
         now = self._deadlines.now()
         if client.has_ended or client.is_socket_drained and client.usage.recent_at(now) < THROTTLE_ABOVE_S:
