--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -374,7 +374,9 @@
         is_throttled = False
 
         earliest_unread_arrival = is_idle = lambda self: True
-        has_more_unread = lambda self: False  # noqa: E731
+
+        def has_more_unread(self):
+            return False
 
     for name, table, since in (("silent", clients.no_request_since, silent), ("idle", clients.idle_since, idle)):
         if since is not None:
