--- a/tests/net/test_fair_reading.py
+++ b/tests/net/test_fair_reading.py
@@ -7,6 +7,7 @@
 
 from wickhinge.net.downstream.fair_reading import (
     BUSY_AFTER_S,
+    MAX_READS_PER_TURN,
     MAX_TURN_BURST_S,
     MAX_TURN_SHARE,
     MAX_UNDRAINED_S,
@@ -162,6 +163,20 @@
     assert not client.is_throttled
 
 
+def test_clients_that_may_not_be_read_take_no_turn_from_the_others(world):
+    """They had waited for longest, or used least, and filled each turn, so that others were read too late or never."""
+    usual = BusyClient(world)
+    usual.usage.add(world.time - 0.9, world.time)
+    blocked = [BusyClient(world) for _ in range(2 * MAX_READS_PER_TURN)]
+    for client in blocked:
+        client.is_blocked = True
+        world.fair_reading.throttle(client)
+    world.run(0.3)
+    world.fair_reading.throttle(usual)
+    world.run(0.3)
+    assert usual.reads > 0
+
+
 def test_client_that_has_used_much_is_read_before_its_requests_are_lost(world):
     """Beside a crowd of light clients it was never their turn, and requests were answered after 0.6 s and more."""
     usual = BusyClient(world)
--- a/wickhinge/net/downstream/fair_reading.py
+++ b/wickhinge/net/downstream/fair_reading.py
@@ -148,7 +148,8 @@
             self._hang_ups_checked_at = began_at
             for client in self._hang_ups.closed_by_peer():
                 client.hung_up()
-        order = nsmallest(MAX_READS_PER_TURN, self.throttled, key=lambda client: self._rank(client, began_at))
+        readable = [client for client in self.throttled if not client.is_read_blocked()]
+        order = nsmallest(MAX_READS_PER_TURN, readable, key=lambda client: self._rank(client, began_at))
         has_read = False
         try:
             for client in order:
