--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -599,3 +599,30 @@
         assert request_table.answer_counts == {"denied": 1} and references[0]() is None
     finally:
         gc.enable()
+
+
+def test_pass_of_the_shutdown_reads_throttled_clients_that_were_drained_before_those_that_flood():
+    """Usual clients, which use more than a flooding one that is read little, were not reached, and got no answers."""
+    now, reads = [100.0], []
+    clock = SimpleNamespace(now=lambda: now[0], waiting_ms=dict, arrivals=Arrivals(0.0))
+    clients = ClientConnections(None, clock, 99, lambda *_, **more: None, MemoryBudget(BYTES_PER_MB))
+
+    def make_client(name, recent_s, is_drained):
+        def read(_arrival):
+            reads.append(name)
+            now[0] += 0.01
+
+        usage = SimpleNamespace(recent_at=lambda _now: recent_s)
+        return SimpleNamespace(
+            usage=usage,
+            is_throttled=True,
+            is_socket_drained=is_drained,
+            read_all_pending=read,
+            earliest_unread_arrival=lambda: 0.0,
+        )
+
+    flooding = [make_client("flooding", 0.01, False) for _ in range(30)]
+    usual = [make_client("usual", 0.05, True)]
+    clients.connections = [*flooding, *usual]
+    clients.read_all_pending()
+    assert reads[0] == "usual" and len(reads) < len(clients.connections)
--- a/wickhinge/net/downstream/client_connections.py
+++ b/wickhinge/net/downstream/client_connections.py
@@ -361,11 +361,15 @@
             client.read_all_pending(client.earliest_unread_arrival())
 
     def _lightest_first(self) -> Iterator[ClientConnection]:
-        """Yield all clients that are not throttled, then the throttled ones, the lightest first, for FINAL_READ_S."""
+        """Yield all clients that are not throttled, then the throttled ones for FINAL_READ_S.
+
+        Of these, clients that were read to their end last time come before those that send faster than they are read,
+        whose usage may be less because they were read less; then the lightest come first.
+        """
         throttled = [client for client in self.connections if client.is_throttled]
         yield from [client for client in self.connections if not client.is_throttled]
         now = self.deadlines.now()
-        for client in sorted(throttled, key=lambda client: client.usage.recent_at(now)):
+        for client in sorted(throttled, key=lambda client: (not client.is_socket_drained, client.usage.recent_at(now))):
             if self.deadlines.now() - now > FINAL_READ_S:
                 return
             yield client
