--- a/tests/changelog/test_router_on_processes.py
+++ b/tests/changelog/test_router_on_processes.py
@@ -89,6 +89,7 @@
 
 def test_router_when_it_was_suspended_is_not_informed_by_unread_datagrams(fleet):
     """Datagrams that arrived while the router was suspended echo old tokens, so they cannot make it informed."""
+    eventually(lambda: fleet.next_request_max_age_s(0xC4) is None)  # Only an informed router can become uninformed.
     child = fleet.router_harness.router.child
     child.send_signal(signal.SIGSTOP)
     os.waitid(os.P_PID, child.pid, os.WSTOPPED | os.WNOWAIT)
