--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -560,7 +560,11 @@
         child = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", f"exec {PYTHON} -m wickhinge {arguments}", cwd=ROOT, stdin=-3, stdout=-1, stderr=-2
         )
-        output, _ = await child.communicate()
+        try:
+            output, _ = await child.communicate()
+        finally:
+            if child.returncode is None:
+                child.kill()
         text = " / ".join(output.decode().split("\n")).strip(" /")
         self.record.add(f"operator: {arguments.partition(' --options')[0]} -> exit {child.returncode}: {text[:400]}")
         return child.returncode or 0, text
@@ -661,14 +665,22 @@
     return f"[{entries}]", addresses
 
 
+async def _until_ended(playing: Coroutine[Any, Any, list[str]], within_s: float) -> list[str]:
+    """Run a case within a time limit; SIGTERM and SIGINT end it, with the programs that it started."""
+    task = asyncio.create_task(playing)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, within_s)
+
+
 def run_case(folder: Path, case: Callable[[Record, bool], Coroutine[Any, Any, list[str]]]) -> int:
     """Run a case and return its exit code; `case` gets the record and whether there is trouble, and returns breaks."""
     record = Record()
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"the case runs {'with' if with_trouble else 'without'} the disruption")
     try:
-        breaks = asyncio.run(asyncio.wait_for(case(record, with_trouble), 115.0))
-    except (CaseError, OSError, TimeoutError) as error:
+        breaks = asyncio.run(_until_ended(case(record, with_trouble), 115.0))
+    except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as error:
         record.add(f"not run: {type(error).__name__}: {error}")
         record.write(folder / "record.txt")
         print(record.lines[-1])
