The review's client opens one connection where several requests wait for it

Cause: requests that found no connection at the same time opened one each, and the answers on all but one were not read. Change: the stand-in client connects under a lock. The cases ask one after another and were not concerned.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -454,6 +454,7 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._task: asyncio.Task[None] | None = None
+        self._connecting = asyncio.Lock()
 
     async def connect(self) -> None:
         """Connect to the router."""
@@ -481,9 +482,11 @@
 
     async def call(self, method: str, fields: dict[str, str], body: bytes, wait_s: float) -> Any:
         """Send a request and return the message that answers it; None where the connection ends, "" for no answer."""
+        async with self._connecting:
+            if self._writer is None:
+                await self.connect()
         if self._writer is None:
-            await self.connect()
-        assert self._writer is not None
+            return None
         number = next(self._numbers)
         waiter: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._waiting[number] = waiter
