An instance that ends in a batch of the simulator takes its actions with it

Cause: RouterHost had one list of encoded actions for the whole batch. Kill and PowerOn dropped the instance, but not what it had already put into that list: attempts, refusals, timers whose numbers begin at 1 again in the next instance, errors. A start took the place of the running instance before its settings were checked, so a refused one ended it and left its actions in the reply.

Change: each instance owns an outbox; the reply is merged, in the order of the messages, from the outboxes of the instances that run at the end of the batch. What an ended instance requested is referred to by nothing, so no action is looked for and removed. Errors of refused starts belong to the router and end with its next Kill; a refused start leaves a running instance as it is. MalformedError no longer has the router's number, which only this adapter used.

--- a/tests/wirehost/test_wirehost.py
+++ b/tests/wirehost/test_wirehost.py
@@ -5,59 +5,13 @@
 
 import pytest
 
+from tests.support.simulator_day import SETTINGS, list_entry
 from wickhinge.fields import MalformedError
 from wickhinge.wirehost.host import HostedRouter, run
 
-CLASS = {"name": "t", "effect": "pure", "onTimeMs": 600, "aimStretch": 1.6, "hardLimitMs": 5000, "importance": 2}
-CONF = {
-    "classes": [CLASS],
-    "zones": ["here"],
-    "shapes": ["box", "parent", "origin"],
-    "locality": "here",
-    "weights": "nominal",
-    "discovery": "push",
-    "unheard": {},
-    "rules": {"fallMultiple": 4, "fallMs": 1000, "coldFrom": 0.2, "coldMs": 10000},
-    "limits": {
-        "retryAfter": True,
-        "maxRetryAfterMs": 500,
-        "mostTries": 6,
-        "mayDuplicate": True,
-        "cancel": True,
-        "probes": True,
-    },
-    "stats": {"how": "on_probe"},
-    "familyInfo": {
-        "maxAgeMs": [0],
-        "staleForMs": [0],
-        "worthWhenOld": [0.7],
-        "multiPart": [True],
-        "passOn": [False],
-        "attachedTo": [0],
-        "zoneBalancers": [1],
-        "upperFallMultiple": 2,
-        "parentFloor": 0.1,
-        "parentWarmsInMs": 9000,
-        "shieldKind": 1,
-        "sourceKind": 2,
-        "goneEverywhereMs": 6000,
-        "joins": False,
-        "passThroughOk": True,
-        "oneFlowKbPerS": 1000,
-    },
-}
-CACHE_ENTRY = {
-    "cache": 7,
-    "campus": "here",
-    "familyType": "box",
-    "cluster": 0,
-    "availability": "U",
-    "share": 9,
-    "readyAtMs": None,
-}
 START_MESSAGES = [
-    ("PowerOn", {"router": 0, "initSeed": 1, "conf": CONF}),
-    ("Announce", {"router": 0, "kind": "warm_copy", "serial": 1, "hosts": [CACHE_ENTRY]}),
+    ("PowerOn", {"router": 0, "initSeed": 1, "conf": SETTINGS}),
+    ("Announce", {"router": 0, "kind": "warm_copy", "serial": 1, "hosts": [list_entry(7)]}),
 ]
 REQUEST_MESSAGE = (
     "Inbound",
@@ -136,7 +90,7 @@
     "section, key", [(None, "locality"), ("rules", "fallMultiple"), ("limits", "mostTries"), ("familyInfo", "joins")]
 )
 def test_start_with_a_missing_setting_is_answered_with_the_name_of_the_setting(section, key):
-    conf = json.loads(json.dumps(CONF))
+    conf = json.loads(json.dumps(SETTINGS))
     del (conf[section] if section else conf)[key]
     replies = run_batches([("PowerOn", {"router": 0, "initSeed": 1, "conf": conf})])
     assert any(key in reply["Broken"]["line"] for reply in replies if "Broken" in reply)
--- a/wickhinge/fields.py
+++ b/wickhinge/fields.py
@@ -10,15 +10,7 @@
 
 
 class MalformedError(Exception):
-    """Input that is malformed. The error message names the message and the field.
-
-    Attributes:
-        router: Number of the router that the message was addressed to; None if it gave none.
-    """
-
-    def __init__(self, error: str, router: int | None = None) -> None:
-        super().__init__(error)
-        self.router = router
+    """Input that is malformed. The error message names the message and the field."""
 
 
 class UnreadableFileError(MalformedError):
@@ -127,5 +119,4 @@
 def field_error(name: str, fields: dict[str, Any], field: str, expected: str) -> MalformedError:
     """Return the error for a field that is missing or is not of the expected type."""
     fault = "is missing" if fields.get(field) is None else f"is not {expected}"
-    router = fields.get("router")
-    return MalformedError(f"{name}: field {field} {fault}", router if type(router) is int else None)
+    return MalformedError(f"{name}: field {field} {fault}")
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -1,326 +1,102 @@
 """Runs many routers that share nothing in one process.
 
-Each message of the simulator becomes a call of a router, and each operation that a router requests becomes an action
-message. The names of messages and fields are those of the simulator's protocol.
+Messages are passed to the instance of the router that they name. The reply to a batch is merged from the actions of the
+instances that run at its end.
 """
 
 from __future__ import annotations
 
-from base64 import b64encode
-from collections.abc import Callable
+from itertools import count
 from typing import Any, BinaryIO
 
 from wickhinge import fields as checks
 from wickhinge.fields import MalformedError
-from wickhinge.interface import AttemptParameters, CacheStatus, Completion, Endpoint, Outcome, RejectionReason, Request
-from wickhinge.routing.attempt import Attempt
-from wickhinge.routing.routed_request import RoutedRequest
-from wickhinge.settings import build_router
 from wickhinge.wirehost import codec
-
-# Outcomes by their code on the wire.
-OUTCOME_BY_CODE = {
-    10: Outcome.SUCCEEDED,
-    20: Outcome.ERROR,
-    30: Outcome.OVERLOADED,
-    40: Outcome.TIMED_OUT,
-    50: Outcome.CONNECT_FAILED,
-    60: Outcome.CONNECTION_LOST,
-    70: Outcome.CANCELLED,
-    80: Outcome.SUPERSEDED,
-    90: Outcome.MISS,
-}
-# States of a server by their code on the wire.
-STATE_BY_CODE = {"U": "ready", "L": "draining", "D": "gone"}
-# Kinds of endpoint lists, and whether a list of the kind names every server.
-LIST_IS_COMPLETE = {"incr": False, "total": True, "warm_copy": True}
-CACHE_STATUS_BY_CODE = {status.value: status for status in CacheStatus}
-
-
-class WireRequest:
-    """The RequestTransport of one request.
-
-    Attributes:
-        host: The router that the request was sent to.
-        ref: The request's reference on the wire.
-        attempts: The request's attempts; the index of an attempt is its number on the wire.
-        routed: The request as the router has it.
-    """
-
-    __slots__ = ("host", "ref", "attempts", "routed")
-
-    def __init__(self, host: HostedRouter, ref: str) -> None:
-        self.host, self.ref = host, ref
-        self.attempts: list[Attempt] = []
-        self.routed: RoutedRequest | None = None
-
-    def forward(self, parameters: AttemptParameters) -> None:
-        """Send an attempt to a server."""
-        self.attempts.append(parameters.attempt)
-        fields = {"ref": self.ref, "cache": parameters.server.id, "tryForMs": parameters.timeout * 1000.0}
-        if parameters.source is None:
-            self.host.add_action("Try", fields)
-            return
-        options = parameters.collapse | parameters.only_if_cached << 1 | parameters.revalidate << 3
-        fields |= {"source": parameters.source.id, "admit": parameters.retention_rank, "opts": options}
-        if parameters.max_age is not None:
-            fields["howOldMs"] = parameters.max_age * 1000.0
-        self.host.add_action("PullVia", fields)
-
-    def cancel(self, attempt: Any) -> None:
-        """Cancel a pending attempt."""
-        self.host.add_action("Abandon", {"ref": self.ref, "sendNo": self.attempts.index(attempt)})
-
-    def reject(self, retry_after: float, reason: RejectionReason) -> None:
-        """Answer that the request was rejected and that a retry is harmless."""
-        self.host.add_action("Refuse", {"ref": self.ref, "waitMs": retry_after * 1000.0})
-        self.close()
-
-    def fail(self, reason: RejectionReason) -> None:
-        """Answer that the request failed, without a promise about a retry."""
-        self.host.add_action("DropRequest", {"ref": self.ref})
-        self.close()
-
-    def close(self) -> None:
-        """Forget the request after its end, unless an attempt is pending whose end will refer to it."""
-        if not any(attempt.is_pending for attempt in self.attempts):
-            self.host.requests.pop(self.ref, None)
-
-
-class HostedRouter:
-    """One router, which is the Environment of its own decisions, and what its references on the wire mean.
-
-    Attributes:
-        number: The router's number on the wire.
-        replies: Encoded actions, which are sent at the end of the batch.
-        requests: Requests in progress, by their reference.
-        timers: Calls that the simulator has been asked to trigger, by the number of their timer.
-        last_timer: Number of the newest timer.
-        router: The router; None until its settings have arrived.
-        request_classes: The request classes of the settings, by name.
-    """
-
-    def __init__(self, number: int, replies: list[bytes]) -> None:
-        self.number, self.replies = number, replies
-        self.requests: dict[str, WireRequest] = {}
-        self.timers: dict[int, Callable[[float], None]] = {}
-        self.last_timer = 0
-        self.router: Any = None
-        self.request_classes: dict[str, Any] = {}
-
-    def add_action(self, name: str, fields: dict[str, Any]) -> None:
-        """Add an action to the batch's replies."""
-        fields["router"] = self.number
-        self.replies.append(codec.encode(name, fields))
-
-    # Methods of Environment.
-
-    def call_later(self, delay: float, call: Callable[[float], None]) -> None:
-        """Ask the simulator for a call after a delay."""
-        self.last_timer += 1
-        self.timers[self.last_timer] = call
-        self.add_action("WakeMe", {"delayMs": max(delay, 0.0) * 1000.0, "handle": self.last_timer})
-
-    def check_health(self, server: Any) -> None:
-        """Ask the simulator to check the health of a server."""
-        self.add_action("Poll", {"cache": server.id})
-
-    def watch_endpoints(self) -> None:
-        """Subscribe to the endpoint list."""
-        self.add_action("Follow", {"want": True})
-
-    def fetch_endpoints(self) -> None:
-        """Ask for the whole endpoint list."""
-        self.add_action("ReadList", {})
-
-    def close_idle(self, server: Any) -> None:
-        """Close idle connections to a server."""
-        self.add_action("HangUp", {"cache": server.id})
-
-    def gossip(self, recipient: int, content: bytes) -> None:
-        """Send a message to another router, or to all routers."""
-        self.add_action("Say", {"to": recipient, "content": b64encode(content).decode()})
-
-    def log_line(self, text: str) -> None:
-        """Write a line to the simulator's log."""
-        self.add_action("NoteDown", {"line": text})
-
-    # Handlers of messages, named after their messages.
-
-    def handle_power_on(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Build the router from the settings in the message, and start it."""
-        seed, conf = checks.integer(name, fields, "initSeed"), checks.mapping(name, fields, "conf")
-        self.router, self.request_classes = build_router(conf, seed, self)
-        self.router.start()
-
-    def handle_announce(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Apply an endpoint list, or handle the loss of the subscription to it."""
-        kind = checks.choice(name, fields, "kind", ("lost", *LIST_IS_COMPLETE))
-        if kind == "lost":
-            self.router.watch_lost()
-            return
-        endpoints = []
-        for entry in checks.mappings(name, fields, "hosts"):
-            endpoints.append(
-                Endpoint(
-                    checks.integer(name, entry, "cache"),
-                    checks.text(name, entry, "campus"),
-                    checks.text(name, entry, "familyType"),
-                    checks.integer(name, entry, "cluster", 0),
-                    STATE_BY_CODE[checks.choice(name, entry, "availability", STATE_BY_CODE)],
-                    checks.number(name, entry, "share", 1.0),
-                    checks.seconds(name, entry, "readyAtMs", 0.0) or None,
-                )
-            )
-        self.router.endpoints.update(endpoints, now, complete=LIST_IS_COMPLETE[kind])
-
-    def handle_inbound(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Route a new request."""
-        request_class = self.request_classes.get(checks.text(name, fields, "kind"))
-        if request_class is None:
-            raise MalformedError(f"{name}: field kind names no class of the settings", self.number)
-        wire_request = self.requests[checks.text(name, fields, "ref")] = WireRequest(self, fields["ref"])
-        content = fields.get("contentId")
-        request = Request(
-            0 if content is None else checks.hexadecimal(name, fields, "contentId"),
-            checks.integer(name, fields, "chunk", 0),
-            checks.integer(name, fields, "batchId", 0),
-            checks.number(name, fields, "lengthKb", 0.0),
-            checks.seconds(name, fields, "expiresInMs"),
-            checks.boolean(name, fields, "repeat", False),
-        )
-        wire_request.routed = self.router.route(wire_request, request_class, request, now)
-
-    def handle_resolved(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Handle the end of an attempt."""
-        attempt, outcome = self.find_attempt(name, fields), self.read_outcome(name, fields)
-        duration, is_answered = checks.seconds(name, fields, "timeTakenMs"), checks.boolean(name, fields, "doneFlag")
-        if attempt is None:
-            return
-        status = CACHE_STATUS_BY_CODE.get(checks.integer(name, fields, "detail", 0))
-        load = None if fields.get("report") is None else checks.mapping(name, fields, "report")
-        attempt.request.attempt_ended(attempt, Completion(outcome, duration, is_answered, status, load), now)
-        if attempt.request.is_finished:
-            attempt.request.transport.close()
-
-    def handle_ack_first(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Handle the first bytes of an attempt's answer."""
-        attempt = self.find_attempt(name, fields)
-        if attempt is not None:
-            attempt.request.answer_began(attempt, now)
-
-    def find_attempt(self, name: str, fields: dict[str, Any]) -> Any:
-        """Return the attempt that the message refers to; None if its request has been forgotten."""
-        request = self.requests.get(checks.text(name, fields, "ref"))
-        number = checks.integer(name, fields, "sendNo")
-        return request.attempts[number] if request is not None and 0 <= number < len(request.attempts) else None
-
-    def read_outcome(self, name: str, fields: dict[str, Any]) -> Outcome:
-        """Return the outcome that the message contains."""
-        code = checks.integer(name, fields, "disposition")
-        if code not in OUTCOME_BY_CODE:
-            raise MalformedError(f"{name}: field disposition holds an unknown code", self.number)
-        return OUTCOME_BY_CODE[code]
-
-    def handle_gone(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Handle the disconnection of a client."""
-        request = self.requests.get(checks.text(name, fields, "ref"))
-        if request is not None and request.routed is not None:
-            request.routed.finish()
-            request.close()
-
-    def handle_check_result(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Handle the result of a health check."""
-        server = self.router.endpoints.servers.get(checks.integer(name, fields, "cache"))
-        outcome = self.read_outcome(name, fields)
-        load = {} if fields.get("report") is None else checks.mapping(name, fields, "report")
-        if server is not None:
-            self.router.health_checked(server, outcome, load, now)
-
-    def handle_expired_now(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Record a purge."""
-        key = None if fields.get("contentId") is None else checks.hexadecimal(name, fields, "contentId")
-        created = now - checks.seconds(name, fields, "howOldMs")
-        self.router.purges.record_purge(key, checks.integer(name, fields, "setNo", 0), created, now)
-
-    def handle_ring(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Make the call of an expired timer."""
-        call = self.timers.pop(checks.integer(name, fields, "handle"), None)
-        if call is not None:
-            call(now)
-
-    def handle_from_peer(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Check a message from another router. It is not used, because the routers share nothing."""
-        checks.text(name, fields, "content")
-
-
-MESSAGE_HANDLERS = {
-    "PowerOn": HostedRouter.handle_power_on,
-    "Announce": HostedRouter.handle_announce,
-    "Inbound": HostedRouter.handle_inbound,
-    "Resolved": HostedRouter.handle_resolved,
-    "AckFirst": HostedRouter.handle_ack_first,
-    "Gone": HostedRouter.handle_gone,
-    "CheckResult": HostedRouter.handle_check_result,
-    "ExpiredNow": HostedRouter.handle_expired_now,
-    "Ring": HostedRouter.handle_ring,
-    "FromPeer": HostedRouter.handle_from_peer,
-}
+from wickhinge.wirehost.hosted_router import MESSAGE_HANDLERS, HostedRouter
+from wickhinge.wirehost.outbox import Outbox, merge
 
 
 class RouterHost:
     """All routers of the process.
 
     Attributes:
-        routers: The running routers, by their number on the wire.
-        replies: Encoded actions of all routers, which are sent at the end of the batch.
+        instances: The running instance of each router, by the router's number on the wire.
     """
 
     def __init__(self) -> None:
-        self.routers: dict[int, HostedRouter] = {}
-        self.replies: list[bytes] = []
+        self.instances: dict[int, HostedRouter] = {}
+        self._positions = count()
+        # Errors of refused starts, and of messages to routers that have no instance, by the router's number.
+        self._errors: dict[int, Outbox] = {}
+        self._routers_in_batch: set[int] = set()
 
     def handle_message(self, name: str, fields: dict[str, Any], now: float) -> None:
-        """Pass one message of a batch to its router."""
+        """Handle one message of a batch. A message that is refused is answered with its error.
+
+        Raises:
+            MalformedError: The message names no router, so that no answer can name one.
+        """
         number = checks.integer(name, fields, "router")
+        self._routers_in_batch.add(number)
         if name == "Kill":
-            self.routers.pop(number, None)
+            self._end(number)
             return
-        if name == "PowerOn":
-            self.routers[number] = HostedRouter(number, self.replies)
-        elif name not in MESSAGE_HANDLERS:
-            raise MalformedError(f"{name}: unknown message", number)
-        hosted = self.routers.get(number)
-        if hosted is None:
-            raise MalformedError(f"{name}: field router names no running instance", number)
+        instance = self.instances.get(number) if name != "PowerOn" else None
         try:
-            MESSAGE_HANDLERS[name](hosted, name, fields, now)
+            if name == "PowerOn":
+                self._start(number, fields, now)
+            elif name not in MESSAGE_HANDLERS:
+                raise MalformedError(f"{name}: unknown message")
+            elif instance is None:
+                raise MalformedError(f"{name}: field router names no running instance")
+            else:
+                MESSAGE_HANDLERS[name](instance, name, fields, now)
         except MalformedError as error:
-            error.router = number
-            if hosted.router is None:
-                del self.routers[number]
-            raise
+            outbox = instance.outbox if instance else self._errors.setdefault(number, Outbox(self._positions))
+            outbox.append(codec.encode("Broken", {"router": number, "line": str(error)}))
+
+    def _end(self, number: int) -> None:
+        """Drop a router's instance and the errors of its refused starts, with all that is not sent yet."""
+        self.instances.pop(number, None)
+        self._errors.pop(number, None)
+
+    def _start(self, number: int, fields: dict[str, Any], now: float) -> None:
+        """Put a new instance in the place of a router's earlier one, which a refused start leaves as it is."""
+        instance = HostedRouter(number, Outbox(self._positions))
+        instance.handle_power_on("PowerOn", fields, now)
+        self.instances[number] = instance
+
+    def take_reply(self) -> bytes:
+        """Return the encoded actions of the reply to the batch, and begin the next batch.
+
+        Only instances that the batch has messages for can have requested actions.
+        """
+        outboxes = list(self._errors.values())
+        for number in self._routers_in_batch:
+            if number in self.instances:
+                outboxes.append(self.instances[number].outbox)
+        self._errors.clear()
+        self._routers_in_batch.clear()
+        return merge(outboxes)
 
 
 def run(source: BinaryIO, sink: BinaryIO) -> None:
-    """Read batches until the end of the input, and write the actions of each batch as its reply."""
+    """Read batches until the end of the input, and write the actions of each batch as its reply.
+
+    Raises:
+        MalformedError: A line is not a message, comes before any batch, or names no router.
+    """
     router_host, now = RouterHost(), None
     for line in source:
         if not line.strip():
             continue
-        try:
-            name, fields = codec.decode(line)
-            if name == "Batch":
-                now = checks.seconds(name, fields, "timeMs")
-            elif name == "Go":
-                sink.write(b"".join(router_host.replies) + b'{"Finished":{}}\n')
-                sink.flush()
-                router_host.replies.clear()
-            elif now is None:
-                raise MalformedError(f"{name}: comes before any Batch")
-            else:
-                router_host.handle_message(name, fields, now)
-        except MalformedError as error:
-            if error.router is None:
-                raise
-            router_host.replies.append(codec.encode("Broken", {"router": error.router, "line": str(error)}))
+        name, fields = codec.decode(line)
+        if name == "Batch":
+            now = checks.seconds(name, fields, "timeMs")
+        elif name == "Go":
+            sink.write(router_host.take_reply() + b'{"Finished":{}}\n')
+            sink.flush()
+        elif now is None:
+            raise MalformedError(f"{name}: comes before any Batch")
+        else:
+            router_host.handle_message(name, fields, now)
