A refused request on the simulator's wire takes no place of a request in progress

Cause: handle_inbound put the new WireRequest into the table of requests before it had checked the other fields. A message that was then refused left an entry that nothing ends; if it named the reference of a request in progress, it took that request's place, and the ends of its attempts were ignored from then on.

Change: all fields are checked first.

--- a/tests/wirehost/test_instance_ends.py
+++ b/tests/wirehost/test_instance_ends.py
@@ -31,6 +31,16 @@
     assert_equal_replies(day, replies, expected_replies)
 
 
+@settings(max_examples=DAYS, derandomize=True, deadline=None)
+@given(SEEDS)
+def test_refused_messages_and_starts_change_nothing_but_their_errors(seed):
+    day = Day(seed)
+    replies = [[line for line in reply if b'"Broken"' not in line] for reply in play(day, BATCHES)]
+    without_refused = [[event for event in batch.events if not event.is_refused] for batch in day.batches]
+    expected_replies = replay([batch.lines(events) for batch, events in zip(day.batches, without_refused, strict=True)])
+    assert_equal_replies(day, replies, expected_replies)
+
+
 @settings(max_examples=DAYS, derandomize=True, deadline=None)
 @given(SEEDS)
 def test_each_error_of_a_message_is_reported_unless_its_instance_ends_in_the_batch(seed):
--- a/wickhinge/wirehost/hosted_router.py
+++ b/wickhinge/wirehost/hosted_router.py
@@ -132,7 +132,7 @@
         request_class = self.request_classes.get(checks.text(name, fields, "kind"))
         if request_class is None:
             raise MalformedError(f"{name}: field kind names no class of the settings")
-        wire_request = self.requests[checks.text(name, fields, "ref")] = WireRequest(self, fields["ref"])
+        wire_request = WireRequest(self, checks.text(name, fields, "ref"))
         content = fields.get("contentId")
         request = Request(
             0 if content is None else checks.hexadecimal(name, fields, "contentId"),
@@ -142,6 +142,7 @@
             checks.seconds(name, fields, "expiresInMs"),
             checks.boolean(name, fields, "repeat", False),
         )
+        self.requests[wire_request.ref] = wire_request
         wire_request.routed = self.router.route(wire_request, request_class, request, now)
 
     def handle_resolved(self, name: str, fields: dict[str, Any], now: float) -> None:
