A setting of another type for a request class is refused, and ends no process

Cause: the columns maxAgeMs and staleForMs of familyInfo were divided before their values were checked, so that a start with a string, a list or null there raised a TypeError and ended the adapter with all its routers; worthWhenOld was not checked at all. Found while looking at refused starts.

Change: the three are read by the checks that all other numbers pass, whose error names the key.

Evidence: nine new cases failed before.

--- a/tests/wirehost/test_wirehost.py
+++ b/tests/wirehost/test_wirehost.py
@@ -96,6 +96,16 @@
     assert any(key in reply["Broken"]["line"] for reply in replies if "Broken" in reply)
 
 
+@pytest.mark.parametrize("key", ["maxAgeMs", "staleForMs", "worthWhenOld"])
+@pytest.mark.parametrize("value", [None, "x", [1]])
+def test_start_with_a_value_of_another_type_for_a_class_is_refused_and_the_other_routers_run_on(key, value):
+    conf = {**SETTINGS, "familyInfo": {**SETTINGS["familyInfo"], key: [value]}}
+    refused_start = ("PowerOn", {"router": 1, "initSeed": 1, "conf": conf})
+    replies = run_batches(START_MESSAGES, [refused_start, REQUEST_MESSAGE])
+    assert [key in reply["Broken"]["line"] for reply in replies if "Broken" in reply] == [True]
+    assert any("PullVia" in reply for reply in replies)
+
+
 @pytest.mark.parametrize("event", [TIMEOUT_MESSAGE, ("Gone", {"router": 0, "ref": "a"})])
 @pytest.mark.parametrize("expires_in_ms, is_sent", [(5000, True), (1, False)])
 def test_request_when_it_and_its_attempts_have_ended_is_forgotten(expires_in_ms, is_sent, event):
--- a/wickhinge/settings.py
+++ b/wickhinge/settings.py
@@ -36,7 +36,6 @@
     "side_effect": Idempotency.NOT_IDEMPOTENT,
 }
 DEDUPLICATION_GROUPS = ("all", "zone", "cell")
-MS_PER_S = 1000.0
 # Paths of the settings' objects, which error messages name.
 ROOT, CLASSES, RULES, LIMITS, STATS = "conf", "conf.classes", "conf.rules", "conf.limits", "conf.stats"
 FAMILY, ZONE_ROUTERS = "conf.familyInfo", "conf.familyInfo.zoneBalancers"
@@ -102,9 +101,9 @@
         idempotency=idempotency,
         deduplication_group=group,
         deduplication_window=window,
-        freshness_lifetime=family_values["maxAgeMs"] / MS_PER_S,
-        stale_grace=family_values["staleForMs"] / MS_PER_S,
-        stale_value=family_values["worthWhenOld"],
+        freshness_lifetime=seconds(FAMILY, family_values, "maxAgeMs"),
+        stale_grace=seconds(FAMILY, family_values, "staleForMs"),
+        stale_value=number(FAMILY, family_values, "worthWhenOld"),
         multipart=bool(family_values["multiPart"]),
         pass_through=bool(family_values["passOn"]),
     )
