A simulated server's process leaves nothing to the process after it

A fill that a cache or a parent had begun before it crashed put its copy into the empty store of the next process, and its work on that process's capacity, since only `is_up` was asked. The end of a hang crashed the next process, the end of a slowdown ended that of the next process, and its updates of the capacity in slow start went on beside the next one's.

Change: a server numbers its processes (`incarnation`); fills, ends of failures and updates of the capacity are for the process that they were begun for.

Results of the laboratory's scenarios with crashes may differ by it.

--- a/wickhinge/lab/servers.py
+++ b/wickhinge/lab/servers.py
@@ -12,6 +12,7 @@
 
 RETENTION_RANKS = 4
 CONNECTION_REFUSED_DELAY_S = 0.001
+CAPACITY_UPDATE_INTERVAL_S = 0.25
 
 
 class PartStore:
@@ -66,6 +67,9 @@
             do, summed over the second number of seconds.
         restart_s: Seconds from a crash from overload until the new process runs.
         on_overload: Called with the server and its load, relative to the load that it can bear, before it crashes.
+
+    Attributes:
+        incarnation: Number of the process; what was begun for an earlier one does not concern the process that runs.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         self.restart_s, self.on_overload = restart_s, on_overload
         self.capacity = SharedCapacity(events, weight)
         self.store = PartStore(max_parts)
+        self.incarnation = 0
         self.started_at = -1e9
         self.is_up, self.is_hung, self.slowdown = True, False, 1.0
         self.state = "ready"
@@ -136,10 +141,16 @@
                 self.events.call_after(0.0, self.crash, self.restart_s)
 
     def update_capacity(self) -> None:
-        """Apply the capacity that the server has now, and again every 0.25 s until the slow start ends."""
+        """Apply the capacity that the server has now."""
         self.capacity.set_capacity(self.weight * self.capacity_share() / self.slowdown)
+
+    def _follow_slow_start(self, incarnation: int) -> None:
+        """Update the capacity of a process periodically until its slow start or the process ends."""
+        if incarnation != self.incarnation:
+            return
+        self.update_capacity()
         if self.capacity_share() < 1.0:
-            self.events.call_after(0.25, self.update_capacity)
+            self.events.call_after(CAPACITY_UPDATE_INTERVAL_S, self._follow_slow_start, incarnation)
 
     def finish_request(self, number: int, *result: Any) -> None:
         """Answer a request unless it was cancelled; a server that hangs never answers."""
@@ -161,6 +172,7 @@
         if not self.is_up:
             return
         self.is_up = self.is_hung = False
+        self.incarnation += 1
         self.capacity.clear()
         lost_callbacks, self.open_requests = list(self.open_requests.values()), {}
         self.recent_work.clear()
@@ -174,7 +186,7 @@
         self.is_up, self.slowdown = True, 1.0
         self.started_at = self.events.now
         self.store = PartStore(self.max_parts)
-        self.update_capacity()
+        self._follow_slow_start(self.incarnation)
 
     def set_hung(self, is_hung: bool) -> None:
         """Let the server hang, so that it accepts requests and answers none, or end that."""
@@ -288,7 +300,11 @@
             )
             return
 
+        incarnation = server.incarnation
+
         def on_source_reply(outcome: Outcome, created_at: float | None, _: CacheStatus | None) -> None:
+            if server.incarnation != incarnation:
+                return  # The process that began the fill has ended, and its open requests with it.
             if outcome is not Outcome.SUCCEEDED:
                 is_miss = outcome is Outcome.MISS
                 server.finish_request(
@@ -298,7 +314,7 @@
                     CacheStatus.SOURCE_MISS if is_miss else CacheStatus.SOURCE_UNREACHABLE,
                 )
                 return
-            if rank and server.is_up:
+            if rank:
                 server.store.put(name, created_at, rank)
             server.capacity.submit(
                 self.part_s, server.finish_request, number, Outcome.SUCCEEDED, created_at, CacheStatus.FILLED_BY_PARENT
@@ -320,9 +336,12 @@
         elif only_if_cached:
             self.events.call_after(0.0005, source.finish_request, source_number, Outcome.MISS, None, None)
         else:
+            source_incarnation = source.incarnation
 
             def on_origin_reply(outcome: Outcome, origin_created_at: float | None, _: CacheStatus | None) -> None:
-                if outcome is Outcome.SUCCEEDED and source.is_up:
+                if source.incarnation != source_incarnation:
+                    return
+                if outcome is Outcome.SUCCEEDED:
                     source.store.put(name, origin_created_at, 1)
                 source.finish_request(source_number, outcome, origin_created_at, None)
 
--- a/wickhinge/lab/simulation.py
+++ b/wickhinge/lab/simulation.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -443,10 +444,10 @@
                 self.events.call_after(failure.for_s, self._announce, [target.server_id])
             case "hang":
                 target.set_hung(True)
-                self.events.call_after(failure.for_s, target.crash, s.restart_s)
+                self._end_after(failure.for_s, target, lambda: target.crash(s.restart_s))
             case "slow":
                 target.set_slowdown(failure.factor)
-                self.events.call_after(failure.for_s, target.set_slowdown, 1.0)
+                self._end_after(failure.for_s, target, lambda: target.set_slowdown(1.0))
             case "drain":
                 target.state = "draining"
                 self._announce([target.server_id])
@@ -456,14 +457,25 @@
                     cache.crash(failure.for_s if failure.kind == "lost_zone" else s.restart_s)
                     self.events.call_after(failure.for_s + s.restart_s, self._announce, [cache.server_id])
             case "origin_slow":
-                self.servers[ORIGIN_ID].set_slowdown(failure.factor)
-                self.events.call_after(failure.for_s, self.servers[ORIGIN_ID].set_slowdown, 1.0)
+                origin = self.servers[ORIGIN_ID]
+                origin.set_slowdown(failure.factor)
+                self._end_after(failure.for_s, origin, lambda: origin.set_slowdown(1.0))
             case "purge":
                 for key in range(max(round(failure.share * s.objects), 1)):
                     self._purge(key)
             case "list_lost":
                 self.list_lost_until = self.events.now + failure.for_s
 
+    def _end_after(self, for_s: float, server: SimulatedServer, end: Callable[[], None]) -> None:
+        """End a failure of a server's process after a time, unless the process has ended by then."""
+        incarnation = server.incarnation
+
+        def end_in_same_process() -> None:
+            if server.incarnation == incarnation:
+                end()
+
+        self.events.call_after(for_s, end_in_same_process)
+
     def _purge(self, key: int) -> None:
         """Purge an object: routers learn it after `list_s`, and each server at a random time within 5 s."""
         now = self.events.now
