A fleet run waits for the output of a process, not for that of one before it

The ready line of a killed process would have made the process that was started after it look ready. No run waits for a restarted process today.

Change: the place where a process's own output begins is kept, and only what follows is searched.

--- a/bench/scale/fleet_processes.py
+++ b/bench/scale/fleet_processes.py
@@ -48,6 +48,7 @@
         self._folder = folder
         self._children: list[subprocess.Popen[bytes]] = []
         self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self._output_starts: dict[str, int] = {}  # Bytes that earlier processes of the name have written.
         self.peak_running = 0
         self._defers_interrupts = self._interrupted = False
 
@@ -90,6 +91,7 @@
 
     def _spawn(self, name: str, arguments: tuple[str, ...], environment: dict[str, str]) -> subprocess.Popen[bytes]:
         with open(self.output_path(name), "ab") as output:
+            self._output_starts[name] = output.tell()
             return subprocess.Popen(
                 [sys.executable, *arguments],
                 cwd=ROOT,
@@ -103,15 +105,19 @@
     def output_path(self, name: str) -> Path:
         return self._folder / f"{name}.log"
 
+    def output_of_running(self, name: str) -> bytes:
+        """Return the output of the newest process of a name, without that of earlier ones."""
+        return self.output_path(name).read_bytes()[self._output_starts[name] :]
+
     def wait_for_output(self, names: list[str], text_to_find: bytes) -> None:
-        """Wait until the output of each process contains the text.
+        """Wait until the output of each process contains the text; earlier processes of its name do not count.
 
         Raises:
             ProcessError: A process ended or did not write the text in time.
         """
         deadline = time.monotonic() + START_TIMEOUT_S
         for name in names:
-            while text_to_find not in (text := self.output_path(name).read_bytes()):
+            while text_to_find not in (text := self.output_of_running(name)):
                 if self.running[name].poll() is not None or time.monotonic() > deadline:
                     raise ProcessError(f"{name} ended or was not ready in time: {text[-600:].decode(errors='replace')}")
                 time.sleep(POLL_INTERVAL_S)
