A request of a fleet run's client ends with its connection

Cause: the stand-in clients of bench/scale noted the open request of a key until its answer, and nothing ended it where the connection was lost. The key was never requested again, and the request counted neither as answered nor as failed.

Change: the requests that are open on a lost connection count as failed, and their keys are free.

Evidence: tests/bench/test_fleet_caches.py fails before (both keys were still held, none counted as failed).

--- a/bench/scale/fleet_caches.py
+++ b/bench/scale/fleet_caches.py
@@ -72,7 +72,11 @@
         self._connection, self._is_connecting = connection, False
 
     def _on_connection_lost(self, connection: ClientConnection) -> None:
+        """Count the requests that are open on the connection as failed; nothing else ends them."""
         self._connection = None
+        for on_answer in connection.open.values():
+            on_answer("the connection was lost", b"", {})
+        connection.open.clear()
 
     def request_object(self, key: int) -> None:
         if self._connection is None:
