--- a/tests/support/simulator_day.py
+++ b/bench/simulator_day.py
@@ -5,6 +5,7 @@
 import io
 import json
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,11 +13,9 @@
 
 Message = tuple[str, dict[str, Any]]
 
-ROUTERS = 3
 CACHES = (7, 8, 9)
 ORIGIN = 99
 MAX_STEP_MS = 900.0  # Longest time between two batches; a router's rounds are 700 ms apart.
-MAX_MESSAGES = 14  # Most draws of a message in one batch.
 OUTCOMES = (10, 10, 10, 20, 30, 40, 50, 60, 90, 90)
 
 SETTINGS: dict[str, Any] = {
@@ -140,17 +139,34 @@
         return [json.dumps({name: fields}).encode() + b"\n" for name, fields in messages]
 
 
+@dataclass(frozen=True)
+class DaySettings:
+    """What is drawn on a day.
+
+    Attributes:
+        routers: Number of routers.
+        max_messages: Most draws of a message in one batch.
+        kill_share: Share of the draws in which a running router is killed.
+        has_refusals: Whether some messages and starts are malformed.
+    """
+
+    routers: int = 3
+    max_messages: int = 14
+    kill_share: float = 0.12
+    has_refusals: bool = True
+
+
+RESTART_SHARE = 0.03  # Share of the draws in which a running router is started anew without having been killed.
+MALFORMED_SHARE = 0.05  # Share of the draws in which a running router gets a malformed message.
+REFUSED_START_SHARE = 0.15  # Share of the starts whose settings lack a key.
+
+
 class Day:
     """Draws batches one after another, each from the replies to those before it."""
 
-    def __init__(self, seed: int, *, refusals: bool = True) -> None:
-        """Begin a day.
-
-        Args:
-            seed: Everything that is drawn follows from it.
-            refusals: Whether some messages and starts are malformed.
-        """
-        self.random, self.refusals = random.Random(seed), refusals
+    def __init__(self, seed: int, settings: DaySettings | None = None) -> None:
+        """Begin a day; everything that is drawn follows from the seed."""
+        self.random, self.settings = random.Random(seed), settings or DaySettings()
         self.now_ms = 1000.0
         self.last_ref = 0
         self.current: dict[int, Instance] = {}
@@ -161,8 +177,8 @@
         """Draw the next batch. Routers take turns in it, and may end and start several times."""
         self.now_ms += self.random.choice((1.0, 20.0, MAX_STEP_MS)) * self.random.random()
         events: list[Event] = []
-        for _ in range(self.random.randrange(MAX_MESSAGES)):
-            router = self.random.randrange(ROUTERS)
+        for _ in range(self.random.randint(0, self.settings.max_messages)):
+            router = self.random.randrange(self.settings.routers)
             instance = self.current.get(router)
             if instance is None or instance.has_ended:
                 events += self._start(router)
@@ -174,7 +190,7 @@
     def _start(self, router: int) -> list[Event]:
         current = self.current.get(router)
         running = current if current is not None and current.is_running and not current.has_ended else None
-        is_refused = self.refusals and self.random.random() < 0.15
+        is_refused = self.settings.has_refusals and self.random.random() < REFUSED_START_SHARE
         settings = {**SETTINGS, "rules": {}} if is_refused else SETTINGS
         fields = {"router": router, "initSeed": self.random.getrandbits(40), "conf": settings}
         instance = Instance(router, is_running=not is_refused)
@@ -190,14 +206,14 @@
         return [start] if is_refused else [start, Event(instance, ("Announce", listed))]
 
     def _event(self, instance: Instance) -> list[Event]:
-        draw = self.random.random()
-        if draw < 0.12:
+        if self.random.random() < self.settings.kill_share:
             for ended in (instance, *self.refused_starts):
                 ended.has_ended |= ended.router == instance.router
             return [Event(instance, ("Kill", {"router": instance.router}))]
-        if draw < 0.15 or not instance.is_running:
+        may_restart = self.settings.kill_share > 0.0
+        if not instance.is_running or may_restart and self.random.random() < RESTART_SHARE:
             return self._start(instance.router)
-        if draw < 0.2 and self.refusals:
+        if self.settings.has_refusals and self.random.random() < MALFORMED_SHARE:
             return [Event(instance, self._malformed(instance), is_refused=True)]
         choices = [self._inbound, self._inbound, self._purge, self._list_change]
         choices += [self._resolved, self._resolved] * bool(instance.attempts)
@@ -290,27 +306,29 @@
 
 def play(day: Day, batch_count: int) -> list[list[bytes]]:
     """Play a number of batches of a day, and return the reply to each as its lines."""
-    sink, replies = Sink(), []
+    sink = Sink()
+    replies: list[list[bytes]] = []
 
-    def source():
+    def source() -> Iterator[bytes]:
         for _ in range(batch_count):
             batch = day.next_batch()
             yield from batch.lines(batch.events)
             replies.append(sink.take_lines())
             day.take_reply(replies[-1])
 
-    run(source(), sink)
+    run(source(), sink)  # type: ignore[arg-type]  # Of a file, the adapter uses its lines alone.
     return replies
 
 
 def replay(batches: list[list[bytes]]) -> list[list[bytes]]:
     """Play batches that were drawn before, given as their lines, and return the reply to each as its lines."""
-    sink, replies = Sink(), []
+    sink = Sink()
+    replies: list[list[bytes]] = []
 
-    def source():
+    def source() -> Iterator[bytes]:
         for lines in batches:
             yield from lines
             replies.append(sink.take_lines())
 
-    run(source(), sink)
+    run(source(), sink)  # type: ignore[arg-type]  # Of a file, the adapter uses its lines alone.
     return replies
--- a/tests/wirehost/test_instance_ends.py
+++ b/tests/wirehost/test_instance_ends.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.support.simulator_day import Day, play, replay
+from bench.simulator_day import Day, play, replay
 from tests.wirehost.test_wirehost import REQUEST_MESSAGE, START_MESSAGES, run_batches
 
 BATCHES = 40  # Batches of a drawn day.
--- a/tests/wirehost/test_wirehost.py
+++ b/tests/wirehost/test_wirehost.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.support.simulator_day import SETTINGS, list_entry
+from bench.simulator_day import SETTINGS, list_entry
 from wickhinge.fields import MalformedError
 from wickhinge.wirehost.host import HostedRouter, run
 
--- a/wickhinge/wirehost/host.py
+++ b/wickhinge/wirehost/host.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-from itertools import count
 from typing import Any, BinaryIO
 
 from wickhinge import fields as checks
 from wickhinge.fields import MalformedError
 from wickhinge.wirehost import codec
 from wickhinge.wirehost.hosted_router import MESSAGE_HANDLERS, HostedRouter
-from wickhinge.wirehost.outbox import Outbox, merge
+from wickhinge.wirehost.outbox import ActionOrder, Outbox
 
 
 class RouterHost:
@@ -25,7 +24,7 @@
 
     def __init__(self) -> None:
         self.instances: dict[int, HostedRouter] = {}
-        self._positions = count()
+        self._order = ActionOrder()
         # Errors of refused starts, and of messages to routers that have no instance, by the router's number.
         self._errors: dict[int, Outbox] = {}
         self._routers_in_batch: set[int] = set()
@@ -52,7 +51,7 @@
             else:
                 MESSAGE_HANDLERS[name](instance, name, fields, now)
         except MalformedError as error:
-            outbox = instance.outbox if instance else self._errors.setdefault(number, Outbox(self._positions))
+            outbox = instance.outbox if instance else self._errors.setdefault(number, Outbox(self._order))
             outbox.append(codec.encode("Broken", {"router": number, "line": str(error)}))
 
     def _end(self, number: int) -> None:
@@ -62,7 +61,7 @@
 
     def _start(self, number: int, fields: dict[str, Any], now: float) -> None:
         """Put a new instance in the place of a router's earlier one, which a refused start leaves as it is."""
-        instance = HostedRouter(number, Outbox(self._positions))
+        instance = HostedRouter(number, Outbox(self._order))
         instance.handle_power_on("PowerOn", fields, now)
         self.instances[number] = instance
 
@@ -77,7 +76,7 @@
                 outboxes.append(self.instances[number].outbox)
         self._errors.clear()
         self._routers_in_batch.clear()
-        return merge(outboxes)
+        return self._order.merge(outboxes)
 
 
 def run(source: BinaryIO, sink: BinaryIO) -> None:
--- a/wickhinge/wirehost/outbox.py
+++ b/wickhinge/wirehost/outbox.py
@@ -1,9 +1,30 @@
-"""The actions of a batch: each owner of actions has an outbox, and the reply is merged from those that are left."""
+"""The actions of a batch: each of their owners has an outbox, and the reply is merged from those that are left."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
-from itertools import chain
+from collections.abc import Iterable
+from itertools import count
+
+
+class ActionOrder:
+    """Numbers the actions of all owners in the order in which they are requested.
+
+    The numbers are not sent, so the number of an action whose owner has ended changes nothing.
+    """
+
+    def __init__(self) -> None:
+        self.draw_number = count().__next__
+        self._batch_start = 0
+
+    def merge(self, outboxes: Iterable[Outbox]) -> bytes:
+        """Return the actions of the outboxes in their order, leave the outboxes empty, and begin the next batch."""
+        start, end = self._batch_start, self.draw_number()
+        self._batch_start = end + 1
+        actions = [b""] * (end - start)
+        for outbox in outboxes:
+            for number, action in outbox.take():
+                actions[number - start] = action
+        return b"".join(actions)
 
 
 class Outbox:
@@ -13,27 +34,17 @@
     the reply takes its actions with it.
     """
 
-    def __init__(self, positions: Iterator[int]) -> None:
-        """Create an empty outbox.
+    __slots__ = ("_draw_number", "_actions")
 
-        Args:
-            positions: Increasing numbers, shared by all outboxes of the host, which give the order of the actions of
-                different owners. They are not sent, so a number that no action uses changes nothing.
-        """
-        self._positions = positions
+    def __init__(self, order: ActionOrder) -> None:
+        self._draw_number = order.draw_number
         self._actions: list[tuple[int, bytes]] = []
 
     def append(self, action: bytes) -> None:
         """Add an encoded action, after all actions that any owner has added so far."""
-        self._actions.append((next(self._positions), action))
+        self._actions.append((self._draw_number(), action))
 
     def take(self) -> list[tuple[int, bytes]]:
-        """Return the actions with their positions, and leave the outbox empty."""
+        """Return the actions with their numbers, and leave the outbox empty."""
         actions, self._actions = self._actions, []
         return actions
-
-
-def merge(outboxes: Iterable[Outbox]) -> bytes:
-    """Return the actions of all outboxes in the order in which they were added, and leave the outboxes empty."""
-    actions = sorted(chain.from_iterable(outbox.take() for outbox in outboxes))
-    return b"".join(action for _, action in actions)
