--- a/wickhinge/wirehost/hosted_router.py
+++ b/wickhinge/wirehost/hosted_router.py
@@ -12,7 +12,8 @@
 
 from wickhinge import fields as checks
 from wickhinge.fields import MalformedError
-from wickhinge.interface import CacheStatus, Completion, Endpoint, Outcome, Request
+from wickhinge.interface import CacheStatus, Completion, Endpoint, Outcome, Request, RequestClass
+from wickhinge.routing.server import Server
 from wickhinge.settings import build_router
 from wickhinge.wirehost import codec
 from wickhinge.wirehost.outbox import Outbox
@@ -59,7 +60,7 @@
         self.timers: dict[int, Callable[[float], None]] = {}
         self.last_timer = 0
         self.router: Any = None
-        self.request_classes: dict[str, Any] = {}
+        self.request_classes: dict[str, RequestClass] = {}
 
     def add_action(self, name: str, fields: dict[str, Any]) -> None:
         """Add an action to the reply to the batch, as long as the instance runs."""
@@ -74,7 +75,7 @@
         self.timers[self.last_timer] = call
         self.add_action("WakeMe", {"delayMs": max(delay, 0.0) * 1000.0, "handle": self.last_timer})
 
-    def check_health(self, server: Any) -> None:
+    def check_health(self, server: Server) -> None:
         """Ask the simulator to check the health of a server."""
         self.add_action("Poll", {"cache": server.id})
 
@@ -86,7 +87,7 @@
         """Ask for the whole endpoint list."""
         self.add_action("ReadList", {})
 
-    def close_idle(self, server: Any) -> None:
+    def close_idle(self, server: Server) -> None:
         """Close idle connections to a server."""
         self.add_action("HangUp", {"cache": server.id})
 
--- a/wickhinge/wirehost/wire_request.py
+++ b/wickhinge/wirehost/wire_request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from wickhinge.interface import AttemptParameters, RejectionReason
 from wickhinge.routing.attempt import Attempt
@@ -42,7 +42,7 @@
             fields["howOldMs"] = parameters.max_age * 1000.0
         self.host.add_action("PullVia", fields)
 
-    def cancel(self, attempt: Any) -> None:
+    def cancel(self, attempt: Attempt) -> None:
         """Cancel a pending attempt."""
         self.host.add_action("Abandon", {"ref": self.ref, "sendNo": self.attempts.index(attempt)})
 
