--- a/bench/simulator_day.py
+++ b/bench/simulator_day.py
@@ -240,10 +240,13 @@
             [
                 ("Inbound", {**self._request(ref), "chunk": "x"}),
                 ("Inbound", {**self._request(ref), "kind": "y"}),
-                ("Resolved", {"ref": ref, "sendNo": 0, "disposition": 11, "timeTakenMs": 1.0, "doneFlag": False}),
-                ("Resolved", {"ref": ref, "sendNo": 0, "disposition": 10, "timeTakenMs": 1.0}),
+                ("Resolved", {**self._outcome(ref), "disposition": 11}),
+                ("Resolved", {**self._outcome(ref), "doneFlag": None}),
                 ("Announce", {"kind": "total", "serial": 2, "hosts": [list_entry(5), {"cache": 6}]}),
+                ("Resolved", {**self._outcome(ref), "report": {"x1": "y"}}),
+                ("Announce", {"kind": "total", "serial": 2, "hosts": [list_entry(5), list_entry(1 << 64)]}),
                 ("CheckResult", {"cache": 7, "disposition": 12}),
+                ("CheckResult", {"cache": 7, "disposition": 10, "report": {"x1": "y"}}),
                 ("ExpiredNow", {"contentId": None, "setNo": 1}),
                 ("Ring", {"handle": "x"}),
                 ("Strange", {}),
@@ -251,6 +254,10 @@
         )
         return name, {"router": instance.router, **fields}
 
+    @staticmethod
+    def _outcome(ref: str) -> dict[str, Any]:
+        return {"ref": ref, "sendNo": 0, "cache": 7, "disposition": 10, "timeTakenMs": 1.0, "doneFlag": False}
+
     def _resolved(self, instance: Instance) -> Message:
         ref, number, cache = instance.attempts.pop(self.random.randrange(len(instance.attempts)))
         code = self.random.choice(OUTCOMES)
@@ -262,7 +269,8 @@
 
     def _check_result(self, instance: Instance) -> Message:
         cache, code = instance.health_checks.pop(), self.random.choice((10, 10, 40, 50))
-        return "CheckResult", {"cache": cache, "disposition": code, "timeTakenMs": 2.0, "report": {"x1": 0.5}}
+        report = self.random.choice(({"x1": self.random.random(), "utilization": None}, {"x1": None}, None))
+        return "CheckResult", {"cache": cache, "disposition": code, "timeTakenMs": 2.0, "report": report}
 
     def _purge(self, _instance: Instance) -> Message:
         return "ExpiredNow", {"contentId": None, "setNo": 1, "howOldMs": 100.0 * self.random.random()}
--- a/wickhinge/wirehost/hosted_router.py
+++ b/wickhinge/wirehost/hosted_router.py
@@ -35,6 +35,7 @@
 STATE_BY_CODE = {"U": "ready", "L": "draining", "D": "gone"}
 # Kinds of endpoint lists, and whether a list of the kind names every server.
 LIST_IS_COMPLETE = {"incr": False, "total": True, "warm_copy": True}
+SERVER_ID_LIMIT = 1 << 32  # Ids of servers are below it.
 CACHE_STATUS_BY_CODE = {status.value: status for status in CacheStatus}
 
 
@@ -115,9 +116,12 @@
             return
         endpoints = []
         for entry in checks.mappings(name, fields, "hosts"):
+            server_id = checks.integer(name, entry, "cache")
+            if not 0 <= server_id < SERVER_ID_LIMIT:
+                raise MalformedError(f"{name}: field cache is not below {SERVER_ID_LIMIT}")
             endpoints.append(
                 Endpoint(
-                    checks.integer(name, entry, "cache"),
+                    server_id,
                     checks.text(name, entry, "campus"),
                     checks.text(name, entry, "familyType"),
                     checks.integer(name, entry, "cluster", 0),
@@ -150,10 +154,10 @@
         """Handle the end of an attempt."""
         attempt, outcome = self.find_attempt(name, fields), self.read_outcome(name, fields)
         duration, is_answered = checks.seconds(name, fields, "timeTakenMs"), checks.boolean(name, fields, "doneFlag")
+        status = CACHE_STATUS_BY_CODE.get(checks.integer(name, fields, "detail", 0))
+        load = self.read_load_report(name, fields)
         if attempt is None:
             return
-        status = CACHE_STATUS_BY_CODE.get(checks.integer(name, fields, "detail", 0))
-        load = None if fields.get("report") is None else checks.mapping(name, fields, "report")
         attempt.request.attempt_ended(attempt, Completion(outcome, duration, is_answered, status, load), now)
         if attempt.request.is_finished:
             attempt.request.transport.close()
@@ -177,6 +181,13 @@
             raise MalformedError(f"{name}: field disposition holds an unknown code")
         return OUTCOME_BY_CODE[code]
 
+    def read_load_report(self, name: str, fields: dict[str, Any]) -> dict[str, float] | None:
+        """Return the values of the load report that the message contains, without those that are not present."""
+        if fields.get("report") is None:
+            return None
+        report = checks.mapping(name, fields, "report")
+        return {field: checks.number(f"{name}.report", report, field) for field in report if report[field] is not None}
+
     def handle_gone(self, name: str, fields: dict[str, Any], now: float) -> None:
         """Handle the disconnection of a client."""
         request = self.requests.get(checks.text(name, fields, "ref"))
@@ -188,9 +199,9 @@
         """Handle the result of a health check."""
         server = self.router.endpoints.servers.get(checks.integer(name, fields, "cache"))
         outcome = self.read_outcome(name, fields)
-        load = {} if fields.get("report") is None else checks.mapping(name, fields, "report")
+        load = self.read_load_report(name, fields)
         if server is not None:
-            self.router.health_checked(server, outcome, load, now)
+            self.router.health_checked(server, outcome, load or {}, now)
 
     def handle_expired_now(self, name: str, fields: dict[str, Any], now: float) -> None:
         """Record a purge."""
