--- a/tests/wirehost/test_instance_ends.py
+++ b/tests/wirehost/test_instance_ends.py
@@ -69,3 +69,10 @@
 def test_timers_of_each_instance_are_numbered_from_one():
     replies = run_batches([*START_MESSAGES, REQUEST_MESSAGE, KILL_MESSAGE, *START_MESSAGES])
     assert [reply["WakeMe"]["handle"] for reply in replies if "WakeMe" in reply] == [1]
+
+
+def test_actions_of_several_routers_are_in_the_order_of_the_messages_that_caused_them():
+    starts = [(name, {**fields, "router": router}) for router in (2, 0, 1) for name, fields in START_MESSAGES]
+    replies = run_batches(starts, [("Inbound", {**REQUEST_MESSAGE[1], "router": router}) for router in (1, 2, 0)])
+    routers = [reply["PullVia"]["router"] for reply in replies if "PullVia" in reply]
+    assert ([reply["WakeMe"]["router"] for reply in replies[:3]], routers) == ([2, 0, 1], [1, 2, 0])
